--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint format proofs bench slopes
+
+$(BIN)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+setup: $(BIN)/.installed
+
+demo: setup
+	$(BIN)/python -m mallowspindle.bench.demo
+
+test: setup
+	$(BIN)/python -m pytest -q
+
+lint: setup
+	$(BIN)/ruff format --check mallowspindle
+	$(BIN)/ruff check mallowspindle
+	$(BIN)/flake8 mallowspindle
+	$(BIN)/mypy mallowspindle
+
+format: setup
+	$(BIN)/ruff check --fix mallowspindle
+	$(BIN)/ruff format mallowspindle
+
+proofs: setup
+	$(BIN)/python -m mallowspindle.bench.proofs
+
+bench: setup
+	$(BIN)/python -m mallowspindle.bench.routing
+
+slopes: setup
+	$(BIN)/python -m mallowspindle.bench.slopes
--- /dev/null
+++ b/mallowspindle/__init__.py
@@ -0,0 +1,1 @@
+"""Serves language models on reclaimable VMs for joint ventures."""
--- /dev/null
+++ b/mallowspindle/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Runs accepted generation requests on model engines."""
--- /dev/null
+++ b/mallowspindle/attempts/engine.py
@@ -0,0 +1,285 @@
+"""Client of one model engine: start, resume and cancel a stream."""
+
+import json
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+)
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mallowspindle.attempts.errors import (
+    AttemptError,
+    AttemptNotRun,
+    RequestRejected,
+    StreamCut,
+    StreamGone,
+    WrongAnswer,
+)
+from mallowspindle.attempts.request import AttemptRef, GenerationRequest
+from mallowspindle.utils.telemetry import trace_headers
+
+_OK = 200
+_SERVER_ERROR = 500
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+_MAX_LINE_BYTES = 262_144
+_CONNECT_ERRORS = (ClientConnectorError, ConnectionTimeoutError)
+
+
+class _Delta(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+    content: str = ''
+
+
+class _Choice(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+    delta: _Delta = Field(default_factory=_Delta)
+    finish_reason: str | None = None
+
+
+class _PromptDetails(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+    cached_tokens: int = 0
+
+
+class _Usage(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+    prompt_tokens: int
+    prompt_tokens_details: _PromptDetails = Field(
+        default_factory=_PromptDetails
+    )
+
+
+class _Chunk(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+    choices: list[_Choice]
+    usage: _Usage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StartEvent:
+    """The engine accepted the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class TokenEvent:
+    """One token and its index in the engine's stream."""
+
+    index: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndEvent:
+    """The engine's last chunk."""
+
+    finish_reason: str
+    prompt_tokens: int
+    cached_tokens: int
+
+
+EngineEvent = StartEvent | TokenEvent | EndEvent
+
+
+class EngineClient:
+    """Speaks the OpenAI-compatible interface of model engines."""
+
+    def __init__(
+        self,
+        session: ClientSession,
+        connect_timeout_s: float,
+        token_timeout_s: float,
+    ) -> None:
+        self._session = session
+        self._timeout = ClientTimeout(
+            sock_connect=connect_timeout_s, sock_read=token_timeout_s
+        )
+
+    def start(
+        self,
+        request: GenerationRequest,
+        attempt: AttemptRef,
+        tokens: list[str],
+    ) -> AsyncGenerator[EngineEvent, None]:
+        """Start a stream that goes on after ``tokens``; yield its events."""
+        opening = self._session.post(
+            f'http://{attempt.address}/v1/chat/completions',
+            json=continued_body(request, tokens),
+            headers={'X-Request-Id': attempt.attempt_id, **trace_headers()},
+            timeout=self._timeout,
+        )
+        return _follow(opening, _StartRules(), attempt, 0)
+
+    def resume(
+        self, attempt: AttemptRef, start: int
+    ) -> AsyncGenerator[EngineEvent, None]:
+        """Follow an engine's own stream again from token ``start``."""
+        opening = self._session.get(
+            f'http://{attempt.address}/v1/streams/{attempt.attempt_id}',
+            params={'from': start},
+            headers=trace_headers(),
+            timeout=self._timeout,
+        )
+        return _follow(opening, _ResumeRules(), attempt, start)
+
+    async def cancel(self, attempt: AttemptRef) -> None:
+        """Cancel a stream; an engine that can't be reached is left alone."""
+        url = f'http://{attempt.address}/v1/streams/{attempt.attempt_id}'
+        try:
+            async with self._session.delete(url, timeout=self._timeout):
+                return
+        except (ClientError, TimeoutError):
+            return
+
+
+def continued_body(
+    request: GenerationRequest, tokens: list[str]
+) -> dict[str, Any]:
+    """Return the engine's request body for the rest after ``tokens``."""
+    body = {
+        **request.body,
+        'model': request.model,
+        'stream': True,
+        'priority': request.priority,
+        'max_tokens': request.max_tokens - len(tokens),
+    }
+    if tokens:
+        body['messages'] = [
+            *request.body['messages'],
+            {'role': 'assistant', 'content': ''.join(tokens)},
+        ]
+        body['continue_final_message'] = True
+    return body
+
+
+class _StartRules:
+    """Meaning of answers and errors when a stream is started."""
+
+    async def check(self, response: ClientResponse) -> None:
+        """Raise the error that the answer's status stands for."""
+        if response.status in {_TOO_MANY, _UNAVAILABLE}:
+            raise AttemptNotRun(f'engine refused with {response.status}')
+        if response.status >= _SERVER_ERROR:
+            raise StreamCut(f'engine answered {response.status}')
+        if response.status != _OK:
+            raise RequestRejected(response.status, await response.text())
+
+    def convert(self, error: Exception) -> AttemptError:
+        """Return the error of this layer for a connection's error."""
+        if isinstance(error, _CONNECT_ERRORS):
+            return AttemptNotRun(str(error))
+        return StreamCut(str(error))
+
+
+class _ResumeRules:
+    """Meaning of answers and errors when a stream is resumed."""
+
+    async def check(self, response: ClientResponse) -> None:
+        """Raise the error that the answer's status stands for."""
+        if response.status != _OK:
+            raise StreamGone(f'engine answered {response.status}')
+
+    def convert(self, error: Exception) -> AttemptError:
+        """Return the error of this layer for a connection's error."""
+        if isinstance(error, _CONNECT_ERRORS):
+            return StreamGone(str(error))
+        return StreamCut(str(error))
+
+
+async def _follow(
+    opening: AbstractAsyncContextManager[ClientResponse],
+    rules: _StartRules | _ResumeRules,
+    attempt: AttemptRef,
+    start: int,
+) -> AsyncGenerator[EngineEvent, None]:
+    try:
+        async with opening as response:
+            await rules.check(response)
+            async for event in _events(response, attempt, start):
+                yield event
+    except (ClientError, TimeoutError) as error:
+        raise rules.convert(error) from error
+
+
+async def _events(
+    response: ClientResponse, attempt: AttemptRef, start: int
+) -> AsyncGenerator[EngineEvent, None]:
+    echoed = response.headers.get('X-Request-Id')
+    if echoed != attempt.attempt_id:
+        raise WrongAnswer(f'answer to {echoed}, not {attempt.attempt_id}')
+    yield StartEvent()
+    reader = _EventReader(start)
+    async for index, payload in _server_sent(response):
+        if payload == '[DONE]':
+            break
+        yield reader.read(index, payload)
+    if not reader.ended:
+        raise StreamCut('the stream ended before its last chunk')
+
+
+class _EventReader:
+    """Checks that the tokens of a stream come whole and in order."""
+
+    def __init__(self, start: int) -> None:
+        self._expected = start
+        self._ended = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether the last chunk was read."""
+        return self._ended
+
+    def read(self, index: int, payload: str) -> TokenEvent | EndEvent:
+        """Return the next event; ``WrongAnswer`` if it is out of order."""
+        event = _parse(index, payload)
+        if isinstance(event, EndEvent):
+            self._ended = True
+        elif self._ended or index != self._expected:
+            raise WrongAnswer(f'token {index} in place of {self._expected}')
+        self._expected += 1
+        return event
+
+
+async def _server_sent(
+    response: ClientResponse,
+) -> AsyncIterator[tuple[int, str]]:
+    index = -1
+    async for raw in response.content:
+        if len(raw) > _MAX_LINE_BYTES:
+            raise WrongAnswer('a line of the stream is too long')
+        line = raw.decode('utf-8', errors='replace').rstrip('\r\n')
+        if line.startswith('id: '):
+            index = _parse_index(line[4:])
+        if line.startswith('data: '):
+            yield index, line[6:]
+
+
+def _parse_index(text: str) -> int:
+    if not text.isdecimal():
+        raise WrongAnswer(f'event id {text!r} is not a number')
+    return int(text)
+
+
+def _parse(index: int, payload: str) -> TokenEvent | EndEvent:
+    try:
+        chunk = _Chunk.model_validate(json.loads(payload))
+        choice = chunk.choices[0]
+    except (ValueError, ValidationError, IndexError) as error:
+        raise WrongAnswer(f'malformed chunk: {error}') from error
+    if choice.finish_reason is None:
+        return TokenEvent(index, choice.delta.content)
+    usage = chunk.usage or _Usage(prompt_tokens=0)
+    return EndEvent(
+        choice.finish_reason,
+        usage.prompt_tokens,
+        usage.prompt_tokens_details.cached_tokens,
+    )
--- /dev/null
+++ b/mallowspindle/attempts/runner.py
@@ -0,0 +1,264 @@
+"""Runs one accepted request to its end, over as many attempts as needed."""
+
+import asyncio
+import logging
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from dataclasses import replace
+
+from opentelemetry.trace import SpanKind
+
+from mallowspindle.attempts.engine import (
+    EndEvent,
+    EngineClient,
+    EngineEvent,
+    StartEvent,
+    TokenEvent,
+)
+from mallowspindle.attempts.errors import (
+    AttemptError,
+    RequestRejected,
+    StreamCut,
+)
+from mallowspindle.attempts.request import (
+    AttemptRef,
+    Ending,
+    GenerationRequest,
+    Kind,
+    OwnedRequest,
+)
+from mallowspindle.config.daemon import RoutingSection
+from mallowspindle.ledger.service import LedgerService
+from mallowspindle.recovery.replication import Replicator
+from mallowspindle.routing.errors import NoServer
+from mallowspindle.routing.prefixes import Prompt
+from mallowspindle.routing.router import RouterService
+from mallowspindle.routing.servers import ServerView
+from mallowspindle.utils.identifiers import new_id
+from mallowspindle.utils.telemetry import hop_span, meter
+
+log = logging.getLogger(__name__)
+
+_PAUSE_S = 0.2
+_GATEWAY_TIMEOUT = 504
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+
+recomputed_tokens = meter.create_counter('recomputed_tokens')
+attempts_started = meter.create_counter('attempts')
+
+
+class Runner:
+    """The task of one request: start, resume, retry, cancel."""
+
+    def __init__(
+        self,
+        owned: OwnedRequest,
+        config: RoutingSection,
+        router: RouterService,
+        replicator: Replicator,
+        ledger: LedgerService,
+        engine: EngineClient,
+    ) -> None:
+        self._owned = owned
+        self._config = config
+        self._router = router
+        self._replicator = replicator
+        self._ledger = ledger
+        self._engine = engine
+        self._tokens = list(owned.progress.tokens)
+        attempts = owned.progress.attempts
+        self._attempt = attempts[-1] if attempts else None
+        self._prompt = Prompt(owned.request.body['messages'])
+        self._avoid: set[str] = set()
+
+    @property
+    def _request(self) -> GenerationRequest:
+        return self._owned.request
+
+    async def run(self) -> None:
+        """Run until the request has ended or another node owns it."""
+        self._owned.trigger('begin')  # type: ignore[attr-defined]
+        work = asyncio.create_task(self._run_to_ending())
+        moved = asyncio.create_task(self._owned.wait_final())
+        try:
+            await asyncio.wait(
+                {work, moved}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if work.done() and not self._owned.final:
+                self._replicator.add(self._owned, work.result())
+                await moved
+        finally:
+            work.cancel()
+            moved.cancel()
+        if not self._owned.moved_to:
+            self._ledger.write_request(self._owned)
+
+    def split_changed(self) -> None:
+        """Open a new segment if another split is in force."""
+        attempt = self._attempt
+        if attempt is None or self._owned.final:
+            return
+        now = self._ledger.segment_now(
+            self._request.organisation_path, len(self._tokens)
+        )
+        if now.version != attempt.segments[-1].version:
+            self._note(replace(attempt, segments=[*attempt.segments, now]))
+
+    async def _run_to_ending(self) -> Ending:
+        try:
+            async with asyncio.timeout(self._time_limit_s()):
+                return await self._run_attempts()
+        except TimeoutError:
+            await self._cancel_stream()
+            return Ending(failure='deadline passed', status=_GATEWAY_TIMEOUT)
+        except RequestRejected as error:
+            return Ending(failure=str(error), status=error.status)
+        except NoServer as error:
+            return Ending(
+                failure=str(error),
+                status=_UNAVAILABLE,
+                retry_after_s=error.retry_after_s,
+            )
+
+    async def _cancel_stream(self) -> None:
+        if self._attempt is not None:
+            await self._engine.cancel(self._attempt)
+
+    def _time_limit_s(self) -> float | None:
+        left_s = self._request.seconds_left()
+        return None if left_s == float('inf') else max(0, left_s)
+
+    async def _run_attempts(self) -> Ending:
+        failures = 0
+        while failures < self._config.attempts:
+            ending = await self._try_resume()
+            if ending is not None:
+                return ending
+            try:
+                return await self._start_attempt()
+            except NoServer as error:
+                await self._wait_for_server(error)
+            except AttemptError as error:
+                failures += 1
+                self._note_failure(error)
+        return Ending(
+            failure=f'{failures} attempts failed', status=_BAD_GATEWAY
+        )
+
+    async def _wait_for_server(self, error: NoServer) -> None:
+        """Pause, unless the caller is better told at once to come back."""
+        if self._request.kind == Kind.CHAT and not self._tokens:
+            raise error
+        await asyncio.sleep(_PAUSE_S)
+
+    async def _try_resume(self) -> Ending | None:
+        """Follow the last attempt's stream again, if the engine kept it."""
+        attempt = self._attempt
+        if attempt is None:
+            return None
+        start = len(self._tokens) - attempt.offset
+        try:
+            return await self._follow(attempt, start)
+        except RequestRejected:
+            raise
+        except AttemptError as error:
+            log.info('attempt %s not resumed: %s', attempt.attempt_id, error)
+            return None
+
+    async def _start_attempt(self) -> Ending:
+        view = self._router.pick_engine(
+            self._request.model,
+            self._prompt,
+            self._request.max_tokens,
+            self._avoid,
+        )
+        attempt = self._new_attempt(view)
+        self._router.sent(view, attempt.attempt_id, self._prompt)
+        self._avoid.add(view.vm.vm_id)
+        attempts_started.add(1)
+        try:
+            ending = await self._follow(attempt, None)
+        except AttemptError:
+            view.note_failure()
+            raise
+        finally:
+            self._router.ended(view, attempt.attempt_id)
+        view.note_success()
+        return ending
+
+    def _new_attempt(self, view: ServerView) -> AttemptRef:
+        path = self._request.organisation_path
+        recompute = self._attempt is not None
+        done = len(self._tokens)
+        return AttemptRef(
+            attempt_id=new_id('attempt'),
+            vm_id=view.vm.vm_id,
+            address=view.vm.address,
+            offset=done,
+            price_micro_per_hour=view.vm.price_micro_per_hour,
+            prefill_tokens_per_s=view.report.prefill_tokens_per_s,
+            recompute=recompute,
+            prompt_tokens=self._prompt.tokens + done,
+            cached_tokens=0,
+            prompt_shares=self._ledger.prompt_shares(path, recompute=recompute),
+            segments=[self._ledger.segment_now(path, done)],
+        )
+
+    async def _follow(self, attempt: AttemptRef, start: int | None) -> Ending:
+        """Take the tokens of a new stream, or of one resumed at ``start``."""
+        if start is None:
+            stream = self._engine.start(self._request, attempt, self._tokens)
+        else:
+            stream = self._engine.resume(attempt, start)
+        with hop_span('backend server', SpanKind.CLIENT):
+            async with aclosing(stream):
+                ending = await self._take_events(attempt, stream)
+        if ending is None:
+            raise StreamCut('the stream ended without its last chunk')
+        return ending
+
+    async def _take_events(
+        self,
+        attempt: AttemptRef,
+        stream: AsyncGenerator[EngineEvent, None],
+    ) -> Ending | None:
+        async for event in stream:
+            match event:
+                case StartEvent():
+                    self._ensure_noted(attempt)
+                case TokenEvent():
+                    self._tokens.append(event.text)
+                    self._replicator.add(self._owned, event.text)
+                case EndEvent():
+                    return self._end_attempt(event)
+        return None
+
+    def _ensure_noted(self, attempt: AttemptRef) -> None:
+        """Make the attempt known to the holder once the engine runs it."""
+        known = self._attempt
+        if known is None or known.attempt_id != attempt.attempt_id:
+            self._note(attempt)
+
+    def _end_attempt(self, event: EndEvent) -> Ending:
+        if self._attempt is not None:
+            attempt = replace(
+                self._attempt,
+                prompt_tokens=event.prompt_tokens,
+                cached_tokens=event.cached_tokens,
+            )
+            self._note(attempt)
+            if attempt.recompute:
+                recomputed_tokens.add(event.prompt_tokens - event.cached_tokens)
+        return Ending(finish_reason=event.finish_reason)
+
+    def _note(self, attempt: AttemptRef) -> None:
+        self._attempt = attempt
+        self._replicator.add(self._owned, attempt)
+
+    def _note_failure(self, error: AttemptError) -> None:
+        log.info(
+            'attempt for request %s failed: %s',
+            self._request.request_id,
+            error,
+        )
--- /dev/null
+++ b/mallowspindle/attempts/service.py
@@ -0,0 +1,167 @@
+"""Accepts generation requests and runs one task for each."""
+
+import asyncio
+import logging
+from typing import Self
+
+from aiohttp import ClientSession, TCPConnector
+
+from mallowspindle.attempts.engine import EngineClient
+from mallowspindle.attempts.request import (
+    GenerationRequest,
+    Kind,
+    OwnedRequest,
+)
+from mallowspindle.attempts.runner import Runner
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.ledger.service import LedgerService
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.outcomes import NotRun
+from mallowspindle.platform.cloud import Role
+from mallowspindle.recovery.service import RecoveryService
+from mallowspindle.routing.directory import DirectoryService
+from mallowspindle.routing.router import RouterService
+from mallowspindle.settings.service import SettingsService
+from mallowspindle.utils.tasks import TaskGroup
+
+log = logging.getLogger(__name__)
+
+_RETRY_AFTER_S = 1.0
+_HAND_OVER_MARGIN_S = 2.0
+_HAND_OVER_SHARE = 0.5
+
+
+@service(
+    'attempts',
+    requires=('membership', 'settings', 'router', 'recovery', 'ledger'),
+)
+class AttemptsService(Service):
+    """Runs accepted requests until they end or another node owns them."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._config: DaemonSettings = kernel.config
+        self._membership = kernel.find('membership', MembershipService)
+        self._settings = kernel.find('settings', SettingsService)
+        self._directory = kernel.find('directory', DirectoryService)
+        self._router = kernel.find('router', RouterService)
+        self._recovery = kernel.find('recovery', RecoveryService)
+        self._ledger = kernel.find('ledger', LedgerService)
+        self._runners: dict[str, Runner] = {}
+        self._session: ClientSession | None = None
+        self._tasks = TaskGroup()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service from the services it works with."""
+        return cls(kernel)
+
+    @property
+    def in_progress(self) -> int:
+        """The number of requests that run at this node."""
+        return len(self._runners)
+
+    async def start(self) -> None:
+        """Begin to run requests, those that are taken over included."""
+        self._session = ClientSession(connector=TCPConnector(limit=0))
+        self._recovery.on_take_over(self._run_taken_over)
+        self._settings.watch(self._split_may_have_changed)
+
+    async def drain(self, timeout_s: float) -> None:
+        """Let chats finish; hand over bundles, and chats that take long."""
+        bundles = self._owned_of_kind(Kind.BUNDLE)
+        await self._hand_over_all(bundles)
+        await self._wait_for_chats(hand_over_time_s(timeout_s))
+        await self._hand_over_all(self._owned_of_kind(Kind.CHAT))
+
+    async def stop(self) -> None:
+        """Cancel what still runs."""
+        await self._tasks.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    def refusal(self, model: str) -> NotRun | None:
+        """Return why a request for the model can't be accepted now."""
+        if not self._settings.fresh:
+            return NotRun('the settings in force are not known', _RETRY_AFTER_S)
+        if self.in_progress >= self._config.limits.requests_in_progress:
+            return NotRun('this entry VM is full', _RETRY_AFTER_S)
+        if not self._directory.serving(model, Role.ENGINE):
+            return NotRun(f'no engine serves {model} now', _RETRY_AFTER_S)
+        return None
+
+    async def accept(self, request: GenerationRequest) -> OwnedRequest:
+        """Accept a request: a peer holds a copy when this returns."""
+        owned = await self._recovery.accept(request)
+        self._run(owned)
+        return owned
+
+    def _run_taken_over(self, owned: OwnedRequest) -> None:
+        self._tasks.spawn(self._protect_and_run(owned), 'taken-over request')
+
+    async def _protect_and_run(self, owned: OwnedRequest) -> None:
+        await self._recovery.replicator.protect(owned)
+        if owned.final:
+            self._ledger.write_request(owned)
+        else:
+            self._run(owned)
+
+    def _run(self, owned: OwnedRequest) -> None:
+        if self._session is None:
+            return
+        routing = self._config.routing
+        engine = EngineClient(
+            self._session, routing.connect_timeout_s, routing.token_timeout_s
+        )
+        runner = Runner(
+            owned,
+            routing,
+            self._router,
+            self._recovery.replicator,
+            self._ledger,
+            engine,
+        )
+        request_id = owned.request.request_id
+        self._runners[request_id] = runner
+        self._membership.update(in_progress=self.in_progress)
+        task = self._tasks.spawn(runner.run(), f'request {request_id}')
+        task.add_done_callback(lambda _: self._forget(request_id))
+
+    def _forget(self, request_id: str) -> None:
+        self._runners.pop(request_id, None)
+        self._membership.update(in_progress=self.in_progress)
+
+    def _split_may_have_changed(self) -> None:
+        for runner in self._runners.values():
+            runner.split_changed()
+
+    def _owned_of_kind(self, kind: Kind) -> list[OwnedRequest]:
+        return [
+            owned
+            for owned in self._recovery.owned.values()
+            if owned.request.kind == kind and not owned.final
+        ]
+
+    async def _wait_for_chats(self, timeout_s: float) -> None:
+        waits = [
+            asyncio.ensure_future(owned.wait_final())
+            for owned in self._owned_of_kind(Kind.CHAT)
+        ]
+        if waits:
+            _, late = await asyncio.wait(waits, timeout=timeout_s)
+            for wait in late:
+                wait.cancel()
+
+    async def _hand_over_all(self, requests: list[OwnedRequest]) -> None:
+        agreed = await asyncio.gather(
+            *(self._recovery.replicator.hand_over(owned) for owned in requests)
+        )
+        if requests:
+            log.info('handed over %s of %s requests', sum(agreed), len(agreed))
+
+
+def hand_over_time_s(timeout_s: float) -> float:
+    """Return how long chats may go on before they are handed over."""
+    margin_s = min(_HAND_OVER_MARGIN_S, timeout_s * _HAND_OVER_SHARE)
+    return timeout_s - margin_s
--- /dev/null
+++ b/mallowspindle/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load driver and measurements on loopback."""
--- /dev/null
+++ b/mallowspindle/bench/proxy.py
@@ -0,0 +1,130 @@
+"""A TCP proxy that shows the faults of a network."""
+
+import asyncio
+from enum import StrEnum
+from typing import Self
+
+_CHUNK_BYTES = 65_536
+
+
+class Mode(StrEnum):
+    """What the proxy does with connections and bytes.
+
+    ``CUT`` closes and refuses connections, ``FREEZE`` keeps them open and
+    passes nothing, ``DROP_ANSWERS`` passes requests and cuts the connection
+    where the answer would begin.
+    """
+
+    PASS = 'pass'
+    CUT = 'cut'
+    FREEZE = 'freeze'
+    DROP_ANSWERS = 'drop_answers'
+
+
+class FaultProxy:
+    """Passes bytes between clients and one target."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._mode = Mode.PASS
+        self._delay_s = 0.0
+        self._cut_answer_after = -1
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    @classmethod
+    async def start(cls, target: str) -> Self:
+        """Listen on a port of its own in front of ``host:port``."""
+        proxy = cls(target)
+        proxy._server = await asyncio.start_server(proxy._serve, '127.0.0.1', 0)
+        return proxy
+
+    @property
+    def address(self) -> str:
+        """The ``host:port`` that clients should use."""
+        if self._server is None:
+            return ''
+        port = self._server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
+
+    @property
+    def url(self) -> str:
+        """The URL that clients should use."""
+        return f'http://{self.address}'
+
+    def show(self, mode: Mode, delay_s: float = 0) -> None:
+        """Change the fault; open connections are affected, too."""
+        self._mode = mode
+        self._delay_s = delay_s
+        if mode == Mode.FREEZE:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+        if mode == Mode.CUT:
+            self._close_all()
+
+    def cut_answer_after(self, count: int) -> None:
+        """Cut each connection after ``count`` bytes of the answer; -1 never."""
+        self._cut_answer_after = count
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self._thawed.set()
+        self._close_all()
+        if self._server is not None:
+            self._server.close()
+
+    def _close_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._mode == Mode.CUT:
+            writer.transport.abort()
+            return
+        host, port = self._target.rsplit(':', 1)
+        try:
+            upstream = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers.update((writer, upstream[1]))
+        await asyncio.gather(
+            self._pump(reader, upstream[1], answer=False),
+            self._pump(upstream[0], writer, answer=True),
+        )
+        self._writers.difference_update((writer, upstream[1]))
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        answer: bool,
+    ) -> None:
+        passed = 0
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._thawed.wait()
+                await asyncio.sleep(self._delay_s)
+                if answer and self._mode == Mode.DROP_ANSWERS:
+                    break
+                allowed = self._allowed(data, passed, answer=answer)
+                writer.write(allowed)
+                await writer.drain()
+                passed += len(allowed)
+                if len(allowed) < len(data):
+                    break
+        except OSError:
+            writer.transport.abort()
+        finally:
+            writer.close()
+
+    def _allowed(self, data: bytes, passed: int, *, answer: bool) -> bytes:
+        if not answer or self._cut_answer_after < 0:
+            return data
+        return data[: max(0, self._cut_answer_after - passed)]
--- /dev/null
+++ b/mallowspindle/bench/venture.py
@@ -0,0 +1,278 @@
+"""A small venture on loopback: daemons, stand-ins and callers."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from pathlib import Path
+from typing import Any, Self
+
+from aiohttp import ClientSession, ClientTimeout
+
+from mallowspindle.bench.processes import ManagedProcess
+from mallowspindle.platform.log import LogClient
+from mallowspindle.settings.publisher import new_change, publish
+from mallowspindle.settings.reader import catch_up
+from mallowspindle.settings.tree import SettingsTree, Verdict
+
+OPERATOR_TOKEN = 'operator-token'
+_SHARED_KEY = 'a-shared-key-for-loopback'
+_WAIT_S = 30.0
+_POLL_S = 0.05
+
+ROOT_DOCUMENT = """
+[split]
+north = 60
+south = 40
+
+[service:claims]
+idempotency_key = header
+refusal_means_not_run = true
+pay_per_call_micro = 1000
+"""
+
+ORGANISATION_DOCUMENT = """
+[organisation]
+token_sha256 = {token_hash}
+
+[access]
+services = *
+models = *
+"""
+
+
+class Venture:
+    """Starts processes, publishes settings and talks to the daemons."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: dict[str, ManagedProcess] = {}
+        self._session = ClientSession(timeout=ClientTimeout(total=60))
+        self._log_client: LogClient | None = None
+        self._tree = SettingsTree()
+        self._seeds: list[str] = []
+        self.overrides: dict[str, dict[str, Any]] = {}
+
+    @property
+    def session(self) -> ClientSession:
+        """The HTTP session of the venture's callers."""
+        return self._session
+
+    @property
+    def log_client(self) -> LogClient:
+        """A client of the log stand-in."""
+        if self._log_client is None:
+            raise RuntimeError('the platform is not started')
+        return self._log_client
+
+    @property
+    def tree(self) -> SettingsTree:
+        """The settings as the venture's operator reads them."""
+        return self._tree
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.stop()
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by name."""
+        return self._processes[name]
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self._folder / f'{name}.log').read_text()
+
+    async def start_platform(
+        self, *, vm_list_lag_s: float = 0.2, **log_options: float
+    ) -> None:
+        """Start the log and the cloud."""
+        arguments = [
+            f'--{name.replace("_", "-")}={value}'
+            for name, value in log_options.items()
+        ]
+        await self.start_standin('log', 'log', *arguments)
+        await self.start_standin('cloud', 'cloud', f'--lag-s={vm_list_lag_s}')
+        self._log_client = LogClient(self._session, self.process('log').url, 2)
+
+    async def start_standin(
+        self, name: str, kind: str, *arguments: str
+    ) -> ManagedProcess:
+        """Start one stand-in."""
+        started = await ManagedProcess.start(
+            name,
+            f'mallowspindle.standins.{kind}',
+            list(arguments),
+            self._folder / f'{name}.log',
+        )
+        self._processes[name] = started
+        return started
+
+    async def start_engine(
+        self, name: str, zone: str, *arguments: str, **listed: Any
+    ) -> ManagedProcess:
+        """Start an engine and list its VM."""
+        started = await self.start_standin(name, 'engine', *arguments)
+        await self.list_vm(
+            name,
+            'engine',
+            zone,
+            started.address,
+            serves='letters',
+            price_micro_per_hour=2_000_000_000,
+            **listed,
+        )
+        return started
+
+    async def start_plain(
+        self, name: str, zone: str, *arguments: str, **listed: Any
+    ) -> ManagedProcess:
+        """Start a plain service's server and list its VM."""
+        started = await self.start_standin(name, 'plain', *arguments)
+        await self.list_vm(
+            name, 'plain', zone, started.address, serves='claims', **listed
+        )
+        return started
+
+    async def list_vm(
+        self, vm_id: str, role: str, zone: str, address: str, **more: Any
+    ) -> None:
+        """Put a VM on the cloud's list."""
+        vm = {'vm_id': vm_id, 'role': role, 'zone': zone, 'address': address}
+        await self.post(
+            f'{self.process("cloud").url}/vms?known_before=1', {**vm, **more}
+        )
+
+    async def start_node(
+        self, name: str, zone: str, **overrides: dict[str, Any]
+    ) -> ManagedProcess:
+        """Start the daemon of one entry VM."""
+        path = self._folder / f'{name}.ini'
+        path.write_text(self.node_settings(name, zone, overrides))
+        started = await ManagedProcess.start(
+            name,
+            'mallowspindle.daemon',
+            ['--settings', str(path)],
+            self._folder / f'{name}.log',
+        )
+        self._processes[name] = started
+        self._seeds.append(started.peer_address)
+        await self.list_vm(name, 'entry', zone, started.address)
+        return started
+
+    def node_settings(
+        self, name: str, zone: str, overrides: dict[str, dict[str, Any]]
+    ) -> str:
+        """Return the INI text of a daemon."""
+        sections: dict[str, dict[str, Any]] = {
+            'node': {'name': name, 'zone': zone, 'vm_id': name},
+            'peers': {
+                'shared_key': _SHARED_KEY,
+                'seeds': ' '.join(self._seeds),
+            },
+            'platform': {
+                'log_url': self.process('log').url,
+                'cloud_url': self.process('cloud').url,
+            },
+            'operators': {
+                'token_sha256': sha256(OPERATOR_TOKEN.encode()).hexdigest()
+            },
+        }
+        for changes in (self.overrides, overrides):
+            for section, options in changes.items():
+                sections.setdefault(section, {}).update(options)
+        return '\n'.join(
+            f'[{section}]\n'
+            + ''.join(f'{key} = {value}\n' for key, value in options.items())
+            for section, options in sections.items()
+        )
+
+    async def publish(self, path: str, document: str) -> Verdict:
+        """Publish a settings document on its present version."""
+        await catch_up(self._tree, self.log_client)
+        base = self._tree.node_version(path)
+        change = new_change(path, document, base, 'operator')
+        return await publish(self._tree, self.log_client, change)
+
+    async def publish_defaults(self, *organisations: str) -> None:
+        """Publish a split, a service and organisations with their tokens."""
+        await self.publish('venture', ROOT_DOCUMENT)
+        for name in organisations:
+            token_hash = sha256(token_of(name).encode()).hexdigest()
+            await self.publish(
+                f'venture/north/{name}',
+                ORGANISATION_DOCUMENT.format(token_hash=token_hash),
+            )
+
+    async def wait_ready(self, *nodes: str) -> None:
+        """Wait until the nodes know each other, settings and servers."""
+        for name in nodes:
+            await self.wait_until(lambda name=name: self._is_ready(name, nodes))
+
+    async def wait_until(
+        self,
+        condition: Callable[[], Awaitable[bool]],
+        timeout_s: float = _WAIT_S,
+    ) -> None:
+        """Poll a condition until it holds; ``TimeoutError`` if it never does."""
+        async with asyncio.timeout(timeout_s):
+            while not await condition():
+                await asyncio.sleep(_POLL_S)
+
+    async def set_faults(self, name: str, **faults: Any) -> None:
+        """Make a stand-in show faults."""
+        await self.post(f'{self.process(name).url}/faults', faults)
+
+    async def reclaim(self, vm_id: str, notice_s: float) -> None:
+        """Give a VM a reclaim notice."""
+        await self.post(
+            f'{self.process("cloud").url}/vms/{vm_id}/reclaim',
+            {'notice_s': notice_s},
+        )
+
+    async def post(self, url: str, document: Any) -> None:
+        """Post JSON to a stand-in."""
+        async with self._session.post(url, json=document) as response:
+            response.raise_for_status()
+
+    async def get(self, url: str, token: str = '') -> Any:
+        """Return a JSON document, or None for an error."""
+        headers = {'Authorization': f'Bearer {token}'} if token else {}
+        async with self._session.get(url, headers=headers) as response:
+            return await response.json() if response.ok else None
+
+    async def runs(self, name: str) -> list[dict[str, Any]]:
+        """Return what really ran at a plain server."""
+        ledger = await self.get(f'{self.process(name).url}/ledger')
+        return list(ledger)
+
+    async def stop(self) -> None:
+        """End all processes and close the session."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+        await asyncio.gather(
+            *(process.kill() for process in self._processes.values())
+        )
+        await self._session.close()
+
+    async def _is_ready(self, name: str, nodes: tuple[str, ...]) -> bool:
+        url = self.process(name).url
+        known = await self.get(f'{url}/operator/nodes', OPERATOR_TOKEN)
+        live = {
+            info['name']
+            for info in known or []
+            if info['live'] and info['http_address']
+        }
+        servers = await self.get(f'{url}/operator/servers', OPERATOR_TOKEN)
+        health = await self.get(f'{url}/health')
+        return (
+            live.issuperset(nodes)
+            and bool(servers)
+            and health['settings_through'] >= self._tree.through
+        )
+
+
+def token_of(organisation: str) -> str:
+    """Return the token of an organisation of the venture."""
+    return f'token-of-{organisation}'
--- /dev/null
+++ b/mallowspindle/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' tool, one module each."""
--- /dev/null
+++ b/mallowspindle/commands/client.py
@@ -0,0 +1,82 @@
+"""Reaches the log and a node on behalf of a command."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from mallowspindle.commands.errors import CommandError, ExitCode
+from mallowspindle.config.errors import ConfigError
+from mallowspindle.config.ini import load_model
+from mallowspindle.config.operator import OperatorSection, OperatorSettings
+from mallowspindle.platform.errors import PlatformError
+from mallowspindle.platform.log import LogClient
+from mallowspindle.settings.errors import SettingsError
+from mallowspindle.settings.reader import catch_up
+from mallowspindle.settings.tree import SettingsTree
+
+_ERROR = 400
+
+
+def load_operator(path: Path) -> OperatorSection:
+    """Return the operator's settings; all problems end the command."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as error:
+        raise CommandError(ExitCode.INVALID, str(error)) from error
+    try:
+        return load_model(OperatorSettings, text).operator
+    except ConfigError as error:
+        raise CommandError(ExitCode.INVALID, str(error)) from error
+
+
+@asynccontextmanager
+async def open_log(operator: OperatorSection) -> AsyncIterator[LogClient]:
+    """Give a client of the log."""
+    log_client = LogClient.from_url(operator.log_url, operator.timeout_s)
+    try:
+        yield log_client
+    finally:
+        await log_client.close()
+
+
+async def read_settings(log_client: LogClient) -> SettingsTree:
+    """Return the settings in force, folded from the log."""
+    tree = SettingsTree()
+    try:
+        await catch_up(tree, log_client)
+    except (PlatformError, SettingsError) as error:
+        raise CommandError(ExitCode.UNREACHABLE, str(error)) from error
+    return tree
+
+
+async def ask_node(
+    operator: OperatorSection,
+    method: str,
+    path: str,
+    body: dict[str, Any] | None = None,
+) -> Any:
+    """Return a node's answer; refusals and lost connections end the command."""
+    if not operator.node_url:
+        raise CommandError(ExitCode.INVALID, '[operator] node_url: not set')
+    timeout = ClientTimeout(total=operator.timeout_s)
+    headers = {'Authorization': f'Bearer {operator.token}'}
+    try:
+        async with (
+            ClientSession(timeout=timeout, headers=headers) as session,
+            session.request(
+                method, f'{operator.node_url}{path}', json=body
+            ) as response,
+        ):
+            status = response.status
+            answer = await response.json(content_type=None)
+    except (ClientError, TimeoutError, ValueError) as error:
+        raise CommandError(
+            ExitCode.UNREACHABLE,
+            f'node {operator.node_url} not reached: {error}',
+        ) from error
+    if status >= _ERROR:
+        raise CommandError(ExitCode.REFUSED, answer.get('detail', 'refused'))
+    return answer
--- /dev/null
+++ b/mallowspindle/commands/settings.py
@@ -0,0 +1,141 @@
+"""``mallowspindle settings``: show, set, history and check."""
+
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+from mallowspindle.commands.client import open_log, read_settings
+from mallowspindle.commands.errors import CommandError, ExitCode
+from mallowspindle.commands.output import (
+    Output,
+    print_document,
+    print_rows,
+    write_line,
+)
+from mallowspindle.config.operator import OperatorSection
+from mallowspindle.ledger.report import first_offset
+from mallowspindle.platform.errors import PlatformError
+from mallowspindle.settings.document import parse_document
+from mallowspindle.settings.errors import (
+    ChangeUncertain,
+    DocumentInvalid,
+    SettingsError,
+)
+from mallowspindle.settings.publisher import new_change, publish
+from mallowspindle.settings.reader import decode_record
+from mallowspindle.settings.records import SETTINGS_STREAM, Change
+from mallowspindle.settings.tree import SettingsTree
+
+
+async def show(operator: OperatorSection, path: str, output: Output) -> None:
+    """Print the documents in force at and below a path."""
+    async with open_log(operator) as log_client:
+        tree = await read_settings(log_client)
+    rows = [
+        {
+            'path': node.path,
+            'version': node.version,
+            'author': node.author,
+            'at': _when(node.at_s),
+            'document': node.document,
+        }
+        for node in tree.documents.nodes.values()
+        if node.path == path or node.path.startswith(f'{path}/') or not path
+    ]
+    if output == Output.JSON:
+        print_rows(rows, [], output)
+        return
+    for row in sorted(rows, key=lambda row: str(row['path'])):
+        write_line(
+            f'# {row["path"]}, version {row["version"]}, '
+            f'{row["author"]}, {row["at"]}'
+        )
+        write_line(str(row['document']))
+
+
+async def change(
+    operator: OperatorSection,
+    path: str,
+    document: Path,
+    base: int | None,
+    output: Output,
+) -> None:
+    """Publish a document; without ``base`` the present version is taken."""
+    text = _read(document)
+    _ensure_valid(text)
+    async with open_log(operator) as log_client:
+        tree = await read_settings(log_client)
+        version = tree.node_version(path) if base is None else base
+        made = new_change(path, text, version, operator.name)
+        try:
+            verdict = await publish(tree, log_client, made)
+        except ChangeUncertain as error:
+            raise CommandError(ExitCode.UNCERTAIN, str(error)) from error
+        except SettingsError as error:
+            raise CommandError(ExitCode.UNREACHABLE, str(error)) from error
+    if not verdict.accepted:
+        raise CommandError(ExitCode.REFUSED, f'refused: {verdict.reason}')
+    print_document(
+        {'accepted': True, 'path': path, 'version': verdict.version}, output
+    )
+
+
+async def history(operator: OperatorSection, path: str, output: Output) -> None:
+    """Print all kept changes of a path with their verdicts."""
+    tree = SettingsTree()
+    rows: list[dict[str, Any]] = []
+    async with open_log(operator) as log_client:
+        try:
+            first = await first_offset(log_client, SETTINGS_STREAM)
+            page = await log_client.read_to_end(SETTINGS_STREAM, first)
+        except PlatformError as error:
+            raise CommandError(ExitCode.UNREACHABLE, str(error)) from error
+    for record in page.records:
+        decoded = decode_record(record)
+        tree.fold(record.offset, decoded)
+        if isinstance(decoded, Change) and path in {'', decoded.path}:
+            rows.append(_history_row(record.offset, decoded, tree))
+    columns = ('offset', 'path', 'author', 'at', 'base', 'accepted', 'reason')
+    print_rows(rows, columns, output)
+
+
+async def check(document: Path, output: Output) -> None:
+    """Check a document without publishing it."""
+    _ensure_valid(_read(document))
+    print_document({'valid': True}, output)
+
+
+def _history_row(
+    offset: int, made: Change, tree: SettingsTree
+) -> dict[str, Any]:
+    verdict = tree.verdict(made.change_id)
+    return {
+        'offset': offset,
+        'path': made.path,
+        'author': made.author,
+        'at': _when(made.at_s),
+        'base': made.base,
+        'accepted': verdict is not None and verdict.accepted,
+        'reason': verdict.reason if verdict else '',
+    }
+
+
+def _read(document: Path) -> str:
+    if str(document) == '-':
+        return sys.stdin.read()
+    try:
+        return document.read_text(encoding='utf-8')
+    except OSError as error:
+        raise CommandError(ExitCode.INVALID, str(error)) from error
+
+
+def _ensure_valid(text: str) -> None:
+    try:
+        parse_document(text)
+    except DocumentInvalid as error:
+        raise CommandError(ExitCode.INVALID, str(error)) from error
+
+
+def _when(at_s: float) -> str:
+    return datetime.fromtimestamp(at_s, UTC).isoformat(timespec='seconds')
--- /dev/null
+++ b/mallowspindle/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process, read from INI files."""
--- /dev/null
+++ b/mallowspindle/effects/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent calls."""
--- /dev/null
+++ b/mallowspindle/effects/service.py
@@ -0,0 +1,256 @@
+"""At-most-once execution of non-idempotent calls through the log."""
+
+import asyncio
+import logging
+import time
+from typing import Self
+
+from aiohttp import ClientSession, TCPConnector
+
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.effects.call import PlainClient
+from mallowspindle.effects.errors import EffectsError
+from mallowspindle.effects.executor import (
+    RETRY_AFTER_S,
+    CallPlan,
+    Executor,
+)
+from mallowspindle.effects.records import (
+    CallKey,
+    CallOutcome,
+    Claim,
+    Resolution,
+    stream_of,
+)
+from mallowspindle.effects.stream import EffectsStream
+from mallowspindle.effects.table import KeyState
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.outcomes import Done, Failed, NotRun, Outcome, Unknown
+from mallowspindle.platform.log import LogClient
+from mallowspindle.platform.service import PlatformService
+from mallowspindle.routing.router import RouterService
+from mallowspindle.utils.identifiers import new_id, rendezvous_order
+from mallowspindle.utils.tasks import TaskGroup, repeat
+
+log = logging.getLogger(__name__)
+
+_CONFLICT = 409
+_LOOK_INTERVAL_S = 0.2
+_CARRY_FRACTION = 4
+
+
+@service('effects', requires=('platform', 'membership', 'router'))
+class EffectsService(Service):
+    """Claims each keyed call in the log before it is sent."""
+
+    def __init__(
+        self,
+        config: DaemonSettings,
+        log_client: LogClient,
+        membership: MembershipService,
+        router: RouterService,
+    ) -> None:
+        self._section = config.effects
+        self._connect_timeout_s = config.routing.connect_timeout_s
+        self._membership = membership
+        self._router = router
+        self._streams = {
+            name: EffectsStream(
+                name,
+                log_client,
+                self._section.window_s,
+                self._section.commit_interval_s,
+            )
+            for name in _stream_names(self._section.streams)
+        }
+        own = membership.own
+        self._node = f'{own.name}/{own.incarnation}'
+        self._session: ClientSession | None = None
+        self._executor: Executor | None = None
+        self._tasks = TaskGroup()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service on the shared log client."""
+        return cls(
+            kernel.config,
+            kernel.find('platform', PlatformService).log,
+            kernel.find('membership', MembershipService),
+            kernel.find('router', RouterService),
+        )
+
+    @property
+    def executor(self) -> Executor:
+        """Runs calls; present while the service is started."""
+        if self._executor is None:
+            raise EffectsError('the effects service is not started')
+        return self._executor
+
+    async def start(self) -> None:
+        """Begin to follow the streams."""
+        self._session = ClientSession(connector=TCPConnector(force_close=True))
+        client = PlainClient(
+            self._session, self._connect_timeout_s, self._section.call_timeout_s
+        )
+        self._executor = Executor(
+            self._node, client, self._router, self._section.claim_timeout_s
+        )
+        for stream in self._streams.values():
+            stream.start()
+        interval_s = self._section.window_s / _CARRY_FRACTION
+        self._tasks.spawn(repeat(self._carry_forward, interval_s), 'carry')
+
+    async def drain(self, timeout_s: float) -> None:
+        """Wait until the outcomes of all calls are in the log."""
+        await self.executor.finish(timeout_s)
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self._tasks.cancel()
+        await self.executor.close()
+        for stream in self._streams.values():
+            await stream.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def run(self, plan: CallPlan, wait_s: float) -> Outcome:
+        """Run a keyed call at most once, or tell how it ended before.
+
+        Waits up to ``wait_s`` for a call with the same key that another
+        node is running.
+        """
+        call = plan.call
+        key = CallKey(call.organisation, call.service, call.key)
+        stream = self._streams[stream_of(key, self._section.streams)]
+        if not stream.ready:
+            return NotRun('the log has not been read yet', RETRY_AFTER_S)
+        ends_at_s = time.monotonic() + wait_s
+        while True:
+            state = stream.table.state(key)
+            if state is None or state.winner is None:
+                claim = Claim(key, new_id('claim'), self._node, time.time())
+                outcome = await self.executor.run(stream, claim, plan)
+            else:
+                outcome = await self._told_by_winner(stream, state, ends_at_s)
+            if outcome is not None:
+                return outcome
+
+    async def run_unkeyed(self, plan: CallPlan) -> Outcome:
+        """Run a call without a key once; it is sent again if not run."""
+        return await self.executor.run_unkeyed(plan)
+
+    def unresolved(self) -> list[KeyState]:
+        """Return the calls whose outcome is not known and not awaited."""
+        return [
+            state
+            for stream in self._streams.values()
+            for state in stream.table.unresolved()
+            if state.winner is not None and not self._is_running(state.winner)
+        ]
+
+    async def resolve(self, finding: Resolution) -> bool:
+        """Record an operator's finding; False if nothing is unresolved.
+
+        ``EffectsError`` if the log does not take it.
+        """
+        name = stream_of(finding.key, self._section.streams)
+        stream = self._streams[name]
+        await stream.append(finding)
+        state = stream.table.state(finding.key)
+        return state is not None and state.resolution == finding
+
+    async def _told_by_winner(
+        self, stream: EffectsStream, state: KeyState, ends_at_s: float
+    ) -> Outcome | None:
+        """Return the winner's outcome; None if it gave its claim up."""
+        winner = state.winner
+        while winner is not None and state.winner == winner:
+            ended = _ending_of(state)
+            if ended is not None:
+                return ended
+            if not self._is_running(winner):
+                return await _last_news(stream, state)
+            if time.monotonic() >= ends_at_s:
+                return Unknown('the call is in progress at another node')
+            await self._wait_for_change(stream, state, winner)
+        return None
+
+    async def _wait_for_change(
+        self, stream: EffectsStream, state: KeyState, winner: Claim
+    ) -> None:
+        try:
+            async with asyncio.timeout(_LOOK_INTERVAL_S):
+                await stream.wait_for(
+                    lambda: state.outcome is not None or state.winner != winner
+                )
+        except TimeoutError:
+            return
+
+    def _is_running(self, claim: Claim) -> bool:
+        if claim.node == self._node:
+            return self.executor.runs(claim)
+        live = self._membership.table.live()
+        return claim.node in {
+            f'{info.name}/{info.incarnation}' for info in live
+        }
+
+    async def _carry_forward(self) -> None:
+        """Append unresolved claims again before their records expire."""
+        names = [info.name for info in self._membership.table.live()]
+        own = self._membership.own.name
+        horizon_s = time.time() - self._section.window_s / 2
+        for stream in self._streams.values():
+            if rendezvous_order(stream.name, [own, *names])[0] != own:
+                continue
+            for state in stream.table.unresolved():
+                if state.logged_at_s < horizon_s:
+                    await _carry(stream, state)
+            stream.table.purge(time.time() - self._section.window_s)
+
+
+def _stream_names(streams: int) -> list[str]:
+    return [f'effects-{index}' for index in range(streams)]
+
+
+def _ending_of(state: KeyState) -> Outcome | None:
+    if state.resolution is not None:
+        found = 'ran' if state.resolution.ran else 'did not run'
+        return Failed(_CONFLICT, f'an operator found that the call {found}')
+    if state.outcome is None:
+        return None
+    return _as_outcome(state.outcome)
+
+
+async def _last_news(stream: EffectsStream, state: KeyState) -> Outcome:
+    """Return what a node that is gone has left in the log."""
+    try:
+        await stream.read_forward()
+    except EffectsError as error:
+        log.warning('%s not read: %s', stream.name, error)
+    return _ending_of(state) or Unknown('the node that ran the call is gone')
+
+
+def _as_outcome(outcome: CallOutcome) -> Outcome:
+    if outcome.unknown:
+        return Unknown(outcome.unknown)
+    return Done(outcome.status, outcome.content_type, outcome.body)
+
+
+async def _carry(stream: EffectsStream, state: KeyState) -> None:
+    if state.winner is None:
+        return
+    carried = Claim(
+        state.winner.key,
+        state.winner.claim_id,
+        state.winner.node,
+        state.winner.at_s,
+        carried=True,
+    )
+    try:
+        await stream.append(carried)
+        if state.outcome is not None:
+            await stream.append(state.outcome)
+    except EffectsError as error:
+        log.warning('claim of %s not carried forward: %s', carried.key, error)
--- /dev/null
+++ b/mallowspindle/effects/table.py
@@ -0,0 +1,136 @@
+"""Folds an effects stream: for each key the winning claim and outcome."""
+
+from dataclasses import dataclass, field
+
+from mallowspindle.effects.records import (
+    CallKey,
+    CallOutcome,
+    Claim,
+    EffectsRecord,
+    Release,
+    Resolution,
+)
+
+
+@dataclass(slots=True)
+class KeyState:
+    """What the stream says of one key.
+
+    ``logged_at_s`` is the log's time of the last record that counted.
+    """
+
+    logged_at_s: float
+    winner: Claim | None = None
+    outcome: CallOutcome | None = None
+    resolution: Resolution | None = None
+    released: set[str] = field(default_factory=set)
+
+    @property
+    def unresolved(self) -> bool:
+        """Whether it is not known how the call ended."""
+        if self.resolution is not None or self.winner is None:
+            return False
+        return self.outcome is None or bool(self.outcome.unknown)
+
+
+class KeyTable:
+    """The state of all keys; every node that folds the stream has the same.
+
+    The first claim by offset wins. Released claims never count again; the
+    first claim after a release of the winner wins. A key is honoured for
+    ``window_s`` seconds of the log's time after its last record.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._states: dict[CallKey, KeyState] = {}
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def state(self, key: CallKey) -> KeyState | None:
+        """Return the state of a key."""
+        return self._states.get(key)
+
+    def wins(self, claim: Claim) -> bool:
+        """Tell whether the claim has the right to run the call."""
+        state = self._states.get(claim.key)
+        if state is None or state.winner is None or state.outcome is not None:
+            return False
+        return state.winner.claim_id == claim.claim_id
+
+    def unresolved(self) -> list[KeyState]:
+        """Return the keys whose outcome is not known."""
+        return [state for state in self._states.values() if state.unresolved]
+
+    def fold(self, logged_at_s: float, record: EffectsRecord) -> None:
+        """Fold one record, in the order of the stream."""
+        state = self._fresh_state(logged_at_s, record)
+        match record:
+            case Claim():
+                _fold_claim(state, record, logged_at_s)
+            case Release():
+                _fold_release(state, record)
+            case CallOutcome():
+                _fold_outcome(state, record, logged_at_s)
+            case Resolution():
+                if state.unresolved:
+                    state.resolution = record
+
+    def purge(self, logged_at_s: float) -> None:
+        """Forget keys that no record of this time or later can meet."""
+        horizon_s = logged_at_s - self._window_s
+        self._states = {
+            key: state
+            for key, state in self._states.items()
+            if state.unresolved or state.logged_at_s >= horizon_s
+        }
+
+    def _fresh_state(
+        self, logged_at_s: float, record: EffectsRecord
+    ) -> KeyState:
+        state = self._states.get(record.key)
+        if state is None or self._expired(state, record, logged_at_s):
+            state = KeyState(logged_at_s)
+            self._states[record.key] = state
+        return state
+
+    def _expired(
+        self, state: KeyState, record: EffectsRecord, logged_at_s: float
+    ) -> bool:
+        """A new claim after the window starts a settled key anew."""
+        if not isinstance(record, Claim) or record.carried:
+            return False
+        if state.unresolved:
+            return False
+        return logged_at_s - state.logged_at_s > self._window_s
+
+
+def _fold_claim(state: KeyState, claim: Claim, logged_at_s: float) -> None:
+    if claim.claim_id in state.released:
+        return
+    if state.winner is None and state.outcome is None:
+        state.winner = claim
+        state.logged_at_s = logged_at_s
+    elif state.winner and state.winner.claim_id == claim.claim_id:
+        state.logged_at_s = logged_at_s
+
+
+def _fold_release(state: KeyState, release: Release) -> None:
+    state.released.add(release.claim_id)
+    winner = state.winner
+    if winner is None or state.outcome is not None:
+        return
+    if winner.claim_id == release.claim_id:
+        state.winner = None
+
+
+def _fold_outcome(
+    state: KeyState, outcome: CallOutcome, logged_at_s: float
+) -> None:
+    winner = state.winner
+    if state.outcome is not None or outcome.claim_id in state.released:
+        return
+    if winner is None or winner.claim_id == outcome.claim_id:
+        state.outcome = outcome
+        state.logged_at_s = logged_at_s
--- /dev/null
+++ b/mallowspindle/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers."""
--- /dev/null
+++ b/mallowspindle/entry/context.py
@@ -0,0 +1,112 @@
+"""What the handlers of the HTTP interface work with."""
+
+from dataclasses import dataclass
+
+from aiohttp.web import Request
+
+from mallowspindle.attempts.service import AttemptsService
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.effects.service import EffectsService
+from mallowspindle.entry.addresses import addresses_for
+from mallowspindle.entry.limits import OrganisationLimits
+from mallowspindle.entry.problems import ProblemError
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.ledger.service import LedgerService
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.outcomes import NotRun
+from mallowspindle.recovery.service import RecoveryService
+from mallowspindle.routing.directory import DirectoryService
+from mallowspindle.settings.documents import Organisation
+from mallowspindle.settings.service import SettingsService
+
+_UNAUTHORIZED = 401
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+_BEARER = 'Bearer '
+_RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryContext:
+    """The services behind the HTTP interface."""
+
+    config: DaemonSettings
+    membership: MembershipService
+    settings: SettingsService
+    directory: DirectoryService
+    attempts: AttemptsService
+    recovery: RecoveryService
+    effects: EffectsService
+    ledger: LedgerService
+    limits: OrganisationLimits
+
+    @classmethod
+    def from_kernel(cls, kernel: Kernel) -> 'EntryContext':
+        """Find the services by name."""
+        membership = kernel.find('membership', MembershipService)
+        return cls(
+            config=kernel.config,
+            membership=membership,
+            settings=kernel.find('settings', SettingsService),
+            directory=kernel.find('directory', DirectoryService),
+            attempts=kernel.find('attempts', AttemptsService),
+            recovery=kernel.find('recovery', RecoveryService),
+            effects=kernel.find('effects', EffectsService),
+            ledger=kernel.find('ledger', LedgerService),
+            limits=OrganisationLimits(membership.own.name, membership.usage),
+        )
+
+    def organisation(self, request: Request) -> Organisation:
+        """Return whose token the request carries; 401 for any other."""
+        header = request.headers.get('Authorization', '')
+        documents = self.settings.tree.documents
+        found = None
+        if header.startswith(_BEARER):
+            found = documents.organisation_of_token(
+                header.removeprefix(_BEARER)
+            )
+        if found is not None:
+            return found
+        if not self.settings.fresh:
+            raise self.not_run(
+                NotRun('the settings in force are not known', _RETRY_AFTER_S)
+            )
+        raise ProblemError(
+            _UNAUTHORIZED, 'unauthorized', 'the token is not known'
+        )
+
+    def ensure_open(self) -> None:
+        """Raise a 503 problem while this node takes no new work."""
+        if self.membership.own.leaving:
+            raise self.not_run(
+                NotRun('this entry VM is leaving', _RETRY_AFTER_S)
+            )
+        if not self.settings.fresh:
+            raise self.not_run(
+                NotRun('the settings in force are not known', _RETRY_AFTER_S)
+            )
+
+    def ensure_within_limits(self, organisation: Organisation) -> None:
+        """Raise a 429 problem if a limit of the organisation is met."""
+        live = {info.name for info in self.membership.table.live()}
+        refusal = self.limits.refusal(organisation, live)
+        if refusal is not None:
+            raise ProblemError(
+                _TOO_MANY, 'not-run', refusal.reason, refusal.retry_after_s
+            )
+
+    def not_run(self, outcome: NotRun) -> ProblemError:
+        """Return a 503 problem that names other addresses."""
+        return ProblemError(
+            _UNAVAILABLE,
+            'not-run',
+            outcome.reason,
+            outcome.retry_after_s,
+            self.other_addresses(),
+        )
+
+    def other_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of other entry VMs."""
+        own = self.membership.own
+        listed = addresses_for(own.zone, own, self.membership.table.live())
+        return tuple(name for name in listed if name != own.http_address)
--- /dev/null
+++ b/mallowspindle/entry/generation.py
@@ -0,0 +1,250 @@
+"""Handlers of chat completions, bundles and their answers."""
+
+import json
+import time
+
+from aiohttp.web import Request, Response, StreamResponse, json_response
+from opentelemetry.trace import SpanKind
+
+from mallowspindle.attempts.request import (
+    GenerationRequest,
+    Kind,
+    OwnedRequest,
+    Progress,
+)
+from mallowspindle.entry import chunks
+from mallowspindle.entry.context import EntryContext
+from mallowspindle.entry.models import (
+    BundleBody,
+    ChatBody,
+    generation_request,
+    parse_body,
+)
+from mallowspindle.entry.problems import ProblemError
+from mallowspindle.entry.streaming import AnswerStream
+from mallowspindle.recovery.messages import FoundRequest
+from mallowspindle.settings.documents import Organisation
+from mallowspindle.utils.telemetry import hop_span
+
+_ACCEPTED = 202
+_BAD_REQUEST = 400
+_FORBIDDEN = 403
+_NOT_FOUND = 404
+_CONFLICT = 409
+_TEMPORARY_REDIRECT = 307
+_UNAVAILABLE = 503
+_ANY = '*'
+_RETRY_AFTER_S = 1.0
+
+
+class GenerationHandlers:
+    """Serves the model part of the callers' interface."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def chat(self, request: Request) -> StreamResponse:
+        """Answer a chat completion, streamed or whole."""
+        organisation = self._context.organisation(request)
+        body = parse_body(ChatBody, await request.read())
+        deadline_s = time.time() + self._context.config.limits.chat_deadline_s
+        asked = generation_request(body, organisation, Kind.CHAT, deadline_s)
+        self._admit(organisation, asked)
+        with (
+            self._context.limits.admitted(organisation.name),
+            hop_span('chat', SpanKind.SERVER, request.headers),
+        ):
+            owned = await self._context.attempts.accept(asked)
+            if body.stream:
+                options = body.stream_options
+                return await self._stream(
+                    request, owned, 0, bool(options and options.include_usage)
+                )
+            return await self._whole(owned)
+
+    async def bundle(self, request: Request) -> Response:
+        """Accept a bundle; its answer is fetched later."""
+        organisation = self._context.organisation(request)
+        body = parse_body(BundleBody, await request.read())
+        if body.deadline_s and body.deadline_s <= time.time():
+            raise ProblemError(
+                _BAD_REQUEST, 'invalid-request', 'deadline_s has passed'
+            )
+        asked = generation_request(
+            body, organisation, Kind.BUNDLE, body.deadline_s
+        )
+        self._admit(organisation, asked)
+        with hop_span('bundle', SpanKind.SERVER, request.headers):
+            owned = await self._context.attempts.accept(asked)
+        location = f'/v1/requests/{owned.request.request_id}'
+        return json_response(
+            {'id': owned.request.request_id, 'status': owned.state},
+            status=_ACCEPTED,
+            headers={'Location': location},
+        )
+
+    async def status(self, request: Request) -> Response:
+        """Return the state of a request, and its answer once it is done."""
+        found = await self._find(request)
+        request_id = request.match_info['request_id']
+        document: dict[str, object] = {
+            'id': request_id,
+            'status': status_of(found),
+            'owner': found.owner,
+            'tokens': len(found.tokens),
+        }
+        if found.ending is not None and found.ending.failure:
+            document['failure'] = found.ending.failure
+        elif found.ending is not None:
+            progress = Progress(found.tokens, [], found.ending)
+            document['answer'] = chunks.completion(
+                request_id, found.model, 0, progress
+            )
+        return json_response(document)
+
+    async def events(self, request: Request) -> StreamResponse:
+        """Go on with a streamed answer after ``Last-Event-ID``."""
+        found = await self._find(request)
+        request_id = request.match_info['request_id']
+        owned = self._context.recovery.owned.get(request_id)
+        if owned is None or owned.moved_to:
+            return self._redirect(request, found)
+        seen = _tokens_seen(request)
+        await self._check_lineage(request, owned, seen)
+        return await self._stream(request, owned, seen, False)
+
+    async def models(self, request: Request) -> Response:
+        """List the models that the organisation may use."""
+        organisation = self._context.organisation(request)
+        allowed = [
+            {'id': model, 'object': 'model', 'created': 0, 'owned_by': ''}
+            for model in self._context.directory.models()
+            if is_allowed(model, organisation.access.models)
+        ]
+        return json_response({'object': 'list', 'data': allowed})
+
+    def _admit(
+        self, organisation: Organisation, asked: GenerationRequest
+    ) -> None:
+        """Raise the problem for which a request can't be accepted."""
+        self._context.ensure_open()
+        if not is_allowed(asked.model, organisation.access.models):
+            raise ProblemError(
+                _NOT_FOUND, 'model-not-found', f'no model {asked.model}'
+            )
+        self._context.ensure_within_limits(organisation)
+        refusal = self._context.attempts.refusal(asked.model)
+        if refusal is not None:
+            raise self._context.not_run(refusal)
+
+    async def _stream(
+        self,
+        request: Request,
+        owned: OwnedRequest,
+        seen: int,
+        include_usage: bool,
+    ) -> StreamResponse:
+        """Stream the answer; a failure before its start is a problem."""
+        await owned.wait_beyond(seen)
+        if not owned.progress.tokens:
+            _raise_failure(owned)
+        answer = AnswerStream(owned, include_usage=include_usage)
+        return await answer.serve(request, seen, self._context.other_addresses)
+
+    async def _whole(self, owned: OwnedRequest) -> Response:
+        await owned.wait_final()
+        _raise_failure(owned)
+        if owned.moved_to:
+            raise ProblemError(
+                _UNAVAILABLE,
+                'moved',
+                f'request {owned.request.request_id} goes on elsewhere',
+                _RETRY_AFTER_S,
+                self._context.other_addresses(),
+            )
+        return json_response(
+            chunks.completion(
+                owned.request.request_id,
+                owned.request.model,
+                owned.request.accepted_at_s,
+                owned.progress,
+            ),
+            headers={'X-Request-Id': owned.request.request_id},
+        )
+
+    async def _find(self, request: Request) -> FoundRequest:
+        """Return a request of the caller's organisation, else 404."""
+        organisation = self._context.organisation(request)
+        request_id = request.match_info['request_id']
+        found = await self._context.recovery.find(request_id)
+        if found.owner and found.organisation == organisation.name:
+            return found
+        raise ProblemError(_NOT_FOUND, 'not-found', f'no request {request_id}')
+
+    def _redirect(self, request: Request, found: FoundRequest) -> Response:
+        owner = self._context.membership.table.find(found.owner)
+        if owner is None or not owner.info.http_address:
+            raise ProblemError(
+                _UNAVAILABLE,
+                'moving',
+                'the request is being taken over',
+                _RETRY_AFTER_S,
+            )
+        url = f'http://{owner.info.http_address}{request.path}'
+        return Response(status=_TEMPORARY_REDIRECT, headers={'Location': url})
+
+    async def _check_lineage(
+        self, request: Request, owned: OwnedRequest, seen: int
+    ) -> None:
+        """Refuse to go on where the caller's tokens are not ours."""
+        last_id = request.headers.get('Last-Event-ID', '')
+        if not seen:
+            return
+        if len(owned.progress.tokens) < seen:
+            await owned.wait_beyond(seen - 1)
+        if chunks.event_id(owned.progress.tokens, seen) != last_id:
+            raise ProblemError(
+                _CONFLICT,
+                'other-answer',
+                'the answer was computed anew; read it from its start',
+            )
+
+
+def is_allowed(name: str, allowed: list[str]) -> bool:
+    """Tell whether a name is in a list of the settings."""
+    return _ANY in allowed or name in allowed
+
+
+def status_of(found: FoundRequest) -> str:
+    """Return the state that callers see."""
+    if found.ending is None:
+        return 'running' if found.tokens else 'accepted'
+    return 'failed' if found.ending.failure else 'done'
+
+
+def _tokens_seen(request: Request) -> int:
+    last_id = request.headers.get('Last-Event-ID', '')
+    number = last_id.split('-', 1)[0]
+    if last_id and not number.isdecimal():
+        raise ProblemError(
+            _BAD_REQUEST, 'invalid-request', 'Last-Event-ID is not of ours'
+        )
+    return int(number or 0)
+
+
+def _raise_failure(owned: OwnedRequest) -> None:
+    ending = owned.progress.ending
+    if ending is None or not ending.failure:
+        return
+    kind = 'not-run' if ending.status == _UNAVAILABLE else 'failed'
+    raise ProblemError(
+        ending.status, kind, _detail(ending.failure), ending.retry_after_s
+    )
+
+
+def _detail(failure: str) -> str:
+    """Return the message inside an engine's JSON error, if it is one."""
+    try:
+        return str(json.loads(failure)['error']['message'])
+    except (ValueError, KeyError, TypeError):
+        return failure
--- /dev/null
+++ b/mallowspindle/entry/models.py
@@ -0,0 +1,108 @@
+"""Validated bodies of callers' requests."""
+
+import time
+from typing import Any, Literal, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mallowspindle.attempts.request import GenerationRequest, Kind
+from mallowspindle.entry.problems import ProblemError
+from mallowspindle.settings.documents import Organisation
+from mallowspindle.utils.identifiers import new_id
+
+BodyT = TypeVar('BodyT', bound=BaseModel)
+
+_BAD_REQUEST = 400
+_DEFAULT_MAX_TOKENS = 256
+_INTERACTIVE, _WITH_DEADLINE, _BATCH = 0, 5, 9
+
+
+class Message(BaseModel):
+    """One message of a chat; other OpenAI fields are passed on."""
+
+    model_config = ConfigDict(extra='allow')
+
+    role: Literal['system', 'developer', 'user', 'assistant', 'tool']
+    content: str | list[dict[str, Any]] | None = ''
+
+
+class StreamOptions(BaseModel):
+    """What a stream should contain."""
+
+    model_config = ConfigDict(extra='allow')
+
+    include_usage: bool = False
+
+
+class ChatBody(BaseModel):
+    """A chat completion; engine options not named here are passed on."""
+
+    model_config = ConfigDict(extra='allow')
+
+    model: str = Field(min_length=1)
+    messages: list[Message] = Field(min_length=1)
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = Field(None, ge=1)
+    max_completion_tokens: int | None = Field(None, ge=1)
+    choices: int = Field(1, ge=1, le=1, alias='n')
+
+
+class BundleBody(ChatBody):
+    """A long job that is answered later, by ``deadline_s`` (Unix time)."""
+
+    deadline_s: float = Field(0, ge=0)
+    batch: bool = False
+
+
+def parse_body(model: type[BodyT], raw: bytes) -> BodyT:
+    """Return the validated body; a 400 problem lists all faults."""
+    try:
+        return model.model_validate_json(raw)
+    except ValidationError as error:
+        faults = '; '.join(
+            f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}'
+            for fault in error.errors()
+        )
+        raise ProblemError(_BAD_REQUEST, 'invalid-request', faults) from error
+
+
+def generation_request(
+    body: ChatBody,
+    organisation: Organisation,
+    kind: Kind,
+    deadline_s: float,
+) -> GenerationRequest:
+    """Return the request as the system keeps it."""
+    limit = body.max_tokens or body.max_completion_tokens
+    return GenerationRequest(
+        request_id=new_id('req'),
+        organisation=organisation.name,
+        organisation_path=organisation.path,
+        model=body.model,
+        kind=kind,
+        body=body.model_dump(
+            exclude={
+                'model',
+                'stream',
+                'stream_options',
+                'max_tokens',
+                'max_completion_tokens',
+                'deadline_s',
+                'batch',
+                'choices',
+            },
+            exclude_none=True,
+        ),
+        max_tokens=limit or _DEFAULT_MAX_TOKENS,
+        priority=_priority(body, kind),
+        accepted_at_s=time.time(),
+        deadline_s=deadline_s,
+    )
+
+
+def _priority(body: ChatBody, kind: Kind) -> int:
+    if kind == Kind.CHAT:
+        return _INTERACTIVE
+    batch = isinstance(body, BundleBody) and body.batch
+    return _BATCH if batch else _WITH_DEADLINE
--- /dev/null
+++ b/mallowspindle/entry/service.py
@@ -0,0 +1,171 @@
+"""The HTTP server towards callers and operators."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Self
+
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    HTTPException,
+    Request,
+    Response,
+    StreamResponse,
+    TCPSite,
+    json_response,
+    middleware,
+)
+from prometheus_client import generate_latest
+
+from mallowspindle.entry.addresses import addresses_for
+from mallowspindle.entry.calls import CallHandlers
+from mallowspindle.entry.context import EntryContext
+from mallowspindle.entry.generation import GenerationHandlers
+from mallowspindle.entry.operators import OperatorHandlers
+from mallowspindle.entry.problems import ProblemError, problem
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.utils.telemetry import meter
+
+log = logging.getLogger(__name__)
+
+_INTERNAL_ERROR = 500
+_LINGER_S = 0.3
+
+requests_total = meter.create_counter('http_requests')
+
+Handler = Callable[[Request], Awaitable[StreamResponse]]
+
+
+@service(
+    'entry',
+    requires=('membership', 'settings', 'attempts', 'effects', 'recovery'),
+)
+class EntryService(Service):
+    """Serves callers and operators over HTTP."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._context = EntryContext.from_kernel(kernel)
+        self._runner: AppRunner | None = None
+        self._open_requests = 0
+        self._port = 0
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the server on the other services."""
+        return cls(kernel)
+
+    @property
+    def port(self) -> int:
+        """The port on which callers are served."""
+        return self._port
+
+    async def start(self) -> None:
+        """Listen, then let callers be sent to this node."""
+        node = self._context.config.node
+        self._runner = AppRunner(
+            self._application(), access_log=None, shutdown_timeout=1
+        )
+        await self._runner.setup()
+        await TCPSite(self._runner, node.host, node.http_port).start()
+        self._port = self._runner.addresses[0][1]
+        self._context.membership.update(
+            http_address=f'{node.host}:{self._port}'
+        )
+
+    async def drain(self, timeout_s: float) -> None:
+        """Answer new requests with other addresses until all is handed over.
+
+        The requests in progress end in the drain of the other services.
+        """
+        log.info('%s requests are open', self._open_requests)
+
+    async def stop(self) -> None:
+        """Close the connections that are left."""
+        for _ in range(int(_LINGER_S * 100)):
+            if not self._open_requests:
+                break
+            await asyncio.sleep(0.01)
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _application(self) -> Application:
+        app = Application(
+            middlewares=[self._count_open, problem_middleware],
+            client_max_size=self._context.config.limits.body_bytes,
+        )
+        generation = GenerationHandlers(self._context)
+        app.router.add_get('/v1/addresses', self._addresses)
+        app.router.add_get('/v1/models', generation.models)
+        app.router.add_post('/v1/chat/completions', generation.chat)
+        app.router.add_post('/v1/bundles', generation.bundle)
+        app.router.add_get('/v1/requests/{request_id}', generation.status)
+        app.router.add_get(
+            '/v1/requests/{request_id}/events', generation.events
+        )
+        app.router.add_route(
+            '*',
+            '/v1/services/{service}/{path:.*}',
+            CallHandlers(self._context).call,
+        )
+        app.router.add_get('/metrics', _metrics)
+        app.router.add_get('/health', self._health)
+        OperatorHandlers(self._context).add_routes(app)
+        return app
+
+    @middleware
+    async def _count_open(
+        self, request: Request, handler: Handler
+    ) -> StreamResponse:
+        self._open_requests += 1
+        try:
+            return await handler(request)
+        finally:
+            self._open_requests -= 1
+
+    async def _addresses(self, request: Request) -> Response:
+        own = self._context.membership.own
+        zone = request.query.get('zone', own.zone)
+        live = self._context.membership.table.live()
+        return json_response(
+            {
+                'addresses': addresses_for(zone, own, live),
+                'valid_for_s': self._context.config.limits.address_validity_s,
+            }
+        )
+
+    async def _health(self, request: Request) -> Response:
+        own = self._context.membership.own
+        return json_response(
+            {
+                'name': own.name,
+                'leaving': own.leaving,
+                'settings_through': own.settings_through,
+                'settings_fresh': self._context.settings.fresh,
+            }
+        )
+
+
+@middleware
+async def problem_middleware(
+    request: Request, handler: Handler
+) -> StreamResponse:
+    """Turn errors into problem documents."""
+    requests_total.add(1)
+    try:
+        return await handler(request)
+    except ProblemError as error:
+        return error.as_response()
+    except HTTPException as error:
+        kind = error.reason.lower().replace(' ', '-')
+        return problem(error.status, kind, error.text or error.reason)
+    except Exception:
+        log.exception('request to %s failed', request.path)
+        return problem(
+            _INTERNAL_ERROR, 'internal-error', 'the request failed inside'
+        )
+
+
+async def _metrics(request: Request) -> Response:
+    return Response(body=generate_latest(), content_type='text/plain')
--- /dev/null
+++ b/mallowspindle/entry/streaming.py
@@ -0,0 +1,118 @@
+"""Writes the answer of a request to its caller as server-sent events."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+from aiohttp import ClientConnectionError
+from aiohttp.web import Request, StreamResponse
+from xxhash import xxh32
+
+from mallowspindle.attempts.request import OwnedRequest
+from mallowspindle.entry import chunks
+
+_KEEPALIVE_INTERVAL_S = 15.0
+
+
+class AnswerStream:
+    """One caller that follows the answer of one request."""
+
+    def __init__(self, owned: OwnedRequest, *, include_usage: bool) -> None:
+        self._owned = owned
+        self._include_usage = include_usage
+        self._digest = xxh32()
+        self._seen = 0
+
+    async def serve(
+        self,
+        request: Request,
+        seen: int,
+        alternatives: Callable[[], tuple[str, ...]],
+    ) -> StreamResponse:
+        """Send all tokens after the first ``seen``, then the ending.
+
+        ``alternatives`` gives the addresses to name if another node has
+        taken over.
+        """
+        response = StreamResponse()
+        response.content_type = 'text/event-stream'
+        response.headers['X-Request-Id'] = self._owned.request.request_id
+        response.headers['Cache-Control'] = 'no-cache'
+        await response.prepare(request)
+        self._skip(seen)
+        with suppress(ClientConnectionError, ConnectionResetError):
+            await self._send_tokens(response)
+            await self._send_ending(response, alternatives())
+            await response.write_eof()
+        return response
+
+    def _skip(self, seen: int) -> None:
+        for token in self._owned.progress.tokens[:seen]:
+            self._digest.update(token.encode())
+        self._seen = seen
+
+    async def _send_tokens(self, response: StreamResponse) -> None:
+        while True:
+            await self._wait_for_more(response)
+            fresh = self._owned.progress.tokens[self._seen :]
+            events = [self._token_event(token) for token in fresh]
+            if events:
+                await response.write(b''.join(events))
+            elif self._owned.final:
+                return
+
+    async def _wait_for_more(self, response: StreamResponse) -> None:
+        """Wait for tokens; comments keep an idle connection open."""
+        while True:
+            try:
+                async with asyncio.timeout(_KEEPALIVE_INTERVAL_S):
+                    return await self._owned.wait_beyond(self._seen)
+            except TimeoutError:
+                await response.write(b': keep-alive\n\n')
+
+    def _token_event(self, token: str) -> bytes:
+        self._seen += 1
+        self._digest.update(token.encode())
+        delta = {'role': 'assistant', 'content': token}
+        return chunks.event(
+            chunks.chunk(self._owned.request, delta, None),
+            f'{self._seen}-{self._digest.hexdigest()}',
+        )
+
+    async def _send_ending(
+        self, response: StreamResponse, addresses: tuple[str, ...]
+    ) -> None:
+        ending = self._owned.progress.ending
+        if self._owned.moved_to or ending is None:
+            await response.write(chunks.event(self._moved_document(addresses)))
+        elif ending.failure:
+            await response.write(chunks.event(_error('failed', ending.failure)))
+        else:
+            await self._send_last_chunks(response, ending.finish_reason)
+
+    async def _send_last_chunks(
+        self, response: StreamResponse, finish_reason: str
+    ) -> None:
+        request = self._owned.request
+        last = chunks.chunk(request, {}, finish_reason)
+        await response.write(chunks.event(last))
+        if self._include_usage:
+            counted = {
+                **chunks.chunk(request, {}, None),
+                'choices': [],
+                'usage': chunks.usage(self._owned.progress),
+            }
+            await response.write(chunks.event(counted))
+        await response.write(chunks.DONE_EVENT)
+
+    def _moved_document(self, addresses: tuple[str, ...]) -> dict[str, object]:
+        path = f'/v1/requests/{self._owned.request.request_id}/events'
+        return {
+            **_error('moved', 'the answer goes on at another entry VM'),
+            'continue_at': [f'http://{name}{path}' for name in addresses],
+            'last_event_id': f'{self._seen}-{self._digest.hexdigest()}',
+        }
+
+
+def _error(kind: str, message: str) -> dict[str, object]:
+    return {'error': {'message': message, 'type': kind, 'code': kind}}
--- /dev/null
+++ b/mallowspindle/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: named services and their life cycle."""
--- /dev/null
+++ b/mallowspindle/kernel/errors.py
@@ -0,0 +1,5 @@
+"""Errors of the micro-kernel."""
+
+
+class KernelError(Exception):
+    """The services can't be assembled or started."""
--- /dev/null
+++ b/mallowspindle/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Cost metering and its split between partners."""
--- /dev/null
+++ b/mallowspindle/ledger/pricing.py
@@ -0,0 +1,107 @@
+"""Works out the ledger entries of attempts and calls."""
+
+import time
+from decimal import Decimal
+from itertools import pairwise
+
+from mallowspindle.attempts.request import (
+    AttemptRef,
+    GenerationRequest,
+    Progress,
+    Segment,
+)
+from mallowspindle.ledger.records import LedgerEntry
+from mallowspindle.ledger.splitting import split_amount
+
+_SECONDS_PER_HOUR = 3600
+DECODE_TOKENS_PER_S = 800
+
+
+def entries_of_request(
+    request: GenerationRequest, progress: Progress
+) -> list[LedgerEntry]:
+    """Return the entries of all attempts of a request that has ended.
+
+    The result follows from the request's copy alone, so that every owner
+    writes the same entries.
+    """
+    ends = [attempt.offset for attempt in progress.attempts[1:]]
+    ends.append(len(progress.tokens))
+    return [
+        entry
+        for attempt, end in zip(progress.attempts, ends, strict=True)
+        for entry in _entries_of_attempt(request, attempt, end)
+    ]
+
+
+def _entries_of_attempt(
+    request: GenerationRequest, attempt: AttemptRef, end: int
+) -> list[LedgerEntry]:
+    bounds = [segment.first for segment in attempt.segments]
+    bounds.append(max(end, attempt.offset))
+    token_entries = [
+        _tokens_entry(request, attempt, segment, until - first)
+        for segment, (first, until) in zip(
+            attempt.segments, pairwise(bounds), strict=True
+        )
+    ]
+    return [_prompt_entry(request, attempt), *token_entries]
+
+
+def _prompt_entry(
+    request: GenerationRequest, attempt: AttemptRef
+) -> LedgerEntry:
+    computed = max(0, attempt.prompt_tokens - attempt.cached_tokens)
+    amount = _amount(attempt, computed / max(1, attempt.prefill_tokens_per_s))
+    version = attempt.segments[0].version if attempt.segments else -1
+    return LedgerEntry(
+        entry_id=f'{attempt.attempt_id}/prompt',
+        kind='recompute' if attempt.recompute else 'prompt',
+        request_id=request.request_id,
+        attempt_id=attempt.attempt_id,
+        organisation=request.organisation,
+        subject=request.model,
+        vm_id=attempt.vm_id,
+        version=version,
+        tokens=computed,
+        cached_tokens=attempt.cached_tokens,
+        amount_micro=amount,
+        at_s=time.time(),
+        parts=_parts(amount, attempt.prompt_shares),
+    )
+
+
+def _tokens_entry(
+    request: GenerationRequest,
+    attempt: AttemptRef,
+    segment: Segment,
+    tokens: int,
+) -> LedgerEntry:
+    amount = _amount(attempt, tokens / DECODE_TOKENS_PER_S)
+    return LedgerEntry(
+        entry_id=f'{attempt.attempt_id}/{segment.first}',
+        kind='tokens',
+        request_id=request.request_id,
+        attempt_id=attempt.attempt_id,
+        organisation=request.organisation,
+        subject=request.model,
+        vm_id=attempt.vm_id,
+        version=segment.version,
+        tokens=tokens,
+        cached_tokens=0,
+        amount_micro=amount,
+        at_s=time.time(),
+        parts=_parts(amount, segment.shares),
+    )
+
+
+def _amount(attempt: AttemptRef, busy_s: float) -> int:
+    return round(attempt.price_micro_per_hour * busy_s / _SECONDS_PER_HOUR)
+
+
+def _parts(amount: int, shares: dict[str, str]) -> dict[str, int]:
+    if not shares:
+        return {}
+    return split_amount(
+        amount, {name: Decimal(text) for name, text in shares.items()}
+    )
--- /dev/null
+++ b/mallowspindle/ledger/service.py
@@ -0,0 +1,100 @@
+"""Writes ledger entries to the log in batches."""
+
+import logging
+from collections import OrderedDict
+from typing import Self
+
+from mallowspindle.attempts.request import OwnedRequest, Segment
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.ledger.pricing import entries_of_request
+from mallowspindle.ledger.records import (
+    LEDGER_STREAM,
+    LedgerEntry,
+    ledger_codec,
+)
+from mallowspindle.platform.errors import PlatformError
+from mallowspindle.platform.log import LogClient
+from mallowspindle.platform.service import PlatformService
+from mallowspindle.settings.service import SettingsService
+from mallowspindle.utils.tasks import TaskGroup, repeat
+
+log = logging.getLogger(__name__)
+
+_FLUSH_INTERVAL_S = 0.25
+_MAX_BATCH = 500
+
+
+@service('ledger', requires=('platform', 'settings'))
+class LedgerService(Service):
+    """Keeps entries in memory until the log has them."""
+
+    def __init__(
+        self, log_client: LogClient, settings: SettingsService
+    ) -> None:
+        self._log = log_client
+        self._settings = settings
+        self._unsent: OrderedDict[str, LedgerEntry] = OrderedDict()
+        self._tasks = TaskGroup()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service on the shared log client."""
+        return cls(
+            kernel.find('platform', PlatformService).log,
+            kernel.find('settings', SettingsService),
+        )
+
+    @property
+    def unsent(self) -> int:
+        """The number of entries that the log does not have yet."""
+        return len(self._unsent)
+
+    async def start(self) -> None:
+        """Begin to flush."""
+        self._tasks.spawn(repeat(self.flush, _FLUSH_INTERVAL_S), 'ledger')
+
+    async def drain(self, timeout_s: float) -> None:
+        """Write what is left, if the log takes it."""
+        await self.flush()
+
+    async def stop(self) -> None:
+        """Stop flushing."""
+        await self._tasks.cancel()
+
+    def segment_now(self, path: str, first: int) -> Segment:
+        """Return a segment under the split that is in force at ``path``."""
+        split = self._settings.tree.documents.split(path)
+        if split is None:
+            return Segment(first, version=-1, shares={})
+        shares = {name: str(share) for name, share in split.shares.items()}
+        return Segment(first, split.version, shares)
+
+    def prompt_shares(self, path: str, *, recompute: bool) -> dict[str, str]:
+        """Return the shares of those who pay for a prompt's computation."""
+        accounting = self._settings.tree.documents.organisation(path).accounting
+        if recompute and accounting.recompute_payer != 'split':
+            return {accounting.recompute_payer: '100'}
+        return self.segment_now(path, 0).shares
+
+    def write_request(self, owned: OwnedRequest) -> None:
+        """Enter the cost of a request that has ended."""
+        self.write(entries_of_request(owned.request, owned.progress))
+
+    def write(self, entries: list[LedgerEntry]) -> None:
+        """Enter costs; the next flush writes them."""
+        for entry in entries:
+            self._unsent[entry.entry_id] = entry
+
+    async def flush(self) -> None:
+        """Append all unsent entries; a failed batch is kept."""
+        while self._unsent:
+            batch = list(self._unsent.values())[:_MAX_BATCH]
+            payload = ledger_codec.encode_all(batch)
+            try:
+                await self._log.append(LEDGER_STREAM, payload)
+            except PlatformError as error:
+                log.warning('%s ledger entries wait: %s', self.unsent, error)
+                return
+            for entry in batch:
+                self._unsent.pop(entry.entry_id, None)
--- /dev/null
+++ b/mallowspindle/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry VMs and backend servers are live or leaving."""
--- /dev/null
+++ b/mallowspindle/membership/messages.py
@@ -0,0 +1,50 @@
+"""Messages of the membership service."""
+
+from dataclasses import dataclass, field
+
+from mallowspindle.peers.codec import peer_codec
+
+
+@dataclass(frozen=True, slots=True)
+class MemberInfo:
+    """What one entry VM says of itself.
+
+    ``beat`` grows while the VM lives; ``incarnation`` is the start time of
+    its daemon in milliseconds.
+    """
+
+    name: str
+    region: str
+    zone: str
+    peer_address: str
+    http_address: str
+    incarnation: int
+    beat: int
+    leaving: bool = False
+    settings_through: int = -1
+    in_progress: int = 0
+
+    def is_newer_than(self, other: 'MemberInfo') -> bool:
+        """Tell whether this is later news of the same member."""
+        return (self.incarnation, self.beat) > (other.incarnation, other.beat)
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """Requests that one entry VM admitted for an organisation."""
+
+    node: str
+    organisation: str
+    rate_per_s: float
+    in_progress: int
+
+
+@peer_codec.register('heartbeat')
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """News of the sender, of other members and of leaving servers."""
+
+    sender: MemberInfo
+    members: list[MemberInfo] = field(default_factory=list)
+    leaving_servers: list[str] = field(default_factory=list)
+    usage: list[UsageReport] = field(default_factory=list)
--- /dev/null
+++ b/mallowspindle/membership/usage.py
@@ -0,0 +1,35 @@
+"""Usage of the organisations as the entry VMs report it."""
+
+from collections.abc import Collection
+
+from mallowspindle.membership.messages import UsageReport
+
+
+class UsageTable:
+    """The latest report for each node and organisation."""
+
+    def __init__(self) -> None:
+        self._own: list[UsageReport] = []
+        self._peers: dict[str, list[UsageReport]] = {}
+
+    @property
+    def own(self) -> list[UsageReport]:
+        """What this node reports."""
+        return self._own
+
+    def report_own(self, reports: list[UsageReport]) -> None:
+        """Replace what this node reports."""
+        self._own = reports
+
+    def learn(self, node: str, reports: list[UsageReport]) -> None:
+        """Replace what a peer reports."""
+        self._peers[node] = reports
+
+    def of_peers(self, live: Collection[str]) -> list[UsageReport]:
+        """Return the reports of the live peers."""
+        return [
+            report
+            for node, reports in self._peers.items()
+            if node in live
+            for report in reports
+        ]
--- /dev/null
+++ b/mallowspindle/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated message streams between entry VMs."""
--- /dev/null
+++ b/mallowspindle/peers/frames.py
@@ -0,0 +1,48 @@
+"""Length-prefixed msgpack frames."""
+
+from asyncio import IncompleteReadError, StreamReader, StreamWriter
+from typing import Any
+
+from mallowspindle.peers.errors import PeerError
+from mallowspindle.utils.codec import CodecError, pack, unpack
+
+LENGTH_BYTES = 4
+
+
+class FrameStream:
+    """Reads and writes frames, counting bytes for the control budget."""
+
+    def __init__(
+        self, reader: StreamReader, writer: StreamWriter, max_bytes: int
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._max_bytes = max_bytes
+
+    async def read(self, max_bytes: int = 0) -> Any:
+        """Return the next frame's value; ``PeerError`` when it is unusable."""
+        limit = max_bytes or self._max_bytes
+        try:
+            prefix = await self._reader.readexactly(LENGTH_BYTES)
+            length = int.from_bytes(prefix)
+            if length > limit:
+                raise PeerError(f'frame of {length} bytes, limit {limit}')
+            return unpack(await self._reader.readexactly(length))
+        except (IncompleteReadError, OSError, CodecError) as error:
+            raise PeerError(f'connection lost: {error}') from error
+
+    async def write(self, value: Any) -> int:
+        """Send one frame and return its size in bytes."""
+        payload = pack(value)
+        if len(payload) > self._max_bytes:
+            raise PeerError(f'frame of {len(payload)} bytes is over the limit')
+        try:
+            self._writer.write(len(payload).to_bytes(LENGTH_BYTES) + payload)
+            await self._writer.drain()
+        except OSError as error:
+            raise PeerError(f'connection lost: {error}') from error
+        return LENGTH_BYTES + len(payload)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
--- /dev/null
+++ b/mallowspindle/peers/server.py
@@ -0,0 +1,74 @@
+"""The accepting side of connections from peers."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from mallowspindle.peers.codec import ErrorReply, peer_codec
+from mallowspindle.peers.errors import PeerError
+from mallowspindle.peers.frames import FrameStream
+from mallowspindle.peers.handshake import Credentials, greet_as_server
+
+log = logging.getLogger(__name__)
+_GREETING_TIMEOUT_S = 2.0
+
+Handler = Callable[[Any], Awaitable[object]]
+
+
+class PeerServer:
+    """Accepts peers and gives each message to its registered handler."""
+
+    def __init__(self, credentials: Credentials, max_frame_bytes: int) -> None:
+        self._credentials = credentials
+        self._max_frame_bytes = max_frame_bytes
+        self._handlers: dict[type, Handler] = {}
+        self._server: asyncio.Server | None = None
+        self._connections: set[FrameStream] = set()
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Register the handler of one type of message."""
+        self._handlers[message_type] = handler
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for stream in list(self._connections):
+            stream.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer, self._max_frame_bytes)
+        self._connections.add(stream)
+        try:
+            async with asyncio.timeout(_GREETING_TIMEOUT_S):
+                await greet_as_server(stream, self._credentials)
+            await self._answer_calls(stream)
+        except (PeerError, TimeoutError, ValueError) as error:
+            log.debug('peer connection ended: %s', error)
+        finally:
+            self._connections.discard(stream)
+            stream.close()
+
+    async def _answer_calls(self, stream: FrameStream) -> None:
+        while True:
+            number, *wire = await stream.read()
+            reply = await self._reply_to(peer_codec.from_wire(wire))
+            await stream.write([number, *peer_codec.to_wire(reply)])
+
+    async def _reply_to(self, message: object) -> object:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return ErrorReply(f'no handler for {type(message).__name__}')
+        try:
+            return await handler(message)
+        except Exception as error:
+            log.exception('handler of %s failed', type(message).__name__)
+            return ErrorReply(f'{type(error).__name__}: {error}')
--- /dev/null
+++ b/mallowspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log and cloud services."""
--- /dev/null
+++ b/mallowspindle/platform/cloud.py
@@ -0,0 +1,84 @@
+"""Client of the platform's cloud API: VMs and reclaim notices."""
+
+from enum import StrEnum
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+
+from mallowspindle.platform.errors import PlatformError
+
+_OK = 200
+
+
+class Role(StrEnum):
+    """What a VM runs."""
+
+    ENTRY = 'entry'
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class Vm(BaseModel):
+    """One VM as the platform lists it; ``serves`` is a model or service."""
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    vm_id: str
+    role: Role
+    zone: str
+    address: str
+    serves: str = ''
+    leaving: bool = False
+    vm_class: str = 'standard'
+    reclaimable: bool = True
+    price_micro_per_hour: int = 0
+    checks_fencing: bool = False
+
+
+class Notice(BaseModel):
+    """A reclaim notice: seconds until the VM goes away."""
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    leaves_in_s: float
+
+
+_vm_list: TypeAdapter[list[Vm]] = TypeAdapter(list[Vm])
+
+
+class CloudClient:
+    """Reads the lagging list of VMs and the notices of single VMs."""
+
+    def __init__(
+        self, session: ClientSession, url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip('/')
+        self._timeout = ClientTimeout(total=timeout_s)
+
+    async def list_vms(self) -> list[Vm]:
+        """Return the VMs of the list, which lags behind."""
+        try:
+            return _vm_list.validate_python(await self._get('/vms'))
+        except ValidationError as error:
+            raise PlatformError(f'malformed VM list: {error}') from error
+
+    async def notice(self, vm_id: str) -> Notice | None:
+        """Return the reclaim notice of a VM, if there is one."""
+        answer = await self._get(f'/vms/{vm_id}/notice')
+        try:
+            return Notice.model_validate(answer) if answer else None
+        except ValidationError as error:
+            raise PlatformError(f'malformed notice: {error}') from error
+
+    async def _get(self, path: str) -> Any:
+        try:
+            async with self._session.get(
+                f'{self._url}{path}', timeout=self._timeout
+            ) as response:
+                if response.status != _OK:
+                    raise PlatformError(f'cloud answered {response.status}')
+                return await response.json()
+        except (ClientError, TimeoutError, ValueError) as error:
+            raise PlatformError(f'cloud unreachable: {error}') from error
--- /dev/null
+++ b/mallowspindle/platform/log.py
@@ -0,0 +1,142 @@
+"""Client of the platform's append-only log."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Self
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+)
+from opentelemetry.trace import SpanKind
+
+from mallowspindle.platform.errors import (
+    AppendRefused,
+    AppendUncertain,
+    PlatformError,
+    RecordsExpired,
+)
+from mallowspindle.utils.codec import CodecError, unpack
+from mallowspindle.utils.telemetry import hop_span, trace_headers
+
+_REFUSED = frozenset((400, 413, 429, 503))
+_GONE = 410
+_OK = 200
+_READ_LIMIT = 500
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record: its offset in the stream, its time and its bytes."""
+
+    offset: int
+    appended_at_s: float
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LogPage:
+    """Records read from a stream and the offset to read on from."""
+
+    first_offset: int
+    next_offset: int
+    records: list[LogRecord]
+
+
+class LogClient:
+    """Appends to and reads from the log's streams over HTTP."""
+
+    def __init__(
+        self, session: ClientSession, url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip('/')
+        self._timeout_s = timeout_s
+
+    @classmethod
+    def from_url(cls, url: str, timeout_s: float) -> Self:
+        """Return a client with a session of its own."""
+        return cls(ClientSession(), url, timeout_s)
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Append one record and return its offset.
+
+        ``AppendRefused`` means that nothing was appended,
+        ``AppendUncertain`` that the record may be in the log or land later.
+        """
+        with hop_span('log append', SpanKind.CLIENT):
+            try:
+                return await self._post(stream, payload)
+            except ClientConnectorError as error:
+                raise AppendRefused(f'log unreachable: {error}') from error
+            except (ClientError, TimeoutError, CodecError) as error:
+                raise AppendUncertain(f'append answer lost: {error}') from error
+
+    async def read(
+        self, stream: str, offset: int, wait_s: float = 0
+    ) -> LogPage:
+        """Read from ``offset`` on, waiting up to ``wait_s`` for a record.
+
+        ``RecordsExpired`` if the log no longer keeps ``offset``.
+        """
+        query = {'from': offset, 'limit': _READ_LIMIT, 'wait_s': wait_s}
+        try:
+            async with self._session.get(
+                f'{self._url}/streams/{stream}',
+                params=query,
+                timeout=ClientTimeout(total=self._timeout_s + wait_s),
+            ) as response:
+                return await self._page(stream, response)
+        except (ClientError, TimeoutError, CodecError) as error:
+            raise PlatformError(f'log read failed: {error}') from error
+
+    async def read_to_end(self, stream: str, offset: int) -> LogPage:
+        """Read all records from ``offset`` up to the stream's present end."""
+        page = await self.read(stream, offset)
+        records = list(page.records)
+        while page.records:
+            page = await self.read(stream, page.next_offset)
+            records.extend(page.records)
+        return LogPage(page.first_offset, page.next_offset, records)
+
+    async def _post(self, stream: str, payload: bytes) -> int:
+        async with self._session.post(
+            f'{self._url}/streams/{stream}',
+            data=payload,
+            headers=trace_headers(),
+            timeout=ClientTimeout(total=self._timeout_s),
+        ) as response:
+            if response.status in _REFUSED:
+                raise AppendRefused(f'log answered {response.status}')
+            if response.status != _OK:
+                raise AppendUncertain(f'log answered {response.status}')
+            return int(unpack(await response.read())['offset'])
+
+    async def _page(self, stream: str, response: ClientResponse) -> LogPage:
+        if response.status not in {_OK, _GONE}:
+            raise PlatformError(f'log answered {response.status}')
+        page: dict[str, Any] = unpack(await response.read())
+        if response.status == _GONE:
+            raise RecordsExpired(stream, int(page['first']))
+        records = [LogRecord(*fields) for fields in page['records']]
+        return LogPage(page['first'], page['next'], records)
+
+
+async def wait_reachable(log_client: LogClient, stream: str) -> None:
+    """Return when the log answers a read; poll until then."""
+    while True:
+        try:
+            await log_client.read(stream, 0)
+        except RecordsExpired:
+            return
+        except PlatformError:
+            await asyncio.sleep(0.1)
+        else:
+            return
--- /dev/null
+++ b/mallowspindle/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of accepted requests on peers, and take-over."""
--- /dev/null
+++ b/mallowspindle/recovery/messages.py
@@ -0,0 +1,90 @@
+"""Messages between the owner of a request and the holder of its copy."""
+
+from dataclasses import dataclass, field
+
+from mallowspindle.attempts.request import (
+    AttemptRef,
+    Ending,
+    GenerationRequest,
+    Progress,
+)
+from mallowspindle.peers.codec import peer_codec
+
+
+@peer_codec.register('copy')
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Asks a peer to hold a copy of a request with its progress."""
+
+    request: GenerationRequest
+    owner: str
+    epoch: int
+    progress: Progress
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressItem:
+    """New tokens of one request, from index ``first`` of the answer on.
+
+    ``attempt`` is None while nothing is new of it.
+    """
+
+    request_id: str
+    epoch: int
+    first: int
+    tokens: list[str]
+    attempt: AttemptRef | None = None
+    ending: Ending | None = None
+
+
+@peer_codec.register('progress')
+@dataclass(frozen=True, slots=True)
+class ProgressBatch:
+    """Progress of several requests in one message."""
+
+    items: list[ProgressItem] = field(default_factory=list)
+
+
+@peer_codec.register('progress-reply')
+@dataclass(frozen=True, slots=True)
+class ProgressReply:
+    """Requests whose progress the holder did not take.
+
+    ``taken_over`` lists those that the holder owns by now, ``missing``
+    those of which it holds no fitting copy.
+    """
+
+    taken_over: list[str] = field(default_factory=list)
+    missing: list[str] = field(default_factory=list)
+
+
+@peer_codec.register('hand-over')
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Makes the receiver the owner of a request."""
+
+    request: GenerationRequest
+    epoch: int
+    progress: Progress
+
+
+@peer_codec.register('find-request')
+@dataclass(frozen=True, slots=True)
+class FindRequest:
+    """Asks for what a peer knows of a request."""
+
+    request_id: str
+
+
+@peer_codec.register('found-request')
+@dataclass(frozen=True, slots=True)
+class FoundRequest:
+    """What a node knows of a request; ``owner`` is empty if nothing."""
+
+    owner: str = ''
+    epoch: int = -1
+    organisation: str = ''
+    model: str = ''
+    kind: str = ''
+    tokens: list[str] = field(default_factory=list)
+    ending: Ending | None = None
--- /dev/null
+++ b/mallowspindle/recovery/replication.py
@@ -0,0 +1,175 @@
+"""Places copies of owned requests on peers and keeps them up to date."""
+
+import asyncio
+import logging
+
+from mallowspindle.attempts.request import AttemptRef, Ending, OwnedRequest
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.peers.codec import OkReply
+from mallowspindle.recovery.messages import (
+    HandOver,
+    ProgressBatch,
+    ProgressReply,
+    StoreCopy,
+)
+from mallowspindle.recovery.placement import choose_holder
+from mallowspindle.recovery.replica import Outbox, Pending
+from mallowspindle.utils.tasks import TaskGroup
+from mallowspindle.utils.telemetry import meter
+
+log = logging.getLogger(__name__)
+
+_HOLDER_TRIES = 3
+_NO_HOLDER = ''
+
+unprotected_requests = meter.create_counter('requests_without_copy')
+
+
+class Replicator:
+    """Sends each request's progress to the holder of its copy."""
+
+    def __init__(
+        self, membership: MembershipService, copy_timeout_s: float
+    ) -> None:
+        self._membership = membership
+        self._timeout_s = copy_timeout_s
+        self._outbox = Outbox()
+        self._senders: dict[str, asyncio.Task[None]] = {}
+        self._tasks = TaskGroup()
+
+    async def close(self) -> None:
+        """Stop sending."""
+        await self._tasks.cancel()
+
+    async def protect(self, owned: OwnedRequest, lost: str = '') -> bool:
+        """Place a copy with all committed progress on a peer, not ``lost``."""
+        avoid = [lost]
+        for _ in range(_HOLDER_TRIES):
+            name = self._next_peer(owned, avoid)
+            if not name:
+                break
+            if await self._store_at(owned, name):
+                return True
+            avoid.append(name)
+        log.warning('no copy of request %s', owned.request.request_id)
+        owned.holder = _NO_HOLDER
+        unprotected_requests.add(1)
+        return False
+
+    async def hand_over(self, owned: OwnedRequest) -> bool:
+        """Make a live peer the owner; returns once it has agreed."""
+        await self._outbox.hold_back(owned)
+        try:
+            return await self._offer(owned)
+        finally:
+            await self._outbox.settled(owned)
+
+    async def _offer(self, owned: OwnedRequest) -> bool:
+        avoid: list[str] = []
+        for _ in range(_HOLDER_TRIES):
+            name = self._next_peer(owned, avoid)
+            if not name or owned.final:
+                break
+            if await self._hand_to(owned, name):
+                return True
+            avoid.append(name)
+        return owned.final
+
+    def add(self, owned: OwnedRequest, news: AttemptRef | Ending | str) -> None:
+        """Add a token, news of the attempt, or the ending.
+
+        It is committed once the holder has it.
+        """
+        self._outbox.add(owned, news)
+        self._ensure_sender(owned.holder)
+
+    def _next_peer(self, owned: OwnedRequest, avoid: list[str]) -> str:
+        peer = choose_holder(
+            owned.request.request_id,
+            self._membership.own,
+            self._membership.table.live(),
+            avoid,
+        )
+        return peer.name if peer else ''
+
+    async def _store_at(self, owned: OwnedRequest, name: str) -> bool:
+        message = StoreCopy(
+            owned.request,
+            self._membership.own.name,
+            owned.epoch,
+            owned.progress,
+        )
+        reply = await self._membership.ask(name, message, self._timeout_s)
+        if not isinstance(reply, OkReply):
+            return False
+        owned.holder = name
+        return True
+
+    async def _hand_to(self, owned: OwnedRequest, name: str) -> bool:
+        message = HandOver(owned.request, owned.epoch + 1, owned.progress)
+        reply = await self._membership.ask(name, message, self._timeout_s)
+        if not isinstance(reply, OkReply):
+            return False
+        if not owned.final:
+            await owned.leave(name)
+        return True
+
+    def _ensure_sender(self, holder: str) -> None:
+        task = self._senders.get(holder)
+        if task is None or task.done():
+            self._senders[holder] = self._tasks.spawn(
+                self._send_to(holder), f'progress to {holder}'
+            )
+
+    async def _send_to(self, holder: str) -> None:
+        while True:
+            batch = await self._outbox.take(holder)
+            await self._send_batch(holder, batch)
+            for pending in batch:
+                await self._outbox.settled(pending.owned)
+                self._ensure_sender(pending.owned.holder)
+
+    async def _send_batch(self, holder: str, batch: list[Pending]) -> None:
+        reply = await self._deliver(holder, batch)
+        await asyncio.gather(
+            *(self._settle(holder, pending, reply) for pending in batch)
+        )
+
+    async def _settle(
+        self, holder: str, pending: Pending, reply: ProgressReply
+    ) -> None:
+        request_id = pending.owned.request.request_id
+        if request_id in reply.taken_over:
+            await _leave(pending.owned, holder)
+        elif request_id in reply.missing:
+            await self._deliver_anew(pending)
+        else:
+            await pending.commit()
+
+    async def _deliver(
+        self, holder: str, batch: list[Pending]
+    ) -> ProgressReply:
+        if holder == _NO_HOLDER or not batch:
+            return ProgressReply()
+        message = ProgressBatch([pending.as_item() for pending in batch])
+        reply = await self._membership.ask(holder, message, self._timeout_s)
+        if isinstance(reply, ProgressReply):
+            return reply
+        ids = [pending.owned.request.request_id for pending in batch]
+        return ProgressReply(missing=ids)
+
+    async def _deliver_anew(self, pending: Pending) -> None:
+        owned = pending.owned
+        if owned.final:
+            return
+        await self.protect(owned, lost=owned.holder)
+        reply = await self._deliver(owned.holder, [pending])
+        if reply.taken_over:
+            await _leave(owned, owned.holder)
+        else:
+            await pending.commit()
+
+
+async def _leave(owned: OwnedRequest, node: str) -> None:
+    if not owned.final:
+        await owned.leave(node)
--- /dev/null
+++ b/mallowspindle/recovery/service.py
@@ -0,0 +1,259 @@
+"""Holds copies for peers and takes requests over after a loss."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Self
+
+from mallowspindle.attempts.request import (
+    GenerationRequest,
+    OwnedRequest,
+    Progress,
+)
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.peers.codec import ErrorReply, OkReply
+from mallowspindle.recovery.copies import Copy, CopyStore
+from mallowspindle.recovery.messages import (
+    FindRequest,
+    FoundRequest,
+    HandOver,
+    ProgressBatch,
+    ProgressReply,
+    StoreCopy,
+)
+from mallowspindle.recovery.placement import choose_holder
+from mallowspindle.recovery.replication import Replicator
+from mallowspindle.utils.tasks import TaskGroup, repeat
+from mallowspindle.utils.telemetry import meter
+
+log = logging.getLogger(__name__)
+
+_WATCH_INTERVAL_S = 0.1
+
+takeovers = meter.create_counter('request_takeovers')
+
+TakeOver = Callable[[OwnedRequest], None]
+
+
+@service('recovery', requires=('membership',))
+class RecoveryService(Service):
+    """Keeps copies for peers and places copies on peers."""
+
+    def __init__(
+        self, config: DaemonSettings, membership: MembershipService
+    ) -> None:
+        self._config = config
+        self._membership = membership
+        self._copies = CopyStore()
+        self._owned: dict[str, OwnedRequest] = {}
+        self._replicator = Replicator(
+            membership, config.recovery.copy_timeout_s
+        )
+        self._lost_since_s: dict[str, float] = {}
+        self._tasks = TaskGroup()
+        self._take_over: TakeOver | None = None
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service."""
+        membership = kernel.find('membership', MembershipService)
+        return cls(kernel.config, membership)
+
+    @property
+    def owned(self) -> dict[str, OwnedRequest]:
+        """The requests that this node owns, ended ones included."""
+        return self._owned
+
+    @property
+    def copies(self) -> CopyStore:
+        """The copies that this node holds for peers."""
+        return self._copies
+
+    @property
+    def replicator(self) -> Replicator:
+        """Sends the progress of owned requests to their holders."""
+        return self._replicator
+
+    async def start(self) -> None:
+        """Accept copies and watch their owners."""
+        server = self._membership.server
+        server.handle(StoreCopy, self._on_store)
+        server.handle(ProgressBatch, self._on_progress)
+        server.handle(HandOver, self._on_hand_over)
+        server.handle(FindRequest, self._on_find)
+        self._tasks.spawn(repeat(self._watch, _WATCH_INTERVAL_S), 'take-over')
+
+    async def drain(self, timeout_s: float) -> None:
+        """Give the copies that nobody else may have to other peers."""
+        for copy in self._copies.all():
+            await self._pass_on(copy)
+
+    async def stop(self) -> None:
+        """Stop watching and sending."""
+        await self._tasks.cancel()
+        await self._replicator.close()
+
+    def on_take_over(self, take_over: TakeOver) -> None:
+        """Register what runs the requests that this node comes to own."""
+        self._take_over = take_over
+
+    async def accept(self, request: GenerationRequest) -> OwnedRequest:
+        """Own a new request; returns once a copy is held, if one can be."""
+        owned = OwnedRequest(request, epoch=0, progress=Progress())
+        if self._config.recovery.copies == 'acceptance':
+            await self._replicator.protect(owned)
+        self._owned[request.request_id] = owned
+        return owned
+
+    async def find(self, request_id: str) -> FoundRequest:
+        """Return what this node or any live peer knows of a request."""
+        local = self._find_locally(request_id)
+        if local.owner == self._membership.own.name:
+            return local
+        timeout_s = self._config.recovery.copy_timeout_s
+        question = FindRequest(request_id)
+        replies = await asyncio.gather(
+            *(
+                self._membership.ask(info.name, question, timeout_s)
+                for info in self._membership.table.live()
+            )
+        )
+        found = [reply for reply in replies if isinstance(reply, FoundRequest)]
+        return max([local, *found], key=_news_order)
+
+    async def _on_store(self, message: StoreCopy) -> object:
+        known = self._owned.get(message.request.request_id)
+        if known is not None and known.epoch >= message.epoch:
+            return ErrorReply('this node owns the request')
+        if self._membership.own.leaving:
+            return ErrorReply('this node is leaving')
+        if self._copies.store(message):
+            return OkReply()
+        return ErrorReply('a later copy is held')
+
+    async def _on_progress(self, batch: ProgressBatch) -> ProgressReply:
+        unfit = self._copies.apply(batch)
+        return ProgressReply(
+            taken_over=[name for name in unfit if name in self._owned],
+            missing=[name for name in unfit if name not in self._owned],
+        )
+
+    async def _on_hand_over(self, message: HandOver) -> object:
+        known = self._owned.get(message.request.request_id)
+        if known is not None and known.epoch >= message.epoch:
+            return OkReply()
+        if self._membership.own.leaving:
+            return ErrorReply('this node is leaving')
+        self._copies.pop(message.request.request_id)
+        self._own(message.request, message.epoch, message.progress)
+        return OkReply()
+
+    async def _on_find(self, message: FindRequest) -> FoundRequest:
+        return self._find_locally(message.request_id)
+
+    def _find_locally(self, request_id: str) -> FoundRequest:
+        owned = self._owned.get(request_id)
+        if owned is not None and not owned.moved_to:
+            name = self._membership.own.name
+            return _describe(owned.request, name, owned.epoch, owned.progress)
+        copy = self._copies.get(request_id)
+        if copy is not None:
+            return _describe(
+                copy.request, copy.owner, copy.epoch, copy.progress
+            )
+        return FoundRequest()
+
+    def _own(
+        self, request: GenerationRequest, epoch: int, progress: Progress
+    ) -> None:
+        owned = OwnedRequest(request, epoch, progress)
+        self._owned[request.request_id] = owned
+        if self._take_over is not None:
+            self._take_over(owned)
+
+    async def _watch(self) -> None:
+        live = {
+            info.name: info.leaving for info in self._membership.table.live()
+        }
+        for copy in self._copies.all():
+            if copy.owner in live:
+                self._lost_since_s.pop(copy.owner, None)
+            elif self._lost_long(copy.owner):
+                self._take_over_copy(copy)
+        await self._renew_copies(live)
+        self._expire()
+
+    def _lost_long(self, owner: str) -> bool:
+        now = time.monotonic()
+        since_s = self._lost_since_s.setdefault(owner, now)
+        return now - since_s >= self._config.recovery.takeover_after_s
+
+    def _take_over_copy(self, copy: Copy) -> None:
+        request_id = copy.request.request_id
+        log.info('taking over request %s from %s', request_id, copy.owner)
+        takeovers.add(1)
+        self._copies.pop(request_id)
+        self._own(copy.request, copy.epoch + 1, copy.progress)
+
+    async def _renew_copies(self, live: dict[str, bool]) -> None:
+        """Place a new copy where the holder is lost or leaving."""
+        unheld = [
+            owned for owned in self._owned.values() if _needs_copy(owned, live)
+        ]
+        for owned in unheld:
+            await self._replicator.protect(owned, lost=owned.holder)
+
+    def _expire(self) -> None:
+        age_s = self._config.limits.result_retention_s
+        self._copies.expire(age_s)
+        horizon_s = time.time() - age_s
+        expired = [
+            request_id
+            for request_id, owned in self._owned.items()
+            if owned.final and owned.ended_at_s < horizon_s
+        ]
+        for request_id in expired:
+            self._owned.pop(request_id)
+
+    async def _pass_on(self, copy: Copy) -> None:
+        holder = choose_holder(
+            copy.request.request_id,
+            self._membership.own,
+            self._membership.table.live(),
+            avoid=[copy.owner],
+        )
+        if holder is None:
+            return
+        message = StoreCopy(copy.request, copy.owner, copy.epoch, copy.progress)
+        await self._membership.ask(
+            holder.name, message, self._config.recovery.copy_timeout_s
+        )
+
+
+def _needs_copy(owned: OwnedRequest, live: dict[str, bool]) -> bool:
+    """Tell whether the holder is lost, or leaving by ``live``."""
+    if not owned.holder or owned.moved_to:
+        return False
+    return live.get(owned.holder, True)
+
+
+def _news_order(known: FoundRequest) -> tuple[int, bool, int]:
+    return known.epoch, known.ending is not None, len(known.tokens)
+
+
+def _describe(
+    request: GenerationRequest, owner: str, epoch: int, progress: Progress
+) -> FoundRequest:
+    return FoundRequest(
+        owner=owner,
+        epoch=epoch,
+        organisation=request.organisation,
+        model=request.model,
+        kind=request.kind,
+        tokens=progress.tokens,
+        ending=progress.ending,
+    )
--- /dev/null
+++ b/mallowspindle/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses a backend server for each attempt."""
--- /dev/null
+++ b/mallowspindle/routing/directory.py
@@ -0,0 +1,153 @@
+"""Follows the platform's VM list and the servers' load reports."""
+
+import asyncio
+import logging
+from typing import Self
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.platform.cloud import CloudClient, Role, Vm
+from mallowspindle.platform.errors import PlatformError
+from mallowspindle.platform.service import PlatformService
+from mallowspindle.routing.servers import LoadReport, ServerView
+from mallowspindle.utils.tasks import TaskGroup, repeat
+
+log = logging.getLogger(__name__)
+_LOAD_TIMEOUT_S = 1.0
+_FAILED_POLLS_UNTIL_SUSPECT = 2
+
+
+@service('directory', requires=('platform', 'membership'))
+class DirectoryService(Service):
+    """Knows the backend servers and which of them are leaving."""
+
+    def __init__(
+        self,
+        config: DaemonSettings,
+        cloud: CloudClient,
+        membership: MembershipService,
+    ) -> None:
+        self._config = config
+        self._cloud = cloud
+        self._membership = membership
+        self._views: dict[str, ServerView] = {}
+        self._failed_polls: dict[str, int] = {}
+        self._session: ClientSession | None = None
+        self._tasks = TaskGroup()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service on the shared cloud client."""
+        platform = kernel.find('platform', PlatformService)
+        membership = kernel.find('membership', MembershipService)
+        return cls(kernel.config, platform.cloud, membership)
+
+    async def start(self) -> None:
+        """Read the list once, then follow it."""
+        self._session = ClientSession(
+            timeout=ClientTimeout(total=_LOAD_TIMEOUT_S)
+        )
+        await self._refresh_list()
+        self._tasks.spawn(
+            repeat(
+                self._refresh_list, self._config.platform.vm_poll_interval_s
+            ),
+            'VM list',
+        )
+        self._tasks.spawn(
+            repeat(self._poll_loads, self._config.routing.load_interval_s),
+            'load reports',
+        )
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self._tasks.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    def all(self) -> list[ServerView]:
+        """Return all backend servers, leaving ones included."""
+        return list(self._views.values())
+
+    def is_leaving(self, view: ServerView) -> bool:
+        """Tell whether there is any sign that the server is leaving."""
+        signs = self._membership.signs
+        return view.vm.leaving or view.report.leaving or view.vm.vm_id in signs
+
+    def serving(self, serves: str, role: Role) -> list[ServerView]:
+        """Return the servers of a model or service that aren't leaving."""
+        return [
+            view
+            for view in self._views.values()
+            if view.vm.role == role
+            and view.vm.serves == serves
+            and not self.is_leaving(view)
+        ]
+
+    def usable(self, serves: str, role: Role) -> list[ServerView]:
+        """Return servers to use: not ejected, unless all would be."""
+        serving = self.serving(serves, role)
+        return [view for view in serving if view.usable] or serving
+
+    def models(self) -> list[str]:
+        """Return the models that engines serve."""
+        return sorted(
+            {
+                view.vm.serves
+                for view in self._views.values()
+                if view.vm.role == Role.ENGINE
+            }
+        )
+
+    def note_leaving(self, view: ServerView) -> None:
+        """Spread a sign that the server is leaving."""
+        self._membership.report_leaving_server(view.vm.vm_id)
+
+    async def _refresh_list(self) -> None:
+        try:
+            vms = await self._cloud.list_vms()
+        except PlatformError as error:
+            log.warning('VM list not read: %s', error)
+            return
+        backends = [vm for vm in vms if vm.role != Role.ENTRY]
+        self._views = {vm.vm_id: self._view_of(vm) for vm in backends}
+        for vm in backends:
+            if vm.leaving:
+                self._membership.report_leaving_server(vm.vm_id)
+
+    def _view_of(self, vm: Vm) -> ServerView:
+        known = self._views.get(vm.vm_id)
+        if known is None:
+            return ServerView(vm)
+        known.vm = vm
+        return known
+
+    async def _poll_loads(self) -> None:
+        views = list(self._views.values())
+        await asyncio.gather(*(self._poll_load(view) for view in views))
+
+    async def _poll_load(self, view: ServerView) -> None:
+        if self._session is None:
+            return
+        url = f'http://{view.vm.address}/load'
+        try:
+            async with self._session.get(url) as response:
+                report = LoadReport.model_validate(await response.json())
+        except (ClientError, TimeoutError, ValueError):
+            self._count_failed_poll(view)
+            return
+        self._failed_polls.pop(view.vm.vm_id, None)
+        view.take_report(report)
+        if report.leaving:
+            self.note_leaving(view)
+
+    def _count_failed_poll(self, view: ServerView) -> None:
+        failed = self._failed_polls.get(view.vm.vm_id, 0) + 1
+        self._failed_polls[view.vm.vm_id] = failed
+        if failed == _FAILED_POLLS_UNTIL_SUSPECT:
+            log.warning('no load report from %s', view.vm.vm_id)
+            view.note_failure()
--- /dev/null
+++ b/mallowspindle/routing/router.py
@@ -0,0 +1,80 @@
+"""Picks a backend server for each attempt."""
+
+import time
+from collections.abc import Collection
+from typing import Self
+
+from mallowspindle.kernel.errors import KernelError
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.platform.cloud import Role
+from mallowspindle.routing.directory import DirectoryService
+from mallowspindle.routing.errors import NoServer
+from mallowspindle.routing.policies import Choice, Policy, policies
+from mallowspindle.routing.prefixes import PrefixMemory, Prompt
+from mallowspindle.routing.servers import Dispatch, ServerView
+
+_RETRY_AFTER_S = 2.0
+
+
+@service('router', requires=('directory',))
+class RouterService(Service):
+    """Applies the configured policy to the usable servers."""
+
+    def __init__(self, directory: DirectoryService, chosen: Policy) -> None:
+        self._directory = directory
+        self._policy = chosen
+        self._memory = PrefixMemory()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the router with the policy that the settings name."""
+        name = kernel.config.routing.policy
+        if name not in policies:
+            known = ', '.join(sorted(policies))
+            raise KernelError(f'[routing] policy: {name!r} is none of {known}')
+        return cls(kernel.find('directory', DirectoryService), policies[name])
+
+    def pick_engine(
+        self,
+        model: str,
+        prompt: Prompt,
+        expected_tokens: int,
+        avoid: Collection[str],
+    ) -> ServerView:
+        """Return an engine for the model, if possible none of ``avoid``.
+
+        ``NoServer`` if no engine that serves the model is usable.
+        """
+        usable = self._directory.usable(model, Role.ENGINE)
+        fresh = [view for view in usable if view.vm.vm_id not in avoid]
+        if not usable:
+            raise NoServer(model, _RETRY_AFTER_S)
+        choice = Choice(prompt, expected_tokens, self._memory)
+        return self._policy(fresh or usable, choice)
+
+    def pick_plain(self, name: str, avoid: Collection[str]) -> ServerView:
+        """Return a plain server with the fewest own calls in progress."""
+        usable = [
+            view
+            for view in self._directory.usable(name, Role.PLAIN)
+            if view.vm.vm_id not in avoid
+        ]
+        if not usable:
+            raise NoServer(name, _RETRY_AFTER_S)
+        return min(usable, key=lambda view: len(view.dispatches))
+
+    def sent(self, view: ServerView, attempt_id: str, prompt: Prompt) -> None:
+        """Note that an attempt was sent."""
+        view.dispatches[attempt_id] = Dispatch(time.monotonic(), prompt.tokens)
+        self._memory.remember(view.vm.vm_id, prompt)
+
+    def ended(self, view: ServerView, attempt_id: str) -> None:
+        """Note that an attempt has ended."""
+        view.dispatches.pop(attempt_id, None)
+
+    def cached(self, view: ServerView, prompt: Prompt, tokens: int) -> None:
+        """Verify the memory with the cached tokens that an engine reports."""
+        if not tokens:
+            self._memory.forget(view.vm.vm_id, prompt)
+        self._memory.remember(view.vm.vm_id, prompt)
--- /dev/null
+++ b/mallowspindle/routing/servers.py
@@ -0,0 +1,72 @@
+"""Backend servers as this node sees them."""
+
+import time
+from dataclasses import dataclass, field
+
+from pydantic import BaseModel, ConfigDict
+
+from mallowspindle.platform.cloud import Vm
+
+_SUSPECT_S = 2.0
+_MAX_SUSPECT_S = 30.0
+
+
+class LoadReport(BaseModel):
+    """What a backend server says of its load; it lags behind."""
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    running: int = 0
+    queued: int = 0
+    max_batch: int = 16
+    prefill_tokens_per_s: float = 20_000
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """One attempt that this node has sent to a server."""
+
+    sent_at_s: float
+    prompt_tokens: int
+
+
+@dataclass(slots=True)
+class ServerView:
+    """One backend server: its report, own dispatches and failures."""
+
+    vm: Vm
+    report: LoadReport = field(default_factory=LoadReport)
+    reported_at_s: float = 0
+    dispatches: dict[str, Dispatch] = field(default_factory=dict)
+    failures: int = 0
+    suspect_until_s: float = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether the server is not ejected for its failures."""
+        return time.monotonic() >= self.suspect_until_s
+
+    def dispatched_since_report(self) -> list[Dispatch]:
+        """Return own attempts that the report can't contain yet."""
+        return [
+            dispatch
+            for dispatch in self.dispatches.values()
+            if dispatch.sent_at_s > self.reported_at_s
+        ]
+
+    def take_report(self, report: LoadReport) -> None:
+        """Replace the load report."""
+        self.report = report
+        self.reported_at_s = time.monotonic()
+
+    def note_failure(self) -> None:
+        """Eject the server for a time that doubles with each failure."""
+        self.failures += 1
+        pause_s = min(_MAX_SUSPECT_S, _SUSPECT_S * 2 ** (self.failures - 1))
+        self.suspect_until_s = time.monotonic() + pause_s
+
+    def note_success(self) -> None:
+        """End the ejection."""
+        self.failures = 0
+        self.suspect_until_s = 0
--- /dev/null
+++ b/mallowspindle/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The venture's settings tree, folded from the log."""
--- /dev/null
+++ b/mallowspindle/settings/publisher.py
@@ -0,0 +1,69 @@
+"""Publishes a change of the settings and learns its verdict."""
+
+import asyncio
+import time
+
+from mallowspindle.platform.errors import AppendRefused, PlatformError
+from mallowspindle.platform.log import LogClient
+from mallowspindle.settings.errors import ChangeUncertain, SettingsError
+from mallowspindle.settings.reader import catch_up
+from mallowspindle.settings.records import (
+    SETTINGS_STREAM,
+    Change,
+    settings_codec,
+)
+from mallowspindle.settings.tree import SettingsTree, Verdict
+from mallowspindle.utils.identifiers import new_id
+
+_TRIES = 5
+_PAUSE_S = 0.2
+
+
+def new_change(path: str, document: str, base: int, author: str) -> Change:
+    """Return a change with an identifier of its own."""
+    return Change(new_id('change'), path, document, base, author, time.time())
+
+
+async def publish(
+    tree: SettingsTree, log_client: LogClient, change: Change
+) -> Verdict:
+    """Append ``change`` and return the verdict read back from the log.
+
+    A lost answer is settled by reading, then by appending the same change
+    again, which the fold counts once. ``ChangeUncertain`` if neither worked.
+    """
+    maybe_appended = False
+    for _ in range(_TRIES):
+        error = await _append_once(log_client, change)
+        if isinstance(error, AppendRefused) and not maybe_appended:
+            raise SettingsError(f'nothing was changed: {error}') from error
+        maybe_appended = True
+        verdict = await _read_verdict(tree, log_client, change.change_id)
+        if verdict is not None:
+            return verdict
+        await asyncio.sleep(_PAUSE_S)
+    raise ChangeUncertain(
+        f'the log lost the answer to change {change.change_id}; '
+        'look at the history before trying again'
+    )
+
+
+async def _append_once(
+    log_client: LogClient, change: Change
+) -> PlatformError | None:
+    payload = settings_codec.encode(change)
+    try:
+        await log_client.append(SETTINGS_STREAM, payload)
+    except PlatformError as error:
+        return error
+    return None
+
+
+async def _read_verdict(
+    tree: SettingsTree, log_client: LogClient, change_id: str
+) -> Verdict | None:
+    try:
+        await catch_up(tree, log_client)
+    except PlatformError:
+        return None
+    return tree.verdict(change_id)
--- /dev/null
+++ b/mallowspindle/settings/reader.py
@@ -0,0 +1,68 @@
+"""Brings a settings tree up to date from the log."""
+
+from collections.abc import Iterable
+
+from mallowspindle.platform.errors import RecordsExpired
+from mallowspindle.platform.log import LogClient, LogRecord
+from mallowspindle.settings.errors import SettingsUnavailable
+from mallowspindle.settings.records import (
+    SETTINGS_STREAM,
+    Change,
+    Snapshot,
+    settings_codec,
+)
+from mallowspindle.settings.tree import SettingsTree
+from mallowspindle.utils.codec import CodecError
+
+
+async def catch_up(
+    tree: SettingsTree, log_client: LogClient, wait_s: float = 0
+) -> None:
+    """Fold all records after ``tree.through``, waiting for the first.
+
+    Where these have expired the state comes from a later snapshot.
+    """
+    try:
+        page = await log_client.read(SETTINGS_STREAM, tree.through + 1, wait_s)
+    except RecordsExpired as expired:
+        await _restart(tree, log_client, expired.first_offset)
+        return
+    fold_records(tree, page.records)
+    while page.records:
+        page = await log_client.read(SETTINGS_STREAM, page.next_offset)
+        fold_records(tree, page.records)
+
+
+def fold_records(tree: SettingsTree, records: Iterable[LogRecord]) -> None:
+    """Fold log records into the tree."""
+    for record in records:
+        tree.fold(record.offset, decode_record(record))
+
+
+def decode_record(record: LogRecord) -> Change | Snapshot | None:
+    """Return the settings record, or None where the bytes are invalid."""
+    try:
+        decoded = settings_codec.decode(record.payload)
+    except CodecError:
+        return None
+    return decoded if isinstance(decoded, (Change, Snapshot)) else None
+
+
+async def _restart(
+    tree: SettingsTree, log_client: LogClient, first_offset: int
+) -> None:
+    page = await log_client.read_to_end(SETTINGS_STREAM, first_offset)
+    snapshots = (decode_record(record) for record in page.records)
+    usable = (
+        snapshot
+        for snapshot in snapshots
+        if isinstance(snapshot, Snapshot)
+        and snapshot.through >= first_offset - 1
+    )
+    snapshot = next(usable, None)
+    if snapshot is None:
+        raise SettingsUnavailable(
+            f'records before {first_offset} expired and no snapshot covers them'
+        )
+    tree.adopt(snapshot)
+    fold_records(tree, page.records)
--- /dev/null
+++ b/mallowspindle/settings/service.py
@@ -0,0 +1,169 @@
+"""Keeps the settings tree up to date from the log or from peers."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Self
+
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.membership.messages import MemberInfo
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.peers.errors import PeerError
+from mallowspindle.platform.errors import PlatformError
+from mallowspindle.platform.log import LogClient
+from mallowspindle.platform.service import PlatformService
+from mallowspindle.settings.errors import SettingsError
+from mallowspindle.settings.messages import SettingsRequest, SettingsState
+from mallowspindle.settings.reader import catch_up
+from mallowspindle.settings.records import SETTINGS_STREAM, settings_codec
+from mallowspindle.settings.tree import NEVER_SET, SettingsTree
+from mallowspindle.utils.identifiers import rendezvous_order
+from mallowspindle.utils.tasks import TaskGroup, repeat
+
+log = logging.getLogger(__name__)
+
+_LONG_POLL_S = 1.0
+_PEER_CHECK_INTERVAL_S = 0.25
+_RETRY_PAUSE_S = 0.2
+_START_TIMEOUT_S = 5.0
+
+
+@service('settings', requires=('platform', 'membership'))
+class SettingsService(Service):
+    """Follows the settings stream and gives the tree in force."""
+
+    def __init__(
+        self,
+        config: DaemonSettings,
+        log_client: LogClient,
+        membership: MembershipService,
+    ) -> None:
+        self._config = config
+        self._log = log_client
+        self._membership = membership
+        self._tree = SettingsTree()
+        self._log_heard_at_s = -float('inf')
+        self._known = asyncio.Event()
+        self._watchers: list[Callable[[], None]] = []
+        self._tasks = TaskGroup()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service on the shared log client."""
+        platform = kernel.find('platform', PlatformService)
+        membership = kernel.find('membership', MembershipService)
+        return cls(kernel.config, platform.log, membership)
+
+    @property
+    def tree(self) -> SettingsTree:
+        """The settings in force at this node."""
+        return self._tree
+
+    @property
+    def fresh(self) -> bool:
+        """Whether this node can know what is in force.
+
+        It can while it hears the log, or else most of the other members.
+        """
+        if not self._known.is_set():
+            return False
+        age_s = time.monotonic() - self._log_heard_at_s
+        if age_s < self._config.limits.settings_stale_after_s:
+            return True
+        table = self._membership.table
+        return bool(table.live()) and table.hears_majority()
+
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Call ``watcher`` after each change of the tree."""
+        self._watchers.append(watcher)
+
+    async def start(self) -> None:
+        """Get the settings from the log or a peer, then follow them."""
+        self._membership.server.handle(SettingsRequest, self._give_state)
+        self._tasks.spawn(self._follow_log(), 'follow settings')
+        self._tasks.spawn(
+            repeat(self._follow_peers, _PEER_CHECK_INTERVAL_S), 'peer settings'
+        )
+        self._tasks.spawn(
+            repeat(self._keep_snapshot, self._snapshot_interval_s()),
+            'settings snapshot',
+        )
+        try:
+            await asyncio.wait_for(self._known.wait(), _START_TIMEOUT_S)
+        except TimeoutError:
+            log.warning('neither the log nor a peer gave the settings yet')
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self._tasks.cancel()
+
+    async def _follow_log(self) -> None:
+        while True:
+            before = self._tree.through
+            try:
+                await catch_up(self._tree, self._log, self._wait_s())
+            except (PlatformError, SettingsError) as error:
+                log.warning('settings not read from the log: %s', error)
+                await asyncio.sleep(_RETRY_PAUSE_S)
+            else:
+                self._log_heard_at_s = time.monotonic()
+                self._note_change(before)
+
+    def _wait_s(self) -> float:
+        return _LONG_POLL_S if self._known.is_set() else 0
+
+    def _note_change(self, through_before: int) -> None:
+        self._known.set()
+        if self._tree.through == through_before:
+            return
+        self._membership.update(settings_through=self._tree.through)
+        self._membership.hurry()
+        for watcher in self._watchers:
+            watcher()
+
+    async def _follow_peers(self) -> None:
+        ahead = self._peer_ahead()
+        if ahead is None:
+            return
+        before = self._tree.through
+        link = self._membership.link(ahead)
+        try:
+            reply = await link.call(SettingsRequest(before), _LONG_POLL_S)
+        except PeerError as error:
+            log.info('settings not given by %s: %s', ahead.name, error)
+            return
+        if reply.snapshot is not None and self._tree.adopt(reply.snapshot):
+            log.info('settings through %s from %s', before, ahead.name)
+        self._note_change(before)
+
+    def _peer_ahead(self) -> MemberInfo | None:
+        live = self._membership.table.live()
+        newest = max(live, key=lambda info: info.settings_through, default=None)
+        if newest is None or newest.settings_through <= self._tree.through:
+            return None
+        return newest
+
+    async def _give_state(self, request: SettingsRequest) -> SettingsState:
+        if request.through >= self._tree.through:
+            return SettingsState(None)
+        return SettingsState(self._tree.snapshot())
+
+    def _snapshot_interval_s(self) -> float:
+        return self._config.platform.settings_snapshot_interval_s
+
+    async def _keep_snapshot(self) -> None:
+        if self._tree.through == NEVER_SET or not self._writes_snapshots():
+            return
+        payload = settings_codec.encode(self._tree.snapshot())
+        try:
+            await self._log.append(SETTINGS_STREAM, payload)
+        except PlatformError as error:
+            log.warning('settings snapshot not appended: %s', error)
+
+    def _writes_snapshots(self) -> bool:
+        names = [info.name for info in self._membership.table.live()]
+        own = self._membership.own.name
+        return rendezvous_order('settings snapshot', [own, *names])[0] == own
--- /dev/null
+++ b/mallowspindle/settings/tree.py
@@ -0,0 +1,144 @@
+"""Folds the settings stream into the tree that is in force."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from mallowspindle.settings.document import parse_document
+from mallowspindle.settings.documents import (
+    ORGANISATION_DEPTH,
+    Documents,
+    token_hashes,
+)
+from mallowspindle.settings.errors import DocumentInvalid
+from mallowspindle.settings.records import Change, NodeState, Snapshot
+
+NEVER_SET = -1
+_MAX_DEPTH = 5
+_RECENT_CHANGES = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a change was accepted; equal at every node."""
+
+    change_id: str
+    accepted: bool
+    version: int
+    reason: str = ''
+
+
+class SettingsTree:
+    """The documents in force after all records up to ``through``."""
+
+    def __init__(self) -> None:
+        self._through = NEVER_SET
+        self._version = NEVER_SET
+        self._documents = Documents()
+        self._verdicts: OrderedDict[str, Verdict] = OrderedDict()
+
+    @property
+    def through(self) -> int:
+        """The offset of the last record folded."""
+        return self._through
+
+    @property
+    def version(self) -> int:
+        """The offset of the last accepted change."""
+        return self._version
+
+    @property
+    def documents(self) -> Documents:
+        """The documents in force."""
+        return self._documents
+
+    def verdict(self, change_id: str) -> Verdict | None:
+        """Return the verdict on a recent change."""
+        return self._verdicts.get(change_id)
+
+    def fold(self, offset: int, record: Change | Snapshot | None) -> None:
+        """Fold the record at ``offset``; None stands for an invalid one.
+
+        Records up to ``through`` are ignored, and so are snapshots: they
+        only serve readers that start later, through ``adopt``.
+        """
+        if offset <= self._through:
+            return
+        if (
+            isinstance(record, Change)
+            and record.change_id not in self._verdicts
+        ):
+            self._judge(offset, record)
+        self._through = offset
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Take over a newer state; an older one is refused."""
+        if snapshot.through <= self._through:
+            return False
+        self._documents.clear()
+        self._documents.put(snapshot.nodes)
+        self._through = snapshot.through
+        self._version = snapshot.version
+        for change_id in snapshot.recent_change_ids:
+            self._verdicts.setdefault(
+                change_id,
+                Verdict(
+                    change_id, accepted=False, version=0, reason='repeated'
+                ),
+            )
+        return True
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole state as a record."""
+        return Snapshot(
+            through=self._through,
+            version=self._version,
+            nodes=list(self._documents.nodes.values()),
+            recent_change_ids=list(self._verdicts),
+        )
+
+    def node_version(self, path: str) -> int:
+        """Return the version of a path, ``NEVER_SET`` if it has none."""
+        node = self._documents.nodes.get(path)
+        return node.version if node else NEVER_SET
+
+    def _judge(self, offset: int, change: Change) -> None:
+        reason = self._refusal(change)
+        accepted = not reason
+        if accepted:
+            state = NodeState(
+                path=change.path,
+                version=offset,
+                document=change.document,
+                author=change.author,
+                at_s=change.at_s,
+            )
+            self._documents.put([state])
+            self._version = offset
+        self._verdicts[change.change_id] = Verdict(
+            change.change_id, accepted, offset, reason
+        )
+        while len(self._verdicts) > _RECENT_CHANGES:
+            self._verdicts.popitem(last=False)
+
+    def _refusal(self, change: Change) -> str:
+        parts = change.path.split('/')
+        if len(parts) > _MAX_DEPTH or not all(parts):
+            return f'{change.path!r} is not a path of 1 to {_MAX_DEPTH} names'
+        present = self.node_version(change.path)
+        if change.base != present:
+            return f'based on version {change.base}, but {present} is in force'
+        return self._document_fault(change)
+
+    def _document_fault(self, change: Change) -> str:
+        try:
+            hashes = token_hashes(parse_document(change.document))
+        except DocumentInvalid as error:
+            return str(error)
+        if hashes and change.path.count('/') != ORGANISATION_DEPTH - 1:
+            return 'tokens belong to venture/partner/organisation paths'
+        owners = self._documents.token_paths
+        taken = {owners.get(token, change.path) for token in hashes}
+        others = sorted(taken - {change.path})
+        return (
+            f'a token belongs to {", ".join(others)} already' if others else ''
+        )
--- /dev/null
+++ b/mallowspindle/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the product."""
--- /dev/null
+++ b/mallowspindle/standins/log.py
@@ -0,0 +1,165 @@
+"""Stand-in of the append-only log: streams with dense offsets."""
+
+import argparse
+import asyncio
+import time
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+
+from aiohttp.web import Application, Request, Response
+
+from mallowspindle.standins.faults import (
+    Faults,
+    add_fault_routes,
+    drop_connection,
+)
+from mallowspindle.standins.server import serve
+from mallowspindle.utils.codec import pack
+
+Row = tuple[int, float, bytes]
+
+
+@dataclass(slots=True)
+class Stream:
+    """The kept records of one stream."""
+
+    rows: deque[Row] = field(default_factory=deque)
+    next_offset: int = 0
+    grown: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    @property
+    def first_offset(self) -> int:
+        """The oldest kept offset."""
+        return self.rows[0][0] if self.rows else self.next_offset
+
+
+class LogStandin:
+    """An in-memory log with limited retention and append rate."""
+
+    def __init__(self, retention_s: float, appends_per_s: float) -> None:
+        self._streams: dict[str, Stream] = defaultdict(Stream)
+        self._retention_s = retention_s
+        self._interval_s = 1 / appends_per_s
+        self._free_at_s = 0.0
+        self._faults = Faults()
+        self._appends = 0
+        self._appended_bytes = 0
+
+    def app(self) -> Application:
+        """Return the HTTP application."""
+        app = Application(client_max_size=32_000_000)
+        app.router.add_post('/streams/{name}', self._append)
+        app.router.add_get('/streams/{name}', self._read)
+        app.router.add_post('/expire', self._expire)
+        app.router.add_get('/stats', self._stats)
+        add_fault_routes(app, self._faults)
+        return app
+
+    async def _append(self, request: Request) -> Response:
+        payload = await request.read()
+        if self._faults.down or self._faults.take('refuse'):
+            return Response(status=503)
+        lost = self._faults.take('lose_answers')
+        await self._wait_for_turn()
+        name = request.match_info['name']
+        if lost and self._faults.late_s:
+            drop_connection(request)
+        await asyncio.sleep(self._faults.late_s)
+        offset = await self._store(self._streams[name], payload)
+        if lost:
+            drop_connection(request)
+        await asyncio.sleep(self._faults.slow_s)
+        return _answer({'offset': offset})
+
+    async def _store(self, stream: Stream, payload: bytes) -> int:
+        offset = stream.next_offset
+        stream.rows.append((offset, time.time(), payload))
+        stream.next_offset += 1
+        self._appends += 1
+        self._appended_bytes += len(payload)
+        async with stream.grown:
+            stream.grown.notify_all()
+        return offset
+
+    async def _read(self, request: Request) -> Response:
+        if self._faults.down:
+            return Response(status=503)
+        stream = self._streams[request.match_info['name']]
+        self._drop_expired(stream)
+        start = int(request.query.get('from', '0'))
+        await _wait_for_growth(
+            stream, start, float(request.query.get('wait_s', '0'))
+        )
+        await asyncio.sleep(self._faults.slow_s)
+        if start < stream.first_offset:
+            return _answer({'first': stream.first_offset}, status=410)
+        limit = int(request.query.get('limit', '500'))
+        rows = [row for row in stream.rows if row[0] >= start][:limit]
+        end = rows[-1][0] + 1 if rows else start
+        return _answer(
+            {'first': stream.first_offset, 'next': end, 'records': rows}
+        )
+
+    async def _expire(self, request: Request) -> Response:
+        asked = await request.json()
+        stream = self._streams[asked['stream']]
+        while stream.rows and stream.rows[0][0] < asked['before']:
+            stream.rows.popleft()
+        return Response()
+
+    async def _stats(self, request: Request) -> Response:
+        return _answer(
+            {
+                'appends': self._appends,
+                'bytes': self._appended_bytes,
+                'streams': {
+                    name: stream.next_offset
+                    for name, stream in self._streams.items()
+                },
+            }
+        )
+
+    async def _wait_for_turn(self) -> None:
+        now = time.monotonic()
+        self._free_at_s = max(now, self._free_at_s) + self._interval_s
+        await asyncio.sleep(self._free_at_s - now - self._interval_s)
+
+    def _drop_expired(self, stream: Stream) -> None:
+        oldest = time.time() - self._retention_s
+        while stream.rows and stream.rows[0][1] < oldest:
+            stream.rows.popleft()
+
+
+async def _wait_for_growth(stream: Stream, start: int, wait_s: float) -> None:
+    if stream.next_offset > start or wait_s <= 0:
+        return
+    async with stream.grown:
+        try:
+            await asyncio.wait_for(
+                stream.grown.wait_for(lambda: stream.next_offset > start),
+                wait_s,
+            )
+        except TimeoutError:
+            return
+
+
+def _answer(body: dict[str, object], status: int = 200) -> Response:
+    return Response(
+        status=status, body=pack(body), content_type='application/msgpack'
+    )
+
+
+def main() -> None:
+    """Run the log stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--retention-s', type=float, default=86_400)
+    parser.add_argument('--appends-per-s', type=float, default=400)
+    args = parser.parse_args()
+    standin = LogStandin(args.retention_s, args.appends_per_s)
+    asyncio.run(serve(standin.app(), args.host, args.port))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/mallowspindle/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirroring the package's modules."""
--- /dev/null
+++ b/mallowspindle/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes on loopback."""
--- /dev/null
+++ b/mallowspindle/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers without knowledge of the domain."""
--- /dev/null
+++ b/mallowspindle/utils/telemetry.py
@@ -0,0 +1,72 @@
+"""OpenTelemetry metrics and traces of one process."""
+
+from collections.abc import Mapping
+from contextlib import AbstractContextManager
+from typing import TextIO
+
+from opentelemetry import metrics, propagate
+from opentelemetry import trace as tracing
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+    OTLPSpanExporter,
+)
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+)
+
+SCOPE = 'mallowspindle'
+tracer = tracing.get_tracer(SCOPE)
+meter = metrics.get_meter(SCOPE)
+
+
+def configure_telemetry(
+    node_name: str, traces_file: str, otlp_endpoint: str
+) -> TracerProvider:
+    """Install exporters; empty strings leave an exporter out.
+
+    The metrics are read from ``/metrics``; the returned provider must be
+    shut down for the last spans to be written.
+    """
+    resource = Resource.create({'service.name': SCOPE, 'host.name': node_name})
+    metrics.set_meter_provider(
+        MeterProvider([PrometheusMetricReader()], resource=resource)
+    )
+    provider = TracerProvider(resource=resource)
+    if traces_file:
+        provider.add_span_processor(
+            BatchSpanProcessor(_file_exporter(traces_file))
+        )
+    if otlp_endpoint:
+        provider.add_span_processor(
+            BatchSpanProcessor(OTLPSpanExporter(endpoint=otlp_endpoint))
+        )
+    tracing.set_tracer_provider(provider)
+    return provider
+
+
+def hop_span(
+    name: str, kind: tracing.SpanKind, carrier: Mapping[str, str] | None = None
+) -> AbstractContextManager[tracing.Span]:
+    """Start the span of one hop, joined to the ``traceparent`` given."""
+    context = None if carrier is None else propagate.extract(carrier)
+    return tracer.start_as_current_span(name, context=context, kind=kind)
+
+
+def trace_headers() -> dict[str, str]:
+    """Return the headers that join the next hop to the present span."""
+    headers: dict[str, str] = {}
+    propagate.inject(headers)
+    return headers
+
+
+def _file_exporter(path: str) -> ConsoleSpanExporter:
+    stream: TextIO = open(path, 'a', encoding='utf-8')  # noqa: SIM115, WPS515
+    return ConsoleSpanExporter(out=stream, formatter=_one_line)
+
+
+def _one_line(span: ReadableSpan) -> str:
+    return f'{span.to_json(indent=None)}\n'
