--- a/mallowspindle/bench/caller.py
+++ b/mallowspindle/bench/caller.py
@@ -127,11 +127,11 @@
         answer.done = True
         return
     document = json.loads(payload)
-    if 'error' in document:
-        answer.error = document['error']['type']
-        answer.continue_at = document.get('continue_at', [])
-        return
-    for choice in document['choices']:
+    error = document.get('error')
+    if error:
+        answer.error = error['type']
+    answer.continue_at = document.get('continue_at', [])
+    for choice in document.get('choices', []):
         answer.tokens.extend(_texts(choice['delta']))
         answer.finish_reason = choice['finish_reason'] or ''
 
--- a/mallowspindle/entry/generation.py
+++ b/mallowspindle/entry/generation.py
@@ -21,6 +21,7 @@
     parse_body,
 )
 from mallowspindle.entry.problems import ProblemError
+from mallowspindle.entry.relay import AnswerRelay
 from mallowspindle.entry.streaming import AnswerStream
 from mallowspindle.recovery.messages import FoundRequest
 from mallowspindle.settings.documents import Organisation
@@ -31,7 +32,6 @@
 _FORBIDDEN = 403
 _NOT_FOUND = 404
 _CONFLICT = 409
-_TEMPORARY_REDIRECT = 307
 _UNAVAILABLE = 503
 _ANY = '*'
 _RETRY_AFTER_S = 1.0
@@ -40,8 +40,9 @@
 class GenerationHandlers:
     """Serves the model part of the callers' interface."""
 
-    def __init__(self, context: EntryContext) -> None:
+    def __init__(self, context: EntryContext, relay: AnswerRelay) -> None:
         self._context = context
+        self._relay = relay
 
     async def chat(self, request: Request) -> StreamResponse:
         """Answer a chat completion, streamed or whole."""
@@ -108,7 +109,9 @@
         request_id = request.match_info['request_id']
         owned = self._context.recovery.owned.get(request_id)
         if owned is None or owned.moved_to:
-            return self._redirect(request, found)
+            return await self._relay.pass_on(
+                request, self._owner_address(found)
+            )
         seen = _tokens_seen(request)
         await self._check_lineage(request, owned, seen)
         return await self._stream(request, owned, seen, False)
@@ -181,7 +184,7 @@
             return found
         raise ProblemError(_NOT_FOUND, 'not-found', f'no request {request_id}')
 
-    def _redirect(self, request: Request, found: FoundRequest) -> Response:
+    def _owner_address(self, found: FoundRequest) -> str:
         owner = self._context.membership.table.find(found.owner)
         if owner is None or not owner.info.http_address:
             raise ProblemError(
@@ -190,8 +193,7 @@
                 'the request is being taken over',
                 _RETRY_AFTER_S,
             )
-        url = f'http://{owner.info.http_address}{request.path}'
-        return Response(status=_TEMPORARY_REDIRECT, headers={'Location': url})
+        return owner.info.http_address
 
     async def _check_lineage(
         self, request: Request, owned: OwnedRequest, seen: int
--- /dev/null
+++ b/mallowspindle/entry/relay.py
@@ -0,0 +1,75 @@
+"""Passes a streamed answer on from the entry VM that owns the request."""
+
+import logging
+from contextlib import suppress
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp.web import Request, StreamResponse
+from opentelemetry.trace import SpanKind
+
+from mallowspindle.entry.problems import ProblemError
+from mallowspindle.utils.telemetry import hop_span, trace_headers
+
+log = logging.getLogger(__name__)
+
+_UNAVAILABLE = 503
+_CONNECT_TIMEOUT_S = 1.0
+_RETRY_AFTER_S = 1.0
+_PASSED_ON = ('Authorization', 'Last-Event-ID')
+_PASSED_BACK = ('Content-Type', 'X-Request-Id', 'Retry-After')
+
+
+class AnswerRelay:
+    """Fetches an answer from its owner on behalf of a caller.
+
+    A redirect would not do: clients drop their token when the address
+    changes.
+    """
+
+    def __init__(self, session: ClientSession) -> None:
+        self._session = session
+
+    async def pass_on(self, request: Request, owner: str) -> StreamResponse:
+        """Relay the answer from the owner's HTTP address.
+
+        The caller's stream ends where the owner's does; it can be continued
+        with ``Last-Event-ID``.
+        """
+        headers = {
+            name: request.headers[name]
+            for name in _PASSED_ON
+            if name in request.headers
+        }
+        with hop_span('relay', SpanKind.CLIENT):
+            try:
+                return await self._relay(request, owner, headers)
+            except ClientError as error:
+                log.info('owner %s not reached: %s', owner, error)
+                raise ProblemError(
+                    _UNAVAILABLE,
+                    'moving',
+                    'the request is being taken over',
+                    _RETRY_AFTER_S,
+                ) from error
+
+    async def _relay(
+        self, request: Request, owner: str, headers: dict[str, str]
+    ) -> StreamResponse:
+        async with self._session.get(
+            f'http://{owner}{request.path}',
+            headers={**headers, **trace_headers()},
+            timeout=ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
+        ) as upstream:
+            response = StreamResponse(status=upstream.status)
+            response.headers.update(
+                {
+                    name: text
+                    for name, text in upstream.headers.items()
+                    if name in _PASSED_BACK
+                }
+            )
+            await response.prepare(request)
+            with suppress(ClientError, ConnectionResetError):
+                async for data in upstream.content.iter_any():
+                    await response.write(data)
+            return response
--- a/mallowspindle/entry/service.py
+++ b/mallowspindle/entry/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Self
 
+from aiohttp import ClientSession, TCPConnector
 from aiohttp.web import (
     Application,
     AppRunner,
@@ -24,6 +25,7 @@
 from mallowspindle.entry.generation import GenerationHandlers
 from mallowspindle.entry.operators import OperatorHandlers
 from mallowspindle.entry.problems import ProblemError, problem
+from mallowspindle.entry.relay import AnswerRelay
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.utils.telemetry import meter
@@ -48,6 +50,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._context = EntryContext.from_kernel(kernel)
         self._runner: AppRunner | None = None
+        self._session = ClientSession(connector=TCPConnector(limit=0))
         self._open_requests = 0
         self._port = 0
 
@@ -89,13 +92,16 @@
             await asyncio.sleep(0.01)
         if self._runner is not None:
             await self._runner.cleanup()
+        await self._session.close()
 
     def _application(self) -> Application:
         app = Application(
             middlewares=[self._count_open, problem_middleware],
             client_max_size=self._context.config.limits.body_bytes,
         )
-        generation = GenerationHandlers(self._context)
+        generation = GenerationHandlers(
+            self._context, AnswerRelay(self._session)
+        )
         app.router.add_get('/v1/addresses', self._addresses)
         app.router.add_get('/v1/models', generation.models)
         app.router.add_post('/v1/chat/completions', generation.chat)
--- /dev/null
+++ b/mallowspindle/tests/integration/test_not_run.py
@@ -0,0 +1,181 @@
+""" "Not run" is true at every point of failure, and calls run once."""
+
+import asyncio
+import signal
+from typing import Any
+
+import pytest_asyncio
+
+from mallowspindle.bench.caller import bearer
+from mallowspindle.bench.venture import OPERATOR_TOKEN, Venture, token_of
+
+ORGANISATION = 'haulier'
+NOT_RUN = 'urn:mallowspindle:problem:not-run'
+UNKNOWN = 'urn:mallowspindle:problem:unknown-outcome'
+NODES = ('entry-1', 'entry-2', 'entry-3')
+
+
+@pytest_asyncio.fixture
+async def filing(venture: Venture) -> Venture:
+    venture.overrides = {'effects': {'call_timeout_s': 1, 'claim_timeout_s': 2}}
+    await venture.start_platform()
+    await venture.publish_defaults(ORGANISATION)
+    await venture.start_plain('claims-1', 'a')
+    await venture.start_nodes({'entry-1': 'a', 'entry-2': 'b', 'entry-3': 'c'})
+    return venture
+
+
+# Each point of failure: faults, the expected answer, the expected runs.
+POINTS: dict[str, tuple[dict[str, dict[str, Any]], str, int]] = {
+    'service refuses': ({'claims-1': {'refuse': 5}}, NOT_RUN, 0),
+    'answer lost': ({'claims-1': {'lose_answers': 1}}, UNKNOWN, 1),
+    'answer crossed': ({'claims-1': {'cross': 1}}, UNKNOWN, 1),
+    'timeout after the request': ({'claims-1': {'slow_s': 3}}, UNKNOWN, 1),
+    'cut in mid-request': ({'claims-1': {'down': True}}, UNKNOWN, 0),
+    'log refuses': ({'log': {'refuse': 20}}, NOT_RUN, 0),
+    'log down': ({'log': {'down': True}}, NOT_RUN, 0),
+    'append answer lost': ({'log': {'lose_answers': 1}}, '', 1),
+    'append lands late': (
+        {'log': {'lose_answers': 9, 'late_s': 3}},
+        NOT_RUN,
+        0,
+    ),
+}
+HEALED = {
+    'claims-1': {
+        'refuse': 0,
+        'lose_answers': 0,
+        'cross': 0,
+        'slow_s': 0,
+        'down': False,
+    },
+    'log': {'refuse': 0, 'down': False, 'lose_answers': 0, 'late_s': 0},
+}
+
+
+async def test_every_point_of_failure(filing: Venture) -> None:
+    for point, (faults, expected, runs) in POINTS.items():
+        for name, options in faults.items():
+            await filing.set_faults(name, **options)
+        status, kind, retry_after = await _file(filing, 'entry-1', point)
+        for name, options in HEALED.items():
+            await filing.set_faults(name, **options)
+        assert kind == expected, (point, status, kind)
+        assert (kind == NOT_RUN) == bool(retry_after), point
+        assert await _runs_of(filing, point) == runs, point
+        await _settle(filing, point, expected, runs)
+
+
+async def _settle(
+    venture: Venture, point: str, expected: str, runs: int
+) -> None:
+    """A retry with the same key runs what did not run, and nothing twice."""
+    if expected == UNKNOWN:
+        _, kind, _ = await _file(venture, 'entry-2', point)
+        assert kind == UNKNOWN, point
+        assert await _runs_of(venture, point) == runs
+        return
+
+    async def is_filed() -> bool:
+        status, _, _ = await _file(venture, 'entry-2', point)
+        return status == 200
+
+    await venture.wait_until(is_filed)
+    assert await _runs_of(venture, point) == 1, point
+
+
+async def test_connection_refused_is_not_run(filing: Venture) -> None:
+    await filing.process('claims-1').kill()
+    status, kind, retry_after = await _file(filing, 'entry-1', 'nobody home')
+    assert (status, kind) == (503, NOT_RUN)
+    assert retry_after
+
+
+async def test_same_key_to_all_nodes_at_once(filing: Venture) -> None:
+    for number in range(10):
+        key = f'claim {number}'
+        answers = await asyncio.gather(
+            *(_file(filing, name, key) for name in NODES * 3)
+        )
+        assert {status for status, _, _ in answers} == {200}
+        assert await _runs_of(filing, key) == 1
+
+
+async def test_frozen_holder_wakes_up(filing: Venture) -> None:
+    await filing.set_faults('log', slow_s=0.4)
+    frozen = asyncio.create_task(_file(filing, 'entry-1', 'frozen'))
+    await asyncio.sleep(0.2)
+    filing.process('entry-1').send_signal(signal.SIGSTOP)
+    await filing.set_faults('log', slow_s=0)
+
+    async def is_judged() -> bool:
+        _, kind, _ = await _file(filing, 'entry-2', 'frozen')
+        return kind == UNKNOWN
+
+    await filing.wait_until(is_judged)
+    filing.process('entry-1').send_signal(signal.SIGCONT)
+    await frozen
+    assert await _runs_of(filing, 'frozen') <= 1
+    await asyncio.gather(*(_file(filing, name, 'frozen') for name in NODES))
+    assert await _runs_of(filing, 'frozen') <= 1
+
+
+async def test_keys_outlive_a_restart_of_every_node(filing: Venture) -> None:
+    await _file(filing, 'entry-1', 'before')
+    await filing.set_faults('claims-1', slow_s=0.8)
+    lost = asyncio.create_task(_file(filing, 'entry-1', 'interrupted'))
+    await asyncio.sleep(0.4)
+    for name in NODES:
+        await filing.process(name).kill()
+    await asyncio.gather(lost, return_exceptions=True)
+    await filing.set_faults('claims-1', slow_s=0)
+    await filing.start_nodes({'entry-4': 'a', 'entry-5': 'b'})
+
+    async def is_filed() -> bool:
+        status, _, _ = await _file(filing, 'entry-4', 'before')
+        return status == 200
+
+    await filing.wait_until(is_filed)
+    assert await _runs_of(filing, 'before') == 1
+    _, kind, _ = await _file(filing, 'entry-5', 'interrupted')
+    assert kind == UNKNOWN
+    assert await _runs_of(filing, 'interrupted') == 1
+    await _resolve(filing, 'interrupted')
+
+
+async def _resolve(venture: Venture, key: str) -> None:
+    """An operator lists the unresolved call and records what was found."""
+    url = f'{venture.process("entry-5").url}/operator/effects'
+    (listed,) = await venture.get(url, OPERATOR_TOKEN)
+    assert listed['key'] == key
+    finding = {
+        name: listed[name]
+        for name in ('organisation', 'service', 'key', 'claim_id')
+    }
+    finding.update(ran=True, evidence='seen in the portal', author='anna')
+    async with venture.session.post(
+        f'{url}/resolve', json=finding, headers=bearer(OPERATOR_TOKEN)
+    ) as response:
+        assert response.status == 200, await response.text()
+    assert await venture.get(url, OPERATOR_TOKEN) == []
+    status, _, _ = await _file(venture, 'entry-4', key)
+    assert status == 409
+    assert await _runs_of(venture, key) == 1
+
+
+async def _file(
+    venture: Venture, node: str, key: str
+) -> tuple[int, str, str | None]:
+    url = f'{venture.process(node).url}/v1/services/claims/submit'
+    headers = {**bearer(token_of(ORGANISATION)), 'Idempotency-Key': key}
+    async with venture.session.post(
+        url, json={'claim': key}, headers=headers
+    ) as response:
+        document = await response.json(content_type=None)
+        kind = document.get('type', '')
+        return response.status, kind, response.headers.get('Retry-After')
+
+
+async def _runs_of(venture: Venture, key: str) -> int:
+    runs = await venture.runs('claims-1')
+    return sum(run['key'] == key for run in runs)
--- /dev/null
+++ b/mallowspindle/tests/integration/test_settings.py
@@ -0,0 +1,147 @@
+"""Accepted settings are in force everywhere soon, and never revert."""
+
+import asyncio
+import signal
+import time
+
+from mallowspindle.bench.venture import OPERATOR_TOKEN, ROOT_DOCUMENT, Venture
+from mallowspindle.settings.publisher import new_change, publish
+from mallowspindle.settings.reader import catch_up
+from mallowspindle.settings.records import SETTINGS_STREAM
+from mallowspindle.settings.tree import SettingsTree, Verdict
+
+IN_FORCE_WITHIN_S = 3.0
+NODES = ('entry-1', 'entry-2', 'entry-3')
+
+
+async def test_change_is_in_force_everywhere(small_venture: Venture) -> None:
+    for share in (10, 20, 30):
+        verdict = await small_venture.publish('venture', _split(share))
+        assert verdict.accepted
+        accepted_at_s = time.monotonic()
+        for name in NODES:
+            await _wait_in_force(small_venture, name, verdict.version)
+        assert time.monotonic() - accepted_at_s < IN_FORCE_WITHIN_S
+
+
+async def test_racing_operators_have_one_winner(
+    small_venture: Venture,
+) -> None:
+    for _ in range(3):
+        verdicts = await asyncio.gather(
+            *(_race(small_venture, number) for number in range(50))
+        )
+        winners = [verdict for verdict in verdicts if verdict.accepted]
+        assert len(winners) == 1
+        losers = [verdict for verdict in verdicts if not verdict.accepted]
+        assert all('in force' in verdict.reason for verdict in losers)
+
+
+async def test_lost_answers_change_once(small_venture: Venture) -> None:
+    await small_venture.set_faults('log', lose_answers=2)
+    verdict = await small_venture.publish('venture', _split(41))
+    assert verdict.accepted
+    tree = SettingsTree()
+    await catch_up(tree, small_venture.log_client)
+    assert tree.node_version('venture') == verdict.version
+
+
+async def test_frozen_node_catches_up_and_never_reverts(
+    small_venture: Venture,
+) -> None:
+    frozen = small_venture.process('entry-3')
+    frozen.send_signal(signal.SIGSTOP)
+    first = await small_venture.publish('venture', _split(11))
+    await small_venture.publish('venture', _split(12))
+    await small_venture.post(
+        f'{small_venture.process("log").url}/expire',
+        {'stream': SETTINGS_STREAM, 'before': first.version},
+    )
+    last = await small_venture.publish('venture', _split(13))
+    frozen.send_signal(signal.SIGCONT)
+    await _wait_in_force(small_venture, 'entry-3', last.version)
+    seen = await _through(small_venture, 'entry-3')
+    assert seen >= last.version
+
+
+async def test_state_outlives_expired_records(venture: Venture) -> None:
+    venture.overrides = {'platform': {'settings_snapshot_interval_s': 0.3}}
+    await venture.start_platform()
+    await venture.publish_defaults('farm')
+    await venture.start_engine('engine-1', 'a')
+    await venture.start_nodes({'entry-1': 'a', 'entry-2': 'b'})
+    last = await venture.publish('venture', _split(25))
+
+    async def has_snapshot() -> bool:
+        page = await venture.log_client.read(SETTINGS_STREAM, 0)
+        return page.next_offset > last.version + 2
+
+    await venture.wait_until(has_snapshot)
+    await venture.post(
+        f'{venture.process("log").url}/expire',
+        {'stream': SETTINGS_STREAM, 'before': last.version + 1},
+    )
+    tree = SettingsTree()
+    await catch_up(tree, venture.log_client)
+    assert tree.node_version('venture') == last.version
+    await venture.start_node('entry-3', 'c')
+    await _wait_in_force(venture, 'entry-3', last.version)
+
+
+async def test_node_started_in_an_outage_asks_its_peers(
+    small_venture: Venture,
+) -> None:
+    last = await small_venture.publish('venture', _split(33))
+    await _wait_in_force(small_venture, 'entry-1', last.version)
+    await small_venture.set_faults('log', down=True)
+    await small_venture.start_node('entry-4', 'a')
+    await _wait_in_force(small_venture, 'entry-4', last.version)
+
+
+async def test_node_that_hears_nobody_takes_no_work(venture: Venture) -> None:
+    venture.overrides = {'limits': {'settings_stale_after_s': 1}}
+    await venture.start_platform()
+    await venture.publish_defaults('farm')
+    await venture.start_engine('engine-1', 'a')
+    await venture.start_nodes({'entry-1': 'a', 'entry-2': 'b', 'entry-3': 'c'})
+    await venture.set_faults('log', down=True)
+    for name in ('entry-2', 'entry-3'):
+        venture.process(name).send_signal(signal.SIGSTOP)
+
+    async def is_stale() -> bool:
+        url = venture.process('entry-1').url
+        health = await venture.get(f'{url}/health')
+        return not health['settings_fresh']
+
+    await venture.wait_until(is_stale)
+    url = f'{venture.process("entry-1").url}/v1/chat/completions'
+    async with venture.session.post(url, json={}) as response:
+        assert response.status == 503
+        assert 'Retry-After' in response.headers
+
+
+async def _race(venture: Venture, number: int) -> Verdict:
+    tree = SettingsTree()
+    await catch_up(tree, venture.log_client)
+    base = tree.node_version('venture')
+    await asyncio.sleep(0.2)
+    change = new_change('venture', _split(number), base, f'operator {number}')
+    return await publish(tree, venture.log_client, change)
+
+
+async def _wait_in_force(venture: Venture, name: str, version: int) -> None:
+    async def in_force() -> bool:
+        return await _through(venture, name) >= version
+
+    await venture.wait_until(in_force)
+
+
+async def _through(venture: Venture, name: str) -> int:
+    url = f'{venture.process(name).url}/operator/nodes'
+    known = await venture.get(url, OPERATOR_TOKEN)
+    return int(known[0]['settings_through'])
+
+
+def _split(share: int) -> str:
+    changed = ROOT_DOCUMENT.replace('north = 60', f'north = {share}')
+    return changed.replace('south = 40', f'south = {100 - share}')
