Add contract and fold tests; count no cost for a request without attempts

Cause: the ledger zipped attempts with their ends strictly, and a request that failed before its first attempt had one end too many, so that its task died after the caller was answered (found by the pricing test). Also the log stand-in lost a late append when it cut the connection, so 'append lands late' had not been tested: the append now lands in a task of its own. Ruled out: the split (never reached), the caller's answer (sent before).

--- a/mallowspindle/ledger/pricing.py
+++ b/mallowspindle/ledger/pricing.py
@@ -29,7 +29,7 @@
     ends.append(len(progress.tokens))
     return [
         entry
-        for attempt, end in zip(progress.attempts, ends, strict=True)
+        for attempt, end in zip(progress.attempts, ends, strict=False)
         for entry in _entries_of_attempt(request, attempt, end)
     ]
 
--- a/mallowspindle/standins/log.py
+++ b/mallowspindle/standins/log.py
@@ -42,6 +42,7 @@
         self._interval_s = 1 / appends_per_s
         self._free_at_s = 0.0
         self._faults = Faults()
+        self._late: set[asyncio.Task[None]] = set()
         self._appends = 0
         self._appended_bytes = 0
 
@@ -63,14 +64,26 @@
         await self._wait_for_turn()
         name = request.match_info['name']
         if lost and self._faults.late_s:
+            self._store_later(self._streams[name], payload)
             drop_connection(request)
-        await asyncio.sleep(self._faults.late_s)
+            return Response(status=500)
         offset = await self._store(self._streams[name], payload)
         if lost:
             drop_connection(request)
         await asyncio.sleep(self._faults.slow_s)
         return _answer({'offset': offset})
 
+    def _store_later(self, stream: Stream, payload: bytes) -> None:
+        """Let an append take effect after its connection was cut."""
+
+        async def wait_and_store() -> None:
+            await asyncio.sleep(self._faults.late_s)
+            await self._store(stream, payload)
+
+        task = asyncio.create_task(wait_and_store())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     async def _store(self, stream: Stream, payload: bytes) -> int:
         offset = stream.next_offset
         stream.rows.append((offset, time.time(), payload))
--- /dev/null
+++ b/mallowspindle/tests/config/test_ini.py
@@ -0,0 +1,55 @@
+"""Settings files: all problems at once, with section and option."""
+
+from pathlib import Path
+
+import pytest
+
+from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.config.errors import ConfigError
+from mallowspindle.config.ini import load_model
+from mallowspindle.daemon import load_settings
+
+VALID = """
+[node]
+name = entry-1
+zone = a
+
+[peers]
+shared_key = a-key-of-sixteen-characters
+seeds = 127.0.0.1:1 127.0.0.1:2
+
+[platform]
+log_url = http://127.0.0.1:1
+cloud_url = http://127.0.0.1:2
+"""
+
+
+def test_valid_file_has_defaults() -> None:
+    loaded = load_model(DaemonSettings, VALID)
+    assert loaded.peers.seeds == ['127.0.0.1:1', '127.0.0.1:2']
+    assert loaded.limits.body_bytes > 0
+
+
+def test_all_problems_are_reported_together() -> None:
+    text = VALID.replace('zone = a', 'zone = a\ncolour = red\nhttp_port = x')
+    with pytest.raises(ConfigError) as caught:
+        load_model(DaemonSettings, f'{text}\n[surprise]\nx = 1\n')
+    found = {
+        (problem.section, problem.option) for problem in caught.value.problems
+    }
+    assert found == {
+        ('node', 'colour'),
+        ('node', 'http_port'),
+        ('surprise', '-'),
+    }
+
+
+@pytest.mark.parametrize('text', ['no section = 1', '[node]\nname'])
+def test_broken_syntax_is_one_problem(text: str) -> None:
+    with pytest.raises(ConfigError, match='syntax'):
+        load_model(DaemonSettings, text)
+
+
+def test_missing_file_is_a_problem(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError):
+        load_settings(tmp_path / 'nothing.ini')
--- /dev/null
+++ b/mallowspindle/tests/effects/test_keys.py
@@ -0,0 +1,57 @@
+"""Where the idempotency key of a call comes from."""
+
+import time
+
+import pytest
+
+from mallowspindle.effects.errors import KeyMissing
+from mallowspindle.effects.keys import find_key, key_age_s
+from mallowspindle.settings.document import ServiceSection
+from mallowspindle.utils.identifiers import uuid7
+
+HEADER = ServiceSection.model_validate({'idempotency_key': 'header'})
+BODY = ServiceSection.model_validate({'idempotency_key': 'body:claim.number'})
+OPTIONAL = ServiceSection.model_validate(
+    {'idempotency_key': 'header', 'key_required': 'false'}
+)
+NO_KEY = ServiceSection.model_validate({'idempotency_key': 'none'})
+
+
+@pytest.mark.parametrize(
+    ('options', 'headers', 'body', 'key'),
+    [
+        (HEADER, {'Idempotency-Key': '"k-1"'}, b'', 'k-1'),
+        (BODY, {}, b'{"claim": {"number": 7}}', '7'),
+        (OPTIONAL, {}, b'', ''),
+        (NO_KEY, {'Idempotency-Key': 'k'}, b'', ''),
+    ],
+)
+def test_key_is_found(
+    options: ServiceSection, headers: dict[str, str], body: bytes, key: str
+) -> None:
+    assert find_key(options, headers, body) == key
+
+
+@pytest.mark.parametrize(
+    ('options', 'headers', 'body'),
+    [
+        (HEADER, {}, b''),
+        (HEADER, {'Idempotency-Key': 'x' * 201}, b''),
+        (BODY, {}, b'{"claim": {}}'),
+        (BODY, {}, b'{"claim": [1]}'),
+        (BODY, {}, b'not json'),
+    ],
+)
+def test_missing_key_is_an_error(
+    options: ServiceSection, headers: dict[str, str], body: bytes
+) -> None:
+    with pytest.raises(KeyMissing):
+        find_key(options, headers, body)
+
+
+def test_age_of_keys() -> None:
+    assert key_age_s(str(uuid7()), {}) < 5
+    assert key_age_s('k', {}) == 0
+    assert key_age_s('k', {'Date': 'garbage'}) == 0
+    old = 'Wed, 01 Jan 2020 00:00:00 GMT'
+    assert key_age_s('k', {'Date': old}) > time.time() - 1_600_000_000
--- /dev/null
+++ b/mallowspindle/tests/ledger/test_pricing.py
@@ -0,0 +1,57 @@
+"""Entries follow from the copy of a request alone."""
+
+from mallowspindle.attempts.request import (
+    AttemptRef,
+    GenerationRequest,
+    Kind,
+    Progress,
+    Segment,
+)
+from mallowspindle.ledger.pricing import entries_of_request
+
+SHARES = {'north': '60', 'south': '40'}
+REQUEST = GenerationRequest(
+    'req-1', 'o', 'v/p/o', 'letters', Kind.CHAT, {}, 10, 0, 0
+)
+
+
+def _attempt(name: str, offset: int, *firsts: int) -> AttemptRef:
+    return AttemptRef(
+        attempt_id=name,
+        vm_id='vm',
+        address='vm:1',
+        offset=offset,
+        price_micro_per_hour=3_600_000_000,
+        prefill_tokens_per_s=1000,
+        recompute=offset > 0,
+        prompt_tokens=50,
+        cached_tokens=20,
+        prompt_shares=SHARES,
+        segments=[Segment(first, first, SHARES) for first in firsts],
+    )
+
+
+def test_all_tokens_are_entered_once() -> None:
+    progress = Progress(
+        list('abcdefghij'), [_attempt('one', 0, 0, 3), _attempt('two', 6, 6)]
+    )
+    entries = entries_of_request(REQUEST, progress)
+    tokens = [entry.tokens for entry in entries if entry.kind == 'tokens']
+    assert tokens == [3, 3, 4]
+    assert [entry.kind for entry in entries].count('recompute') == 1
+    assert all(
+        sum(entry.parts.values()) == entry.amount_micro for entry in entries
+    )
+
+
+def test_same_copy_gives_same_entries() -> None:
+    progress = Progress(list('abcd'), [_attempt('one', 0, 0)])
+    first = entries_of_request(REQUEST, progress)
+    second = entries_of_request(REQUEST, progress)
+    assert [(entry.entry_id, entry.amount_micro) for entry in first] == [
+        (entry.entry_id, entry.amount_micro) for entry in second
+    ]
+
+
+def test_request_without_attempts_costs_nothing() -> None:
+    assert entries_of_request(REQUEST, Progress()) == []
--- /dev/null
+++ b/mallowspindle/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the peers package."""
