--- a/mallowspindle/attempts/request.py
+++ b/mallowspindle/attempts/request.py
@@ -117,6 +117,21 @@
             self.attempts.append(attempt)
 
 
+# One machine for all requests: a machine of its own for each costs time and
+# memory. Requests are its models only while a trigger runs.
+_life_cycle = Machine(
+    model=None,
+    states=State,
+    initial=State.ACCEPTED,
+    transitions=[
+        ['begin', [State.ACCEPTED, State.RUNNING], State.RUNNING],
+        ['complete', State.RUNNING, State.DONE],
+        ['fail', [State.ACCEPTED, State.RUNNING], State.FAILED],
+        ['move', [State.ACCEPTED, State.RUNNING], State.MOVED],
+    ],
+)
+
+
 class OwnedRequest:
     """A request that this node runs, and those who follow its answer."""
 
@@ -132,17 +147,7 @@
         self._moved_to = ''
         self._ended_at_s = time.time() if progress.ending else float('inf')
         self.holder = ''
-        Machine(
-            model=self,
-            states=State,
-            initial=_initial_state(progress),
-            transitions=[
-                ['begin', [State.ACCEPTED, State.RUNNING], State.RUNNING],
-                ['complete', State.RUNNING, State.DONE],
-                ['fail', [State.ACCEPTED, State.RUNNING], State.FAILED],
-                ['move', [State.ACCEPTED, State.RUNNING], State.MOVED],
-            ],
-        )
+        self.state = _initial_state(progress)
 
     @property
     def request(self) -> GenerationRequest:
@@ -174,6 +179,10 @@
         """Whether this node will add nothing more."""
         return self.state in FINAL_STATES
 
+    def begin(self) -> None:
+        """Note that this node runs the request."""
+        self._change('begin')
+
     async def commit(self, tokens: list[str]) -> None:
         """Add tokens that the copy's holder has acknowledged."""
         self._progress.tokens.extend(tokens)
@@ -183,14 +192,14 @@
         """End the request with its last state."""
         self._progress.ending = ending
         self._ended_at_s = time.time()
-        self.trigger('fail' if ending.failure else 'complete')  # type: ignore[attr-defined]
+        self._change('fail' if ending.failure else 'complete')
         await self._notify()
 
     async def leave(self, node: str) -> None:
         """Record that another node owns the request now."""
         self._moved_to = node
         self._ended_at_s = time.time()
-        self.trigger('move')  # type: ignore[attr-defined]
+        self._change('move')
         await self._notify()
 
     async def wait_beyond(self, tokens_seen: int) -> None:
@@ -205,6 +214,9 @@
         async with self._changed:
             await self._changed.wait_for(lambda: self.final)
 
+    def _change(self, trigger: str) -> None:
+        _life_cycle.events[trigger].trigger(self)
+
     async def _notify(self) -> None:
         async with self._changed:
             self._changed.notify_all()
--- a/mallowspindle/attempts/runner.py
+++ b/mallowspindle/attempts/runner.py
@@ -79,7 +79,7 @@
 
     async def run(self) -> None:
         """Run until the request has ended or another node owns it."""
-        self._owned.trigger('begin')  # type: ignore[attr-defined]
+        self._owned.begin()
         work = asyncio.create_task(self._run_to_ending())
         moved = asyncio.create_task(self._owned.wait_final())
         try:
