Refuse answers of unknown length; cut the processor time of a token

An answer that tells neither its length nor its framing is now unknown. With the check taken out, test_call fails for an answer of unknown length. Cause of the second: per token, the engine's stream was read line by line, its chunk parsed twice, the caller's chunk encoded whole, and a condition's lock taken four times (profile of a daemon with 64 streams).

--- a/mallowspindle/attempts/engine.py
+++ b/mallowspindle/attempts/engine.py
@@ -1,6 +1,5 @@
 """Client of one model engine: start, resume and cancel a stream."""
 
-import json
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
@@ -32,7 +31,9 @@
 _SERVER_ERROR = 500
 _TOO_MANY = 429
 _UNAVAILABLE = 503
-_MAX_LINE_BYTES = 262_144
+_MAX_EVENT_BYTES = 262_144
+_EVENT_END = b'\n\n'
+_NO_INDEX = -1
 _CONNECT_ERRORS = (ClientConnectorError, ConnectionTimeoutError)
 
 
@@ -228,7 +229,8 @@
     async for index, payload in _server_sent(response):
         if payload == '[DONE]':
             break
-        yield reader.read(index, payload)
+        if payload:
+            yield reader.read(index, payload)
     if not reader.ended:
         raise StreamCut('the stream ended before its last chunk')
 
@@ -250,7 +252,7 @@
         event = _parse(index, payload)
         if isinstance(event, EndEvent):
             self._ended = True
-        elif self._ended or index != self._expected:
+        elif self._ended or index not in {self._expected, _NO_INDEX}:
             raise WrongAnswer(f'token {index} in place of {self._expected}')
         self._expected += 1
         return event
@@ -259,15 +261,27 @@
 async def _server_sent(
     response: ClientResponse,
 ) -> AsyncIterator[tuple[int, str]]:
-    index = -1
-    async for raw in response.content:
-        if len(raw) > _MAX_LINE_BYTES:
-            raise WrongAnswer('a line of the stream is too long')
-        line = raw.decode('utf-8', errors='replace').rstrip('\r\n')
-        if line.startswith('id: '):
-            index = _parse_index(line[4:])
-        if line.startswith('data: '):
-            yield index, line[6:]
+    """Yield the index and the payload of each whole event."""
+    unread = b''
+    async for data in response.content.iter_any():
+        text = (unread + data).replace(b'\r\n', b'\n')
+        *events, unread = text.split(_EVENT_END)
+        if len(unread) > _MAX_EVENT_BYTES:
+            raise WrongAnswer('an event of the stream is too long')
+        for event in events:
+            yield _split_event(event.decode('utf-8', errors='replace'))
+
+
+def _split_event(event: str) -> tuple[int, str]:
+    index = _NO_INDEX
+    payload = ''
+    for line in event.splitlines():
+        name, _, text = line.partition(':')
+        if name == 'id':
+            index = _parse_index(text.strip())
+        elif name == 'data':
+            payload = text.strip()
+    return index, payload
 
 
 def _parse_index(text: str) -> int:
@@ -278,7 +292,7 @@
 
 def _parse(index: int, payload: str) -> TokenEvent | EndEvent:
     try:
-        chunk = _Chunk.model_validate(json.loads(payload))
+        chunk = _Chunk.model_validate_json(payload)
         choice = chunk.choices[0]
     except (ValueError, ValidationError, IndexError) as error:
         raise WrongAnswer(f'malformed chunk: {error}') from error
--- a/mallowspindle/attempts/request.py
+++ b/mallowspindle/attempts/request.py
@@ -143,7 +143,7 @@
         self._request = request
         self._epoch = epoch
         self._progress = progress
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._moved_to = ''
         self._ended_at_s = time.time() if progress.ending else float('inf')
         self.holder = ''
@@ -183,43 +183,41 @@
         """Note that this node runs the request."""
         self._change('begin')
 
-    async def commit(self, tokens: list[str]) -> None:
+    def commit(self, tokens: list[str]) -> None:
         """Add tokens that the copy's holder has acknowledged."""
         self._progress.tokens.extend(tokens)
-        await self._notify()
+        self._notify()
 
-    async def end(self, ending: Ending) -> None:
+    def end(self, ending: Ending) -> None:
         """End the request with its last state."""
         self._progress.ending = ending
         self._ended_at_s = time.time()
         self._change('fail' if ending.failure else 'complete')
-        await self._notify()
+        self._notify()
 
-    async def leave(self, node: str) -> None:
+    def leave(self, node: str) -> None:
         """Record that another node owns the request now."""
         self._moved_to = node
         self._ended_at_s = time.time()
         self._change('move')
-        await self._notify()
+        self._notify()
 
     async def wait_beyond(self, tokens_seen: int) -> None:
         """Wait for more than ``tokens_seen`` tokens, or for the end."""
-        async with self._changed:
-            await self._changed.wait_for(
-                lambda: len(self._progress.tokens) > tokens_seen or self.final
-            )
+        while len(self._progress.tokens) <= tokens_seen and not self.final:
+            await self._changed.wait()
 
     async def wait_final(self) -> None:
         """Wait for the end."""
-        async with self._changed:
-            await self._changed.wait_for(lambda: self.final)
+        while not self.final:
+            await self._changed.wait()
 
     def _change(self, trigger: str) -> None:
         _life_cycle.events[trigger].trigger(self)
 
-    async def _notify(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
 
 def _initial_state(progress: Progress) -> State:
--- a/mallowspindle/bench/caller.py
+++ b/mallowspindle/bench/caller.py
@@ -77,7 +77,11 @@
         yield answer
         return
     answer.error = ''
-    answer.request_id = response.headers['X-Request-Id']
+    answer.request_id = response.headers.get('X-Request-Id', '')
+    if not answer.request_id:
+        answer.error = 'the headers were cut'
+        yield answer
+        return
     reader = _EventReader(answer)
     try:
         async for raw in response.content:
--- a/mallowspindle/effects/call.py
+++ b/mallowspindle/effects/call.py
@@ -16,6 +16,7 @@
 from mallowspindle.utils.telemetry import hop_span, meter, trace_headers
 
 _UNAVAILABLE = 503
+_BODILESS = frozenset((204, 304))
 _RETRY_AFTER_S = 1.0
 
 wrong_answers = meter.create_counter('wrong_answers')
@@ -87,6 +88,8 @@
     response: ClientResponse, attempt_id: str, refusal_means_not_run: bool
 ) -> Outcome:
     body = await response.read()
+    if not _is_framed(response):
+        return Unknown('the answer does not tell its length')
     if response.status == _UNAVAILABLE and refusal_means_not_run:
         return NotRun('the service refused', _RETRY_AFTER_S)
     echoed = response.headers.get('X-Request-Id', attempt_id)
@@ -95,3 +98,14 @@
         response.close()
         return Unknown('the answer belongs to another request')
     return Done(response.status, response.content_type, body)
+
+
+def _is_framed(response: ClientResponse) -> bool:
+    """Tell whether a cut of the answer would have shown.
+
+    An answer that ends with its connection may have lost headers or body.
+    """
+    if response.method == 'HEAD' or response.status in _BODILESS:
+        return True
+    headers = response.headers
+    return 'Content-Length' in headers or 'Transfer-Encoding' in headers
--- a/mallowspindle/entry/chunks.py
+++ b/mallowspindle/entry/chunks.py
@@ -11,6 +11,7 @@
     Progress,
 )
 
+_MARK = '\0token\0'
 DONE_EVENT = b'data: [DONE]\n\n'
 
 
@@ -27,6 +28,13 @@
     }
 
 
+def token_frame(request: GenerationRequest) -> tuple[str, str]:
+    """Return the JSON text before and after a token in its chunk."""
+    marked = chunk(request, {'role': 'assistant', 'content': _MARK}, None)
+    head, _, tail = json.dumps(marked).partition(json.dumps(_MARK))
+    return head, tail
+
+
 def usage(progress: Progress) -> dict[str, Any]:
     """Return the usage as the caller sees it: the first attempt's prompt."""
     attempts = progress.attempts
--- a/mallowspindle/entry/streaming.py
+++ b/mallowspindle/entry/streaming.py
@@ -1,6 +1,7 @@
 """Writes the answer of a request to its caller as server-sent events."""
 
 import asyncio
+import json
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -22,6 +23,7 @@
         self._include_usage = include_usage
         self._digest = xxh32()
         self._seen = 0
+        self._frame = chunks.token_frame(owned.request)
 
     async def serve(
         self,
@@ -73,11 +75,11 @@
     def _token_event(self, token: str) -> bytes:
         self._seen += 1
         self._digest.update(token.encode())
-        delta = {'role': 'assistant', 'content': token}
-        return chunks.event(
-            chunks.chunk(self._owned.request, delta, None),
-            f'{self._seen}-{self._digest.hexdigest()}',
-        )
+        head, tail = self._frame
+        return (
+            f'id: {self._seen}-{self._digest.hexdigest()}\n'
+            f'data: {head}{json.dumps(token)}{tail}\n\n'
+        ).encode()
 
     async def _send_ending(
         self, response: StreamResponse, addresses: tuple[str, ...]
--- a/mallowspindle/recovery/replica.py
+++ b/mallowspindle/recovery/replica.py
@@ -38,14 +38,14 @@
             ending=self.ending,
         )
 
-    async def commit(self) -> None:
+    def commit(self) -> None:
         """Show the progress to those who follow the answer."""
         if self.owned.final:
             return
         self.owned.progress.note_attempt(self.attempt)
-        await self.owned.commit(self.tokens)
+        self.owned.commit(self.tokens)
         if self.ending is not None:
-            await self.owned.end(self.ending)
+            self.owned.end(self.ending)
 
 
 class Outbox:
--- a/mallowspindle/recovery/replication.py
+++ b/mallowspindle/recovery/replication.py
@@ -111,7 +111,7 @@
         if not isinstance(reply, OkReply):
             return False
         if not owned.final:
-            await owned.leave(name)
+            owned.leave(name)
         return True
 
     def _ensure_sender(self, holder: str) -> None:
@@ -140,11 +140,11 @@
     ) -> None:
         request_id = pending.owned.request.request_id
         if request_id in reply.taken_over:
-            await _leave(pending.owned, holder)
+            _leave(pending.owned, holder)
         elif request_id in reply.missing:
             await self._deliver_anew(pending)
         else:
-            await pending.commit()
+            pending.commit()
 
     async def _deliver(
         self, holder: str, batch: list[Pending]
@@ -165,11 +165,11 @@
         await self.protect(owned, lost=owned.holder)
         reply = await self._deliver(owned.holder, [pending])
         if reply.taken_over:
-            await _leave(owned, owned.holder)
+            _leave(owned, owned.holder)
         else:
-            await pending.commit()
+            pending.commit()
 
 
-async def _leave(owned: OwnedRequest, node: str) -> None:
+def _leave(owned: OwnedRequest, node: str) -> None:
     if not owned.final:
-        await owned.leave(node)
+        owned.leave(node)
--- /dev/null
+++ b/mallowspindle/tests/effects/test_call.py
@@ -0,0 +1,94 @@
+"""Contract of calls to plain services: what each ending means."""
+
+import asyncio
+from itertools import accumulate
+
+import pytest
+from aiohttp import ClientSession, TCPConnector
+
+from mallowspindle.bench.proxy import FaultProxy, Mode
+from mallowspindle.effects.call import PlainCall, PlainClient
+from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
+
+CALL = PlainCall('o', 'v/p/o', 's', 'POST', 'file', 'text/plain', b'x', 'k')
+WHOLE = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
+    b'Content-Length: 5\r\nX-Request-Id: own\r\n\r\nfiled'
+)
+REFUSED = b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n'
+
+ANSWERS: dict[str, tuple[bytes, type[Outcome]]] = {
+    'whole': (WHOLE, Done),
+    'of another request': (WHOLE.replace(b'own', b'not'), Unknown),
+    'refused, which means not run': (REFUSED, NotRun),
+    'none': (b'', Unknown),
+    'not HTTP': (b'hello\r\n\r\n', Unknown),
+    'length unknown': (b'HTTP/1.1 200 OK\r\n\r\nfiled', Unknown),
+    'error of the service': (WHOLE.replace(b'200 OK', b'500 No'), Done),
+}
+
+
+@pytest.mark.parametrize('answer', ANSWERS.values(), ids=ANSWERS)
+async def test_answers(answer: tuple[bytes, type[Outcome]]) -> None:
+    sent, expected = answer
+    assert isinstance(await _call(sent), expected)
+
+
+async def test_cut_at_every_byte_is_never_done() -> None:
+    prefixes = accumulate(bytes([byte]) for byte in WHOLE[:-1])
+    for prefix in prefixes:
+        outcome = await _call(prefix)
+        assert isinstance(outcome, Unknown), (prefix, outcome)
+
+
+@pytest.mark.parametrize(
+    ('mode', 'expected'),
+    [
+        (Mode.CUT, Unknown),
+        (Mode.FREEZE, Unknown),
+        (Mode.DROP_ANSWERS, Unknown),
+        (Mode.PASS, Done),
+    ],
+)
+async def test_network_faults(mode: Mode, expected: type[Outcome]) -> None:
+    server = await _serve(WHOLE)
+    port = server.sockets[0].getsockname()[1]
+    proxy = await FaultProxy.start(f'127.0.0.1:{port}')
+    proxy.show(mode)
+    assert isinstance(await _send(proxy.address), expected)
+    await proxy.stop()
+    server.close()
+
+
+async def test_closed_port_is_not_run() -> None:
+    assert isinstance(await _send('127.0.0.1:1'), NotRun)
+
+
+async def _call(answer: bytes) -> Outcome:
+    server = await _serve(answer)
+    port = server.sockets[0].getsockname()[1]
+    outcome = await _send(f'127.0.0.1:{port}')
+    server.close()
+    return outcome
+
+
+async def _serve(answer: bytes) -> asyncio.Server:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(65_536)
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    return await asyncio.start_server(serve, '127.0.0.1', 0)
+
+
+async def _send(address: str) -> Outcome:
+    connector = TCPConnector(force_close=True)
+    client = PlainClient(ClientSession(connector=connector), 0.5, 0.5)
+    outcome = await client.send(
+        CALL, address, 'own', refusal_means_not_run=True
+    )
+    await client.close()
+    return outcome
