--- a/mallowspindle/membership/gossip.py
+++ b/mallowspindle/membership/gossip.py
@@ -1,6 +1,7 @@
 """What heartbeats tell of members and of leaving servers."""
 
 import logging
+import random
 import time
 from collections.abc import Hashable
 from typing import Generic, TypeVar
@@ -19,6 +20,7 @@
 NewsT = TypeVar('NewsT')
 
 _TOLD_FOR_S = 4.0
+_MAX_TOLD = 24
 
 
 class RecentNews(Generic[NewsT]):
@@ -40,14 +42,17 @@
         self._items.pop(key, None)
 
     def current(self) -> list[NewsT]:
-        """Return what is to be told now."""
+        """Return what is to be told now, at most ``_MAX_TOLD`` of it."""
         now = time.monotonic()
         self._items = {
             key: (until_s, news)
             for key, (until_s, news) in self._items.items()
             if until_s > now
         }
-        return [news for _, news in self._items.values()]
+        told = random.sample(
+            list(self._items.values()), min(_MAX_TOLD, len(self._items))
+        )
+        return [news for _, news in told]
 
 
 class Gossip:
