Watch a bounded subset of the backend servers

Cause: a node polled the load of every server. Ruled out: slower polls alone (still growing with the fleet). Change: at most 24 servers of each model or service by rendezvous, polled once a second; all servers of today's ventures are watched by all.

--- a/mallowspindle/bench/proxy.py
+++ b/mallowspindle/bench/proxy.py
@@ -29,6 +29,7 @@
         self._mode = Mode.PASS
         self._delay_s = 0.0
         self._cut_answer_after = -1
+        self._passed_bytes = 0
         self._thawed = asyncio.Event()
         self._thawed.set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -54,6 +55,11 @@
         """The URL that clients should use."""
         return f'http://{self.address}'
 
+    @property
+    def passed_bytes(self) -> int:
+        """Bytes passed so far, both ways."""
+        return self._passed_bytes
+
     def show(self, mode: Mode, delay_s: float = 0) -> None:
         """Change the fault; open connections are affected, too."""
         self._mode = mode
@@ -117,6 +123,7 @@
                 writer.write(allowed)
                 await writer.drain()
                 passed += len(allowed)
+                self._passed_bytes += len(allowed)
                 if len(allowed) < len(data):
                     break
         except OSError:
--- a/mallowspindle/bench/routing.py
+++ b/mallowspindle/bench/routing.py
@@ -16,7 +16,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from mallowspindle.bench.caller import chat_body, start_chat
+from mallowspindle.bench.caller import Answer, chat_body, start_chat
 from mallowspindle.bench.venture import Venture, token_of
 from mallowspindle.ledger.report import read_report
 
@@ -71,9 +71,10 @@
     at_s = 0.0
     for number in range(_REQUESTS):
         in_burst = number % _BURST_EVERY < _BURST_SIZE
-        at_s += 0 if in_burst else chance.expovariate(_RATE_PER_S)
+        if not in_burst:
+            at_s += chance.expovariate(_RATE_PER_S)
         name = chance.choices(ORGANISATIONS, _WEIGHTS)[0]
-        long_letter = chance.random() < 0.15
+        long_letter = chance.choices((True, False), (15, 85))[0]
         prompt = f'{prefixes[name]} question {number}'
         jobs.append(Job(at_s, name, prompt, 80 if long_letter else 15))
     return jobs
@@ -132,9 +133,11 @@
     last_s = sent_s
     times: list[float] = []
     body = chat_body(job.prompt, job.max_tokens)
-    async for answer in start_chat(
+    answer = Answer()
+    async for state in start_chat(
         venture.session, url, token_of(job.organisation), body
     ):
+        answer = state
         now = time.monotonic()
         times.append((now - last_s) * 1000)
         last_s = now
--- a/mallowspindle/bench/slopes.py
+++ b/mallowspindle/bench/slopes.py
@@ -25,6 +25,7 @@
     Segment,
 )
 from mallowspindle.bench.caller import bearer, chat_body, chat_to_end
+from mallowspindle.bench.proxy import FaultProxy
 from mallowspindle.bench.usage import Usage, usage_of
 from mallowspindle.bench.venture import Venture, token_of
 from mallowspindle.effects.records import (
@@ -187,6 +188,7 @@
                 if copies == 'acceptance':
                     await _measure_calls(venture)
                     await _measure_rest(venture)
+                    await _measure_polls(venture)
 
 
 async def _start(venture: Venture, copies: str) -> None:
@@ -288,6 +290,26 @@
     show('node at rest: bytes to peers', 2, sent / seconds, 'B/s')
 
 
+async def _measure_polls(venture: Venture) -> None:
+    """Measure load reports: a node at rest, by the servers it polls."""
+    proxy = await FaultProxy.start(venture.process('engine-0').address)
+    seconds = 8
+    for servers in (3, 23, 63):
+        for number in range(servers - 3):
+            await venture.list_vm(
+                f'listed-{number}', 'engine', 'a', proxy.address, serves='none'
+            )
+        await asyncio.sleep(3)
+        begun_bytes = proxy.passed_bytes
+        owner, _ = await _cpu_of(venture, partial(asyncio.sleep, seconds))
+        show('node at rest: processor', servers, owner / seconds * 100, '%')
+        polls = (servers - 3) * 2 * 2 * seconds
+        if polls:
+            passed = (proxy.passed_bytes - begun_bytes) / polls
+            show('load report: bytes both ways', servers, passed, 'B each')
+    await proxy.stop()
+
+
 async def _cpu_of(
     venture: Venture, load: Callable[[], Awaitable[None]]
 ) -> tuple[float, float]:
--- a/mallowspindle/config/daemon.py
+++ b/mallowspindle/config/daemon.py
@@ -75,7 +75,8 @@
     """Choice of backend servers."""
 
     policy: str = 'predicted'
-    load_interval_s: float = Field(0.5, gt=0)
+    load_interval_s: float = Field(1.0, gt=0)
+    watched_servers: int = Field(24, ge=1)
     attempts: int = Field(6, ge=1)
     connect_timeout_s: float = Field(1.0, gt=0)
     token_timeout_s: float = Field(5.0, gt=0)
--- a/mallowspindle/routing/directory.py
+++ b/mallowspindle/routing/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import defaultdict
 from typing import Self
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -14,6 +15,7 @@
 from mallowspindle.platform.errors import PlatformError
 from mallowspindle.platform.service import PlatformService
 from mallowspindle.routing.servers import LoadReport, ServerView
+from mallowspindle.utils.identifiers import rendezvous_order
 from mallowspindle.utils.tasks import TaskGroup, repeat
 
 log = logging.getLogger(__name__)
@@ -113,7 +115,9 @@
         except PlatformError as error:
             log.warning('VM list not read: %s', error)
             return
-        backends = [vm for vm in vms if vm.role != Role.ENTRY]
+        backends = watched_subset(
+            vms, self._config.node.name, self._config.routing.watched_servers
+        )
         self._views = {vm.vm_id: self._view_of(vm) for vm in backends}
         for vm in backends:
             if vm.leaving:
@@ -151,3 +155,20 @@
         if failed == _FAILED_POLLS_UNTIL_SUSPECT:
             log.warning('no load report from %s', view.vm.vm_id)
             view.note_failure()
+
+
+def watched_subset(vms: list[Vm], node: str, most: int) -> list[Vm]:
+    """Return the backend servers that ``node`` watches and uses.
+
+    For each model and service these are at most ``most``, chosen by
+    rendezvous, so that the work of a node does not grow with the fleet.
+    """
+    groups: dict[tuple[Role, str], dict[str, Vm]] = defaultdict(dict)
+    for vm in vms:
+        if vm.role != Role.ENTRY:
+            groups[vm.role, vm.serves][vm.vm_id] = vm
+    return [
+        group[vm_id]
+        for group in groups.values()
+        for vm_id in rendezvous_order(node, group)[:most]
+    ]
--- /dev/null
+++ b/mallowspindle/tests/routing/test_policies.py
@@ -0,0 +1,68 @@
+"""What each policy does with load, prefixes and ejected servers."""
+
+import time
+from typing import Any
+
+import pytest
+
+from mallowspindle.platform.cloud import Role, Vm
+from mallowspindle.routing.policies import Choice, policies
+from mallowspindle.routing.prefixes import PrefixMemory, Prompt
+from mallowspindle.routing.servers import Dispatch, LoadReport, ServerView
+
+SHARED: list[dict[str, Any]] = [{'role': 'user', 'content': 'word ' * 2000}]
+
+
+def _view(name: str, **report: int) -> ServerView:
+    vm = Vm(vm_id=name, role=Role.ENGINE, zone='a', address='h:1')
+    view = ServerView(vm)
+    view.take_report(LoadReport.model_validate(report))
+    return view
+
+
+def _choice(memory: PrefixMemory) -> Choice:
+    return Choice(Prompt(SHARED), 100, memory)
+
+
+@pytest.mark.parametrize('name', sorted(policies))
+def test_every_policy_chooses_one(name: str) -> None:
+    servers = [_view(f'vm-{number}') for number in range(30)]
+    chosen = policies[name](servers, _choice(PrefixMemory()))
+    assert chosen in servers
+
+
+def test_predicted_prefers_a_cached_prefix() -> None:
+    memory = PrefixMemory()
+    memory.remember('warm', Prompt(SHARED))
+    chosen = policies['predicted'](
+        [_view('cold'), _view('warm')], _choice(memory)
+    )
+    assert chosen.vm.vm_id == 'warm'
+
+
+def test_predicted_leaves_a_full_server_in_spite_of_its_cache() -> None:
+    memory = PrefixMemory()
+    memory.remember('warm', Prompt(SHARED))
+    full = _view('warm', running=16, queued=200)
+    chosen = policies['predicted']([_view('cold'), full], _choice(memory))
+    assert chosen.vm.vm_id == 'cold'
+
+
+@pytest.mark.parametrize('name', ['least_loaded', 'predicted'])
+def test_own_dispatches_count_before_the_next_report(name: str) -> None:
+    busy, idle = _view('busy'), _view('idle')
+    for number in range(20):
+        busy.dispatches[str(number)] = Dispatch(time.monotonic() + 1, 3000)
+    chosen = policies[name]([busy, idle], _choice(PrefixMemory()))
+    assert chosen is idle
+
+
+def test_failures_eject_for_longer_each_time() -> None:
+    view = _view('vm')
+    view.note_failure()
+    first_s = view.suspect_until_s - time.monotonic()
+    view.note_failure()
+    assert view.suspect_until_s - time.monotonic() > first_s
+    assert not view.usable
+    view.note_success()
+    assert view.usable
