Drop copies that another holder has replaced, and never act on an old one

Cause: a holder that was leaving passed its copies on, and a live owner also placed new ones; the copies left behind had no ending. Ruled out: lost owners (all stopped by SIGTERM with exit 0), results without an owner (take-overs of ended requests run nothing and are no longer counted). Change: an owner tells a former holder that lives to drop its copy; a leaving holder passes on only what its owner can't place again; before a take-over a holder asks its peers for newer news. Progress for a request that this node once owned is no longer answered as taken over.

--- a/mallowspindle/recovery/messages.py
+++ b/mallowspindle/recovery/messages.py
@@ -22,6 +22,15 @@
     progress: Progress
 
 
+@peer_codec.register('drop-copy')
+@dataclass(frozen=True, slots=True)
+class DropCopy:
+    """Tells a peer that another peer holds the copy from now on."""
+
+    request_id: str
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class ProgressItem:
     """New tokens of one request, from index ``first`` of the answer on.
@@ -82,6 +91,7 @@
     """What a node knows of a request; ``owner`` is empty if nothing."""
 
     owner: str = ''
+    told_by: str = ''
     epoch: int = -1
     organisation: str = ''
     model: str = ''
--- a/mallowspindle/recovery/replication.py
+++ b/mallowspindle/recovery/replication.py
@@ -7,6 +7,7 @@
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.peers.codec import OkReply
 from mallowspindle.recovery.messages import (
+    DropCopy,
     HandOver,
     ProgressBatch,
     ProgressReply,
@@ -49,6 +50,7 @@
             if not name:
                 break
             if await self._store_at(owned, name):
+                await self._drop_at(owned, lost)
                 return True
             avoid.append(name)
         log.warning('no copy of request %s', owned.request.request_id)
@@ -105,6 +107,13 @@
         owned.holder = name
         return True
 
+    async def _drop_at(self, owned: OwnedRequest, lost: str) -> None:
+        """Keep a former holder that lives from acting on an old copy."""
+        live = {info.name for info in self._membership.table.live()}
+        if lost in live:
+            message = DropCopy(owned.request.request_id, owned.epoch)
+            await self._membership.ask(lost, message, self._timeout_s)
+
     async def _hand_to(self, owned: OwnedRequest, name: str) -> bool:
         message = HandOver(owned.request, owned.epoch + 1, owned.progress)
         reply = await self._membership.ask(name, message, self._timeout_s)
--- a/mallowspindle/recovery/service.py
+++ b/mallowspindle/recovery/service.py
@@ -18,6 +18,7 @@
 from mallowspindle.peers.codec import ErrorReply, OkReply
 from mallowspindle.recovery.copies import Copy, CopyStore
 from mallowspindle.recovery.messages import (
+    DropCopy,
     FindRequest,
     FoundRequest,
     HandOver,
@@ -82,6 +83,7 @@
         """Accept copies and watch their owners."""
         server = self._membership.server
         server.handle(StoreCopy, self._on_store)
+        server.handle(DropCopy, self._on_drop)
         server.handle(ProgressBatch, self._on_progress)
         server.handle(HandOver, self._on_hand_over)
         server.handle(FindRequest, self._on_find)
@@ -89,8 +91,10 @@
 
     async def drain(self, timeout_s: float) -> None:
         """Give the copies that nobody else may have to other peers."""
+        live = {info.name for info in self._membership.table.live()}
         for copy in self._copies.all():
-            await self._pass_on(copy)
+            if copy.owner not in live or copy.progress.ending is not None:
+                await self._pass_on(copy)
 
     async def stop(self) -> None:
         """Stop watching and sending."""
@@ -138,10 +142,20 @@
     async def _on_progress(self, batch: ProgressBatch) -> ProgressReply:
         unfit = self._copies.apply(batch)
         return ProgressReply(
-            taken_over=[name for name in unfit if name in self._owned],
-            missing=[name for name in unfit if name not in self._owned],
+            taken_over=[name for name in unfit if self._owns(name)],
+            missing=[name for name in unfit if not self._owns(name)],
         )
 
+    async def _on_drop(self, message: DropCopy) -> OkReply:
+        copy = self._copies.get(message.request_id)
+        if copy is not None and copy.epoch <= message.epoch:
+            self._copies.pop(message.request_id)
+        return OkReply()
+
+    def _owns(self, request_id: str) -> bool:
+        owned = self._owned.get(request_id)
+        return owned is not None and not owned.moved_to
+
     async def _on_hand_over(self, message: HandOver) -> object:
         known = self._owned.get(message.request.request_id)
         if known is not None and known.epoch >= message.epoch:
@@ -159,14 +173,34 @@
         owned = self._owned.get(request_id)
         if owned is not None and not owned.moved_to:
             name = self._membership.own.name
-            return _describe(owned.request, name, owned.epoch, owned.progress)
+            return self._describe(
+                owned.request, name, owned.epoch, owned.progress
+            )
         copy = self._copies.get(request_id)
         if copy is not None:
-            return _describe(
+            return self._describe(
                 copy.request, copy.owner, copy.epoch, copy.progress
             )
         return FoundRequest()
 
+    def _describe(
+        self,
+        request: GenerationRequest,
+        owner: str,
+        epoch: int,
+        progress: Progress,
+    ) -> FoundRequest:
+        return FoundRequest(
+            owner=owner,
+            told_by=self._membership.own.name,
+            epoch=epoch,
+            organisation=request.organisation,
+            model=request.model,
+            kind=request.kind,
+            tokens=progress.tokens,
+            ending=progress.ending,
+        )
+
     def _own(
         self, request: GenerationRequest, epoch: int, progress: Progress
     ) -> None:
@@ -183,7 +217,7 @@
             if copy.owner in live:
                 self._lost_since_s.pop(copy.owner, None)
             elif self._lost_long(copy.owner):
-                self._take_over_copy(copy)
+                await self._take_over_copy(copy)
         await self._renew_copies(live)
         self._expire()
 
@@ -192,13 +226,23 @@
         since_s = self._lost_since_s.setdefault(owner, now)
         return now - since_s >= self._config.recovery.takeover_after_s
 
-    def _take_over_copy(self, copy: Copy) -> None:
+    async def _take_over_copy(self, copy: Copy) -> None:
         request_id = copy.request.request_id
+        if await self._is_better_elsewhere(copy):
+            self._copies.pop(request_id)
+            return
         log.info('taking over request %s from %s', request_id, copy.owner)
-        takeovers.add(1)
+        if copy.progress.ending is None:
+            takeovers.add(1)
         self._copies.pop(request_id)
         self._own(copy.request, copy.epoch + 1, copy.progress)
 
+    async def _is_better_elsewhere(self, copy: Copy) -> bool:
+        """Tell whether a peer owns the request, or holds a newer copy."""
+        best = await self.find(copy.request.request_id)
+        own = self._find_locally(copy.request.request_id)
+        return _news_order(best) > _news_order(own)
+
     async def _renew_copies(self, live: dict[str, bool]) -> None:
         """Place a new copy where the holder is lost or leaving."""
         unheld = [
@@ -241,19 +285,7 @@
     return live.get(owned.holder, True)
 
 
-def _news_order(known: FoundRequest) -> tuple[int, bool, int]:
-    return known.epoch, known.ending is not None, len(known.tokens)
-
-
-def _describe(
-    request: GenerationRequest, owner: str, epoch: int, progress: Progress
-) -> FoundRequest:
-    return FoundRequest(
-        owner=owner,
-        epoch=epoch,
-        organisation=request.organisation,
-        model=request.model,
-        kind=request.kind,
-        tokens=progress.tokens,
-        ending=progress.ending,
-    )
+def _news_order(known: FoundRequest) -> tuple[int, bool, int, str]:
+    """Order what nodes know of a request; the holder's name breaks ties."""
+    ended = known.ending is not None
+    return known.epoch, ended, len(known.tokens), known.told_by
--- a/mallowspindle/tests/integration/test_shutdown.py
+++ b/mallowspindle/tests/integration/test_shutdown.py
@@ -28,10 +28,27 @@
     await asyncio.gather(*workers)
     assert load.answers > 10
     assert load.filed
+    assert await _takeovers(small_venture, load.nodes) == 0
     runs = await small_venture.runs('claims-1')
     assert sorted(run['key'] for run in runs) == sorted(load.filed)
 
 
+async def _takeovers(venture: Venture, nodes: list[str]) -> float:
+    """Handed-over requests are none of them taken over after a loss."""
+    await asyncio.sleep(3)
+    total = 0.0
+    for name in nodes:
+        url = f'{venture.process(name).url}/metrics'
+        async with venture.session.get(url) as response:
+            lines = (await response.text()).splitlines()
+        total += sum(
+            float(line.split()[-1])
+            for line in lines
+            if line.startswith('request_takeovers_total')
+        )
+    return total
+
+
 class _Load:
     """Callers that obey refusals and go on where they are told."""
 
