Verify the memory of cached prefixes with what engines report

Change: the memory of a server shrinks when the engine's cached share is less than expected, and grows slowly else; own dispatches count with their uncached tokens only.

--- a/mallowspindle/attempts/runner.py
+++ b/mallowspindle/attempts/runner.py
@@ -179,6 +179,7 @@
         attempts_started.add(1)
         try:
             ending = await self._follow(attempt, None)
+            self._verify_cache(view)
         except AttemptError:
             view.note_failure()
             raise
@@ -187,6 +188,15 @@
         view.note_success()
         return ending
 
+    def _verify_cache(self, view: ServerView) -> None:
+        attempt = self._attempt
+        if attempt is not None and attempt.prompt_tokens:
+            self._router.verify(
+                view,
+                attempt.attempt_id,
+                attempt.cached_tokens / attempt.prompt_tokens,
+            )
+
     def _new_attempt(self, view: ServerView) -> AttemptRef:
         path = self._request.organisation_path
         recompute = self._attempt is not None
--- a/mallowspindle/routing/prefixes.py
+++ b/mallowspindle/routing/prefixes.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import OrderedDict
+from itertools import takewhile
 from typing import Any
 
 from xxhash import xxh3_64_intdigest
@@ -9,7 +10,11 @@
 _BLOCK_CHARS = 256
 _MAX_BLOCKS_PER_PROMPT = 512
 _CHARS_PER_TOKEN = 4
-_REMEMBERED_BLOCKS = 50_000
+_REMEMBERED_BLOCKS = 20_000
+_LEAST_BLOCKS = 64
+_GROWTH_BLOCKS = 4
+_SHRINK = 0.7
+_TOLERATED_SHARE = 0.25
 
 
 class Prompt:
@@ -32,33 +37,74 @@
 
 
 class PrefixMemory:
-    """Blocks that this node has sent to each server, by last use."""
+    """Blocks that each server probably caches.
+
+    A server caches more requests than this node sends, in limited memory.
+    So the memory of a server shrinks whenever its engine reports less cached
+    than was expected, and grows again slowly.
+    """
 
     def __init__(self) -> None:
-        self._blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._servers: dict[str, _ServerMemory] = {}
 
     def remember(self, vm_id: str, prompt: Prompt) -> None:
         """Note that the server computes this prompt."""
-        for block in prompt.blocks:
-            self._blocks[vm_id, block] = None
-            self._blocks.move_to_end((vm_id, block))
-        while len(self._blocks) > _REMEMBERED_BLOCKS:
-            self._blocks.popitem(last=False)
-
-    def forget(self, vm_id: str, prompt: Prompt) -> None:
-        """Note that the server turned out not to cache this prompt."""
-        for block in prompt.blocks:
-            self._blocks.pop((vm_id, block), None)
+        self._of(vm_id).remember(prompt.blocks)
 
     def cached_tokens(self, vm_id: str, prompt: Prompt) -> int:
         """Return the tokens of the prompt that the server should cache."""
-        matched = 0
-        for block in prompt.blocks:
-            if (vm_id, block) not in self._blocks:
-                break
-            matched += 1
+        matched = self._of(vm_id).matched(prompt.blocks)
         return min(prompt.tokens, matched * _BLOCK_CHARS // _CHARS_PER_TOKEN)
 
+    def verify(
+        self, vm_id: str, expected_share: float, reported_share: float
+    ) -> None:
+        """Compare the expected share of cached tokens with the reported."""
+        memory = self._of(vm_id)
+        if reported_share < expected_share - _TOLERATED_SHARE:
+            memory.shrink()
+        elif expected_share:
+            memory.grow()
+
+    def _of(self, vm_id: str) -> '_ServerMemory':
+        return self._servers.setdefault(vm_id, _ServerMemory())
+
+
+class _ServerMemory:
+    """Blocks of one server, least recently used out first."""
+
+    def __init__(self) -> None:
+        self._capacity = _REMEMBERED_BLOCKS
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def remember(self, blocks: list[int]) -> None:
+        """Note that the server computes these blocks."""
+        for block in blocks:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        self._evict()
+
+    def matched(self, blocks: list[int]) -> int:
+        """Return how many leading blocks are remembered."""
+        leading = takewhile(self._blocks.__contains__, blocks)
+        return sum(1 for _ in leading)
+
+    def shrink(self) -> None:
+        """Remember less: the server has evicted more than was thought."""
+        kept = int(len(self._blocks) * _SHRINK)
+        self._capacity = max(_LEAST_BLOCKS, kept)
+        self._evict()
+
+    def grow(self) -> None:
+        """Remember a little more."""
+        self._capacity = min(
+            _REMEMBERED_BLOCKS, self._capacity + _GROWTH_BLOCKS
+        )
+
+    def _evict(self) -> None:
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+
 
 def _chain(text: str) -> list[int]:
     blocks: list[int] = []
--- a/mallowspindle/routing/router.py
+++ b/mallowspindle/routing/router.py
@@ -66,15 +66,23 @@
 
     def sent(self, view: ServerView, attempt_id: str, prompt: Prompt) -> None:
         """Note that an attempt was sent."""
-        view.dispatches[attempt_id] = Dispatch(time.monotonic(), prompt.tokens)
-        self._memory.remember(view.vm.vm_id, prompt)
+        vm_id = view.vm.vm_id
+        cached = self._memory.cached_tokens(vm_id, prompt)
+        view.dispatches[attempt_id] = Dispatch(
+            time.monotonic(), prompt.tokens - cached, cached / prompt.tokens
+        )
+        self._memory.remember(vm_id, prompt)
 
     def ended(self, view: ServerView, attempt_id: str) -> None:
         """Note that an attempt has ended."""
         view.dispatches.pop(attempt_id, None)
 
-    def cached(self, view: ServerView, prompt: Prompt, tokens: int) -> None:
-        """Verify the memory with the cached tokens that an engine reports."""
-        if not tokens:
-            self._memory.forget(view.vm.vm_id, prompt)
-        self._memory.remember(view.vm.vm_id, prompt)
+    def verify(
+        self, view: ServerView, attempt_id: str, reported_share: float
+    ) -> None:
+        """Compare the cached share that an engine reports with the memory's."""
+        dispatch = view.dispatches.get(attempt_id)
+        if dispatch is not None:
+            self._memory.verify(
+                view.vm.vm_id, dispatch.cached_share, reported_share
+            )
--- a/mallowspindle/routing/servers.py
+++ b/mallowspindle/routing/servers.py
@@ -25,10 +25,14 @@
 
 @dataclass(slots=True)
 class Dispatch:
-    """One attempt that this node has sent to a server."""
+    """One attempt that this node has sent to a server.
+
+    ``cached_share`` is the share of the prompt that should be cached there.
+    """
 
     sent_at_s: float
     prompt_tokens: int
+    cached_share: float = 0
 
 
 @dataclass(slots=True)
