--- /dev/null
+++ b/mallowspindle/bench/table.py
@@ -0,0 +1,14 @@
+"""Prints measured values as a table."""
+
+import sys
+
+
+def show_head() -> None:
+    """Print the names of the columns."""
+    sys.stdout.write(f'{"what":<44}{"size":>10}{"value":>14} unit\n')
+
+
+def show(name: str, size: object, value: float, unit: str) -> None:
+    """Print one measured slope."""
+    sys.stdout.write(f'{name:<44}{size!s:>10}{value:>14.2f} {unit}\n')
+    sys.stdout.flush()
--- a/mallowspindle/bench/venture.py
+++ b/mallowspindle/bench/venture.py
@@ -81,10 +81,6 @@
         """Return a process by name."""
         return self._processes[name]
 
-    def log_text(self, name: str) -> str:
-        """Return what a process has logged."""
-        return (self._folder / f'{name}.log').read_text()
-
     async def start_platform(
         self, *, vm_list_lag_s: float = 0.2, **log_options: float
     ) -> None:
--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -22,7 +22,7 @@
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.platform.cloud import CloudClient
 from mallowspindle.platform.errors import PlatformError
-from mallowspindle.services import DAEMON_SERVICES
+from mallowspindle.services import load_services
 from mallowspindle.utils.logs import configure_logging
 from mallowspindle.utils.telemetry import configure_telemetry
 
@@ -73,6 +73,7 @@
         config.telemetry.traces_file,
         config.telemetry.otlp_endpoint,
     )
+    load_services()
     kernel = Kernel(config)
     try:
         await kernel.start()
@@ -96,8 +97,6 @@
     }
     sys.stdout.write(f'{json.dumps(ports)}\n')
     sys.stdout.flush()
-    log.debug('%s services run', len(DAEMON_SERVICES))
-    log.debug('%s services run', len(DAEMON_SERVICES))
     log.info('serving callers on port %s', entry.port)
 
 
--- a/mallowspindle/peers/handshake.py
+++ b/mallowspindle/peers/handshake.py
@@ -11,6 +11,7 @@
 PROTOCOL_VERSION = 1
 _NONCE_BYTES = 16
 _MAX_FRAME_BYTES = 512
+_LEAST_FIELDS = 3
 
 log = logging.getLogger(__name__)
 
@@ -48,7 +49,7 @@
 
 async def _read(stream: FrameStream) -> list[object]:
     frame = await stream.read(_MAX_FRAME_BYTES)
-    if not isinstance(frame, list) or len(frame) < 3:  # noqa: WPS432
+    if not isinstance(frame, list) or len(frame) < _LEAST_FIELDS:
         raise HandshakeFailed('the greeting is not one of this protocol')
     if frame[0] != PROTOCOL_VERSION:
         log.error(
--- a/mallowspindle/platform/log.py
+++ b/mallowspindle/platform/log.py
@@ -1,6 +1,5 @@
 """Client of the platform's append-only log."""
 
-import asyncio
 from dataclasses import dataclass
 from typing import Any, Self
 
@@ -127,16 +126,3 @@
             raise RecordsExpired(stream, int(page['first']))
         records = [LogRecord(*fields) for fields in page['records']]
         return LogPage(page['first'], page['next'], records)
-
-
-async def wait_reachable(log_client: LogClient, stream: str) -> None:
-    """Return when the log answers a read; poll until then."""
-    while True:
-        try:
-            await log_client.read(stream, 0)
-        except RecordsExpired:
-            return
-        except PlatformError:
-            await asyncio.sleep(0.1)
-        else:
-            return
--- a/mallowspindle/services.py
+++ b/mallowspindle/services.py
@@ -1,25 +1,22 @@
-"""Imports the modules whose services make up the daemon."""
+"""Loads the modules whose services make up the daemon."""
 
-from mallowspindle.attempts.service import AttemptsService
-from mallowspindle.effects.service import EffectsService
-from mallowspindle.entry.service import EntryService
-from mallowspindle.ledger.service import LedgerService
-from mallowspindle.membership.service import MembershipService
-from mallowspindle.platform.service import PlatformService
-from mallowspindle.recovery.service import RecoveryService
-from mallowspindle.routing.directory import DirectoryService
-from mallowspindle.routing.router import RouterService
-from mallowspindle.settings.service import SettingsService
+from importlib import import_module
 
-DAEMON_SERVICES = (
-    PlatformService,
-    MembershipService,
-    SettingsService,
-    DirectoryService,
-    RouterService,
-    LedgerService,
-    RecoveryService,
-    AttemptsService,
-    EffectsService,
-    EntryService,
+_MODULES = (
+    'mallowspindle.platform.service',
+    'mallowspindle.membership.service',
+    'mallowspindle.settings.service',
+    'mallowspindle.routing.directory',
+    'mallowspindle.routing.router',
+    'mallowspindle.ledger.service',
+    'mallowspindle.recovery.service',
+    'mallowspindle.attempts.service',
+    'mallowspindle.effects.service',
+    'mallowspindle.entry.service',
 )
+
+
+def load_services() -> None:
+    """Import the modules; their decorators fill the registry of services."""
+    for module in _MODULES:
+        import_module(module)
