--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format bench slopes mesh
+.PHONY: setup demo test lint format bench slopes mesh reclaims
 
 $(BIN)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -35,3 +35,6 @@
 
 mesh: setup
 	$(BIN)/python -m mallowspindle.bench.mesh 8 32
+
+reclaims: setup
+	$(BIN)/python -m mallowspindle.bench.reclaims
--- a/mallowspindle/commands/settings.py
+++ b/mallowspindle/commands/settings.py
@@ -83,19 +83,21 @@
 
 async def history(operator: OperatorSection, path: str, output: Output) -> None:
     """Print all kept changes of a path with their verdicts."""
-    tree = SettingsTree()
-    rows: list[dict[str, Any]] = []
     async with open_log(operator) as log_client:
         try:
+            tree = await read_settings(log_client)
             first = await first_offset(log_client, SETTINGS_STREAM)
             page = await log_client.read_to_end(SETTINGS_STREAM, first)
         except PlatformError as error:
             raise CommandError(ExitCode.UNREACHABLE, str(error)) from error
-    for record in page.records:
-        decoded = decode_record(record)
-        tree.fold(record.offset, decoded)
-        if isinstance(decoded, Change) and path in {'', decoded.path}:
-            rows.append(_history_row(record.offset, decoded, tree))
+    decoded = (
+        (record.offset, decode_record(record)) for record in page.records
+    )
+    rows = [
+        _history_row(offset, made, tree)
+        for offset, made in decoded
+        if isinstance(made, Change) and path in {'', made.path}
+    ]
     columns = ('offset', 'path', 'author', 'at', 'base', 'accepted', 'reason')
     print_rows(rows, columns, output)
 
@@ -109,15 +111,17 @@
 def _history_row(
     offset: int, made: Change, tree: SettingsTree
 ) -> dict[str, Any]:
+    """Return a row; the verdict is known if no snapshot stands for it."""
     verdict = tree.verdict(made.change_id)
+    known = verdict is not None and verdict.version == offset
     return {
         'offset': offset,
         'path': made.path,
         'author': made.author,
         'at': _when(made.at_s),
         'base': made.base,
-        'accepted': verdict is not None and verdict.accepted,
-        'reason': verdict.reason if verdict else '',
+        'accepted': verdict.accepted if verdict and known else 'not known',
+        'reason': verdict.reason if verdict and known else '',
     }
 
 
--- a/mallowspindle/entry/generation.py
+++ b/mallowspindle/entry/generation.py
@@ -75,7 +75,10 @@
             body, organisation, Kind.BUNDLE, body.deadline_s
         )
         self._admit(organisation, asked)
-        with hop_span('bundle', SpanKind.SERVER, request.headers):
+        with (
+            self._context.limits.admitted(organisation.name),
+            hop_span('bundle', SpanKind.SERVER, request.headers),
+        ):
             owned = await self._context.attempts.accept(asked)
         location = f'/v1/requests/{owned.request.request_id}'
         return json_response(
--- a/mallowspindle/entry/limits.py
+++ b/mallowspindle/entry/limits.py
@@ -14,13 +14,18 @@
 
 
 class OrganisationLimits:
-    """Counts what this node admits and adds what the peers report."""
+    """Counts what this node admits and adds what the peers report.
+
+    Peers report with each heartbeat, so a limit may be passed by what all
+    nodes admit within one heartbeat interval.
+    """
 
     def __init__(self, node: str, usage: UsageTable) -> None:
         self._node = node
         self._usage = usage
         self._in_progress: Counter[str] = Counter()
         self._admitted: dict[str, deque[float]] = {}
+        usage.report_from(self._reports)
 
     def refusal(
         self, organisation: Organisation, live: set[str]
@@ -38,9 +43,9 @@
             return NotRun('the limit of requests per second is met', _WINDOW_S)
         running = self._in_progress[organisation.name]
         running += sum(report.in_progress for report in peers)
-        if limits.requests_in_progress <= running and running:
-            if limits.requests_in_progress:
-                return NotRun('the limit of requests in progress is met', 1)
+        most = limits.requests_in_progress
+        if most and running >= most:
+            return NotRun('the limit of requests in progress is met', _WINDOW_S)
         return None
 
     @contextmanager
@@ -50,12 +55,10 @@
             time.monotonic()
         )
         self._in_progress[organisation] += 1
-        self._report()
         try:
             yield
         finally:
             self._in_progress[organisation] -= 1
-            self._report()
 
     def _rate(self, organisation: str) -> float:
         times = self._admitted.get(organisation, deque())
@@ -64,10 +67,13 @@
             times.popleft()
         return len(times) / _WINDOW_S
 
-    def _report(self) -> None:
-        self._usage.report_own(
-            [
-                UsageReport(self._node, name, self._rate(name), count)
-                for name, count in self._in_progress.items()
-            ]
+    def _reports(self) -> list[UsageReport]:
+        reports = (
+            UsageReport(self._node, name, self._rate(name), running)
+            for name, running in self._in_progress.items()
         )
+        return [
+            report
+            for report in reports
+            if report.rate_per_s or report.in_progress
+        ]
--- a/mallowspindle/membership/usage.py
+++ b/mallowspindle/membership/usage.py
@@ -1,6 +1,6 @@
 """Usage of the organisations as the entry VMs report it."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from mallowspindle.membership.messages import UsageReport
 
@@ -9,17 +9,17 @@
     """The latest report for each node and organisation."""
 
     def __init__(self) -> None:
-        self._own: list[UsageReport] = []
+        self._own: Callable[[], list[UsageReport]] = list
         self._peers: dict[str, list[UsageReport]] = {}
 
     @property
     def own(self) -> list[UsageReport]:
         """What this node reports."""
-        return self._own
+        return self._own()
 
-    def report_own(self, reports: list[UsageReport]) -> None:
-        """Replace what this node reports."""
-        self._own = reports
+    def report_from(self, source: Callable[[], list[UsageReport]]) -> None:
+        """Take what this node reports from ``source``, at each heartbeat."""
+        self._own = source
 
     def learn(self, node: str, reports: list[UsageReport]) -> None:
         """Replace what a peer reports."""
--- a/mallowspindle/settings/tree.py
+++ b/mallowspindle/settings/tree.py
@@ -81,9 +81,7 @@
         for change_id in snapshot.recent_change_ids:
             self._verdicts.setdefault(
                 change_id,
-                Verdict(
-                    change_id, accepted=False, version=0, reason='repeated'
-                ),
+                Verdict(change_id, False, NEVER_SET, 'repeated'),
             )
         return True
 
