--- a/mallowspindle/attempts/service.py
+++ b/mallowspindle/attempts/service.py
@@ -70,6 +70,9 @@
 
     async def drain(self, timeout_s: float) -> None:
         """Let chats finish; hand over bundles, and chats that take long."""
+        if self._config.recovery.copies == 'none':
+            await self._wait_for_chats(timeout_s)
+            return
         bundles = self._owned_of_kind(Kind.BUNDLE)
         await self._hand_over_all(bundles)
         await self._wait_for_chats(hand_over_time_s(timeout_s))
--- a/mallowspindle/effects/stream.py
+++ b/mallowspindle/effects/stream.py
@@ -19,7 +19,7 @@
 
 log = logging.getLogger(__name__)
 
-_LONG_POLL_S = 1.0
+_LONG_POLL_S = 5.0
 _RETRY_PAUSE_S = 0.1
 
 
--- /dev/null
+++ b/mallowspindle/tests/peers/test_link.py
@@ -0,0 +1,129 @@
+"""Contract of the streams between peers: proofs, limits and faults."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from mallowspindle.bench.proxy import FaultProxy, Mode
+from mallowspindle.peers.codec import ErrorReply, OkReply
+from mallowspindle.peers.errors import (
+    PeerError,
+    PeerRefused,
+    PeerTimeout,
+    PeerUnreachable,
+)
+from mallowspindle.peers.frames import FrameStream
+from mallowspindle.peers.handshake import PROTOCOL_VERSION, Credentials
+from mallowspindle.peers.link import PeerLink
+from mallowspindle.peers.server import PeerServer
+
+KEY = b'the-shared-key'
+LIMIT_BYTES = 10_000
+TIMEOUT_S = 0.4
+
+
+@pytest_asyncio.fixture
+async def address() -> AsyncIterator[str]:
+    server = PeerServer(Credentials('server', KEY), LIMIT_BYTES)
+
+    async def answer(message: OkReply) -> OkReply:
+        return message
+
+    server.handle(OkReply, answer)
+    port = await server.start('127.0.0.1', 0)
+    yield f'127.0.0.1:{port}'
+    await server.stop()
+
+
+def _link(address: str, key: bytes = KEY) -> PeerLink:
+    return PeerLink(address, Credentials('client', key), LIMIT_BYTES)
+
+
+async def test_call_is_answered(address: str) -> None:
+    link = _link(address)
+    assert await link.call(OkReply(), TIMEOUT_S) == OkReply()
+    assert link.sent_bytes > 0
+    await link.close()
+
+
+async def test_unhandled_message_is_refused(address: str) -> None:
+    link = _link(address)
+    with pytest.raises(PeerRefused):
+        await link.call(ErrorReply('x'), TIMEOUT_S)
+    await link.close()
+
+
+async def test_other_key_gets_nothing(address: str) -> None:
+    link = _link(address, b'another-key')
+    with pytest.raises(PeerUnreachable):
+        await link.call(OkReply(), TIMEOUT_S)
+
+
+async def test_other_protocol_version_is_logged(
+    address: str,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    reader, writer = await _open(address)
+    stream = FrameStream(reader, writer, LIMIT_BYTES)
+    await stream.read()
+    version = PROTOCOL_VERSION + 1
+    await stream.write([version, 'client', b'nonce', b'proof'])
+    with pytest.raises(PeerError):
+        await stream.read()
+    assert f'protocol version {version}' in caplog.text
+    stream.close()
+
+
+async def test_too_long_frame_ends_the_connection(address: str) -> None:
+    reader, writer = await _open(address)
+    stream = FrameStream(reader, writer, LIMIT_BYTES)
+    await stream.read()
+    writer.write((LIMIT_BYTES + 1).to_bytes(4))
+    with pytest.raises(PeerError):
+        await stream.read()
+    with pytest.raises(PeerError):
+        await stream.write(b'x' * (LIMIT_BYTES + 1))
+    stream.close()
+
+
+@pytest.mark.parametrize(
+    ('mode', 'error'),
+    [
+        (Mode.CUT, PeerError),
+        (Mode.FREEZE, PeerTimeout),
+        (Mode.DROP_ANSWERS, PeerError),
+    ],
+)
+async def test_faults_of_the_network(
+    address: str, mode: Mode, error: type[Exception]
+) -> None:
+    proxy = await FaultProxy.start(address)
+    link = _link(proxy.address)
+    await link.call(OkReply(), TIMEOUT_S)
+    proxy.show(mode)
+    with pytest.raises(error):
+        await link.call(OkReply(), TIMEOUT_S)
+    proxy.show(Mode.PASS)
+    await _call_until_answered(link)
+    await link.close()
+    await proxy.stop()
+
+
+async def _call_until_answered(link: PeerLink) -> None:
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                await link.call(OkReply(), TIMEOUT_S)
+            except PeerError:
+                await asyncio.sleep(0.05)
+            else:
+                return
+
+
+async def _open(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, port = address.split(':')
+    return await asyncio.open_connection(host, int(port))
