Give the relayed answer its headers back

Cause: a relayed answer had no X-Request-Id. The HTTP library writes the header's name as X-Request-ID when it parses it, and the relay compared names letter by letter since its list of headers had been rewritten as a comprehension. Ruled out: the hand-over (the new owner had all tokens), the engine's stream (no token was computed again). Change: headers are looked up by name, whatever its case; the caller keeps the id it has.

--- a/mallowspindle/bench/caller.py
+++ b/mallowspindle/bench/caller.py
@@ -77,8 +77,9 @@
         yield answer
         return
     answer.error = ''
-    answer.request_id = response.headers.get('X-Request-Id', '')
-    if not answer.request_id:
+    request_id = response.headers.get('X-Request-Id', '')
+    answer.request_id = answer.request_id or request_id
+    if not request_id:
         answer.error = 'the headers were cut'
         yield answer
         return
--- a/mallowspindle/entry/relay.py
+++ b/mallowspindle/entry/relay.py
@@ -63,9 +63,9 @@
             response = StreamResponse(status=upstream.status)
             response.headers.update(
                 {
-                    name: text
-                    for name, text in upstream.headers.items()
-                    if name in _PASSED_BACK
+                    name: upstream.headers[name]
+                    for name in _PASSED_BACK
+                    if name in upstream.headers
                 }
             )
             await response.prepare(request)
--- a/mallowspindle/tests/integration/test_answers.py
+++ b/mallowspindle/tests/integration/test_answers.py
@@ -111,6 +111,26 @@
                 assert response.status == 404
 
 
+async def test_relayed_answer_is_like_its_owners(
+    small_venture: Venture,
+) -> None:
+    url = small_venture.process('entry-1').url
+    answer = await chat_to_end(
+        small_venture.session, [url], TOKEN, chat_body('letter', TOKENS)
+    )
+    bodies = set()
+    for name in ('entry-1', 'entry-2', 'entry-3'):
+        other = small_venture.process(name).url
+        async with small_venture.session.get(
+            f'{other}/v1/requests/{answer.request_id}/events',
+            headers=bearer(TOKEN),
+        ) as response:
+            assert response.headers['X-Request-Id'] == answer.request_id
+            assert response.content_type == 'text/event-stream'
+            bodies.add(await response.read())
+    assert len(bodies) == 1
+
+
 async def test_concurrent_answers_do_not_cross(small_venture: Venture) -> None:
     url = small_venture.process('entry-2').url
     answers = await asyncio.gather(
