Wait for conditions in the tests of costs, engines and restarts

Cause: test_owner_lost_in_mid_outage slept 0.5 s before it changed the split; on a busy machine the stream had not begun, and all its tokens came under one version (1 of 104 tests failed in a run beside other load). Ruled out: a lost segment (the entries were right for what had happened). Change: the tests wait until tokens have come, until the change is in force at the node, until an engine is busy, until the call is running. What they assert is unchanged.

--- a/mallowspindle/bench/caller.py
+++ b/mallowspindle/bench/caller.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientError, ClientResponse, ClientSession
 
 _MAX_TRIES = 40
+_RETRY_S = 0.2
 
 
 @dataclass(slots=True)
@@ -47,10 +48,14 @@
 
 
 async def start_chat(
-    session: ClientSession, url: str, token: str, body: dict[str, Any]
+    session: ClientSession,
+    url: str,
+    token: str,
+    body: dict[str, Any],
+    answer: Answer | None = None,
 ) -> AsyncIterator[Answer]:
     """Send a streamed chat; yield the answer after each event."""
-    answer = Answer()
+    answer = answer or Answer()
     async with session.post(
         f'{url}/v1/chat/completions', json=body, headers=bearer(token)
     ) as response:
@@ -146,14 +151,15 @@
     urls: list[str],
     token: str,
     body: dict[str, Any],
-    retry_s: float = 0.2,
+    answer: Answer | None = None,
 ) -> Answer:
     """Get a whole answer, going on at other entry VMs as they say.
 
     Refusals and cut streams are tried again at the next address; the
-    answer's ``error`` is set if ``_MAX_TRIES`` were not enough.
+    answer's ``error`` is set if ``_MAX_TRIES`` were not enough. Whoever
+    passes an ``answer`` can watch it grow.
     """
-    answer = Answer()
+    answer = answer or Answer()
     targets = list(urls)
     for number in range(_MAX_TRIES):
         url = targets[number % len(targets)]
@@ -167,7 +173,7 @@
             targets = [link.split('/v1/')[0] for link in answer.continue_at]
             answer.continue_at = []
         else:
-            await asyncio.sleep(retry_s)
+            await asyncio.sleep(_RETRY_S)
     return answer
 
 
@@ -181,7 +187,7 @@
     if answer.request_id:
         states = continue_chat(session, url, token, answer)
     else:
-        states = start_chat(session, url, token, body)
+        states = start_chat(session, url, token, body, answer)
     async for state in states:
         answer = state
     return answer
--- a/mallowspindle/bench/venture.py
+++ b/mallowspindle/bench/venture.py
@@ -216,6 +216,16 @@
         for name in nodes:
             await self.wait_until(partial(self._is_ready, name, nodes))
 
+    async def wait_in_force(self, name: str, version: int) -> None:
+        """Wait until a version of the settings is in force at a node."""
+        url = f'{self.process(name).url}/health'
+
+        async def in_force() -> bool:
+            health = await self.get(url)
+            return bool(health['settings_through'] >= version)
+
+        await self.wait_until(in_force)
+
     async def wait_until(
         self,
         condition: Callable[[], Awaitable[bool]],
--- a/mallowspindle/tests/integration/test_costs.py
+++ b/mallowspindle/tests/integration/test_costs.py
@@ -4,7 +4,7 @@
 import signal
 from decimal import Decimal
 
-from mallowspindle.bench.caller import bearer, chat_body, chat_to_end
+from mallowspindle.bench.caller import Answer, bearer, chat_body, chat_to_end
 from mallowspindle.bench.venture import ROOT_DOCUMENT, Venture, token_of
 from mallowspindle.ledger.records import LedgerEntry
 from mallowspindle.ledger.report import LedgerReport, read_report
@@ -22,18 +22,20 @@
 
 async def test_split_changed_in_mid_stream(small_venture: Venture) -> None:
     urls = _urls(small_venture)
+    answer = Answer()
     caller = asyncio.create_task(
         chat_to_end(
             small_venture.session,
             urls,
             token_of('farm'),
             chat_body('letter', TOKENS),
+            answer,
         )
     )
-    await asyncio.sleep(0.8)
+    await _wait_for_tokens(small_venture, answer, 30)
     old = small_venture.tree.node_version('venture')
     new = (await small_venture.publish('venture', OTHER)).version
-    answer = await caller
+    await caller
     report = await _wait_for_request(small_venture, answer.request_id)
     entries = report.explain(answer.request_id)
     tokens = [entry for entry in entries if entry.kind == 'tokens']
@@ -47,20 +49,23 @@
 async def test_owner_lost_in_mid_outage(small_venture: Venture) -> None:
     """The log is down, the split has changed, and the owner dies."""
     urls = _urls(small_venture)
+    answer = Answer()
     caller = asyncio.create_task(
         chat_to_end(
             small_venture.session,
             urls,
             token_of('farm'),
             chat_body('letter', TOKENS),
+            answer,
         )
     )
-    await asyncio.sleep(0.5)
-    await small_venture.publish('venture', OTHER)
-    await asyncio.sleep(0.4)
+    await _wait_for_tokens(small_venture, answer, 30)
+    changed = await small_venture.publish('venture', OTHER)
+    await small_venture.wait_in_force('entry-1', changed.version)
+    await _wait_for_tokens(small_venture, answer, len(answer.tokens) + 20)
     await small_venture.set_faults('log', down=True)
     small_venture.process('entry-1').send_signal(signal.SIGKILL)
-    answer = await caller
+    await caller
     assert len(answer.tokens) == TOKENS
     await small_venture.set_faults('log', down=False, lose_answers=3)
     report = await _wait_for_request(small_venture, answer.request_id)
@@ -83,6 +88,15 @@
     assert entry.parts == {'north': 600, 'south': 400}
 
 
+async def _wait_for_tokens(
+    venture: Venture, answer: Answer, count: int
+) -> None:
+    async def has_tokens() -> bool:
+        return len(answer.tokens) >= count
+
+    await venture.wait_until(has_tokens)
+
+
 async def _wait_for_request(venture: Venture, request_id: str) -> LedgerReport:
     async def is_entered() -> bool:
         report = await read_report(venture.log_client, STREAMS)
--- a/mallowspindle/tests/integration/test_not_run.py
+++ b/mallowspindle/tests/integration/test_not_run.py
@@ -122,9 +122,13 @@
 
 async def test_keys_outlive_a_restart_of_every_node(filing: Venture) -> None:
     await _file(filing, 'entry-1', 'before')
-    await filing.set_faults('claims-1', slow_s=0.8)
+    await filing.set_faults('claims-1', slow_s=0.9)
     lost = asyncio.create_task(_file(filing, 'entry-1', 'interrupted'))
-    await asyncio.sleep(0.4)
+
+    async def is_running() -> bool:
+        return await _runs_of(filing, 'interrupted') == 1
+
+    await filing.wait_until(is_running)
     for name in NODES:
         await filing.process(name).kill()
     await asyncio.gather(lost, return_exceptions=True)
--- a/mallowspindle/tests/integration/test_reclaim.py
+++ b/mallowspindle/tests/integration/test_reclaim.py
@@ -9,7 +9,7 @@
 import pytest_asyncio
 
 from mallowspindle.bench.caller import Answer, bearer, chat_body, chat_to_end
-from mallowspindle.bench.venture import Venture, token_of
+from mallowspindle.bench.venture import OPERATOR_TOKEN, Venture, token_of
 
 ORGANISATION = 'farm'
 TOKENS = 250
@@ -94,10 +94,19 @@
             four_zones.session, [url], token, chat_body('a letter', TOKENS)
         )
     )
-    await asyncio.sleep(0.5)
-    servers = await four_zones.get(f'{url}/operator/servers', 'operator-token')
-    busy = next(server for server in servers if server['own_attempts'])
-    await four_zones.process(busy['vm_id']).kill()
+
+    async def find_busy() -> list[str]:
+        servers = await four_zones.get(
+            f'{url}/operator/servers', OPERATOR_TOKEN
+        )
+        return [row['vm_id'] for row in servers if row['own_attempts']]
+
+    async def is_busy() -> bool:
+        return bool(await find_busy())
+
+    await four_zones.wait_until(is_busy)
+    busy = await find_busy()
+    await four_zones.process(busy[0]).kill()
     _assert_whole(await caller)
 
 
