--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -22,6 +22,7 @@
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.platform.cloud import CloudClient
 from mallowspindle.platform.errors import PlatformError
+from mallowspindle.routing.policies import policies
 from mallowspindle.services import load_services
 from mallowspindle.utils.logs import configure_logging
 from mallowspindle.utils.telemetry import configure_telemetry
@@ -62,7 +63,11 @@
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError([Problem('file', str(path), str(error))]) from error
-    return load_model(DaemonSettings, text)
+    config = load_model(DaemonSettings, text)
+    if config.routing.policy not in policies:
+        known = ', '.join(sorted(policies))
+        raise ConfigError([Problem('routing', 'policy', f'is none of {known}')])
+    return config
 
 
 async def run(config: DaemonSettings) -> None:
--- a/mallowspindle/routing/router.py
+++ b/mallowspindle/routing/router.py
@@ -4,7 +4,6 @@
 from collections.abc import Collection
 from typing import Self
 
-from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.platform.cloud import Role
@@ -29,11 +28,8 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the router with the policy that the settings name."""
-        name = kernel.config.routing.policy
-        if name not in policies:
-            known = ', '.join(sorted(policies))
-            raise KernelError(f'[routing] policy: {name!r} is none of {known}')
-        return cls(kernel.find('directory', DirectoryService), policies[name])
+        chosen = policies[kernel.config.routing.policy]
+        return cls(kernel.find('directory', DirectoryService), chosen)
 
     def pick_engine(
         self,
--- a/mallowspindle/tests/config/test_ini.py
+++ b/mallowspindle/tests/config/test_ini.py
@@ -50,6 +50,15 @@
         load_model(DaemonSettings, text)
 
 
+def test_unknown_policy_is_a_problem(tmp_path: Path) -> None:
+    path = tmp_path / 'entry.ini'
+    path.write_text(f'{VALID}\n[routing]\npolicy = guess\n')
+    with pytest.raises(ConfigError, match='least_loaded'):
+        load_settings(path)
+    path.write_text(f'{VALID}\n[routing]\npolicy = random\n')
+    assert load_settings(path).routing.policy == 'random'
+
+
 def test_missing_file_is_a_problem(tmp_path: Path) -> None:
     with pytest.raises(ConfigError):
         load_settings(tmp_path / 'nothing.ini')
--- a/mallowspindle/tests/integration/test_costs.py
+++ b/mallowspindle/tests/integration/test_costs.py
@@ -21,17 +21,8 @@
 
 
 async def test_split_changed_in_mid_stream(small_venture: Venture) -> None:
-    urls = _urls(small_venture)
     answer = Answer()
-    caller = asyncio.create_task(
-        chat_to_end(
-            small_venture.session,
-            urls,
-            token_of('farm'),
-            chat_body('letter', TOKENS),
-            answer,
-        )
-    )
+    caller = _start_caller(small_venture, answer)
     await _wait_for_tokens(small_venture, answer, 30)
     old = small_venture.tree.node_version('venture')
     new = (await small_venture.publish('venture', OTHER)).version
@@ -48,17 +39,8 @@
 
 async def test_owner_lost_in_mid_outage(small_venture: Venture) -> None:
     """The log is down, the split has changed, and the owner dies."""
-    urls = _urls(small_venture)
     answer = Answer()
-    caller = asyncio.create_task(
-        chat_to_end(
-            small_venture.session,
-            urls,
-            token_of('farm'),
-            chat_body('letter', TOKENS),
-            answer,
-        )
-    )
+    caller = _start_caller(small_venture, answer)
     await _wait_for_tokens(small_venture, answer, 30)
     changed = await small_venture.publish('venture', OTHER)
     await small_venture.wait_in_force('entry-1', changed.version)
@@ -88,6 +70,14 @@
     assert entry.parts == {'north': 600, 'south': 400}
 
 
+def _start_caller(venture: Venture, answer: Answer) -> asyncio.Task[Answer]:
+    body = chat_body('letter', TOKENS)
+    work = chat_to_end(
+        venture.session, _urls(venture), token_of('farm'), body, answer
+    )
+    return asyncio.create_task(work)
+
+
 async def _wait_for_tokens(
     venture: Venture, answer: Answer, count: int
 ) -> None:
