--- a/mallowspindle/bench/reclaims.py
+++ b/mallowspindle/bench/reclaims.py
@@ -92,13 +92,16 @@
     """Follow one stream to its end, going on elsewhere where it is cut."""
     answer = Answer()
     gap_s = 0.0
+    seen = 0
     last_s = time.monotonic()
     for turn in range(_TRIES):
         try:
             async for state in _states(venture, number, turn, answer):
                 answer = state
-                gap_s = max(gap_s, time.monotonic() - last_s)
-                last_s = time.monotonic()
+                if len(answer.tokens) > seen:
+                    seen = len(answer.tokens)
+                    gap_s = max(gap_s, time.monotonic() - last_s)
+                    last_s = time.monotonic()
         except ClientError as error:
             answer.error = str(error)
         if answer.done:
