--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format bench slopes mesh reclaims
+.PHONY: setup demo test lint format bench slopes mesh reclaims proofs
 
 $(BIN)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,3 +38,7 @@
 
 reclaims: setup
 	$(BIN)/python -m mallowspindle.bench.reclaims
+
+proofs: setup
+	$(BIN)/python -m pytest -v mallowspindle/tests/integration mallowspindle/tests/effects
+	$(BIN)/python -m mallowspindle.bench.reclaims
--- a/mallowspindle/bench/caller.py
+++ b/mallowspindle/bench/caller.py
@@ -14,7 +14,11 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A streamed answer as the caller has it."""
+    """A streamed answer as the caller has it.
+
+    ``continued`` counts the times that the caller had to ask again for the
+    rest.
+    """
 
     request_id: str = ''
     tokens: list[str] = field(default_factory=list)
@@ -23,6 +27,7 @@
     continue_at: list[str] = field(default_factory=list)
     error: str = ''
     done: bool = False
+    continued: int = 0
 
     @property
     def text(self) -> str:
@@ -185,6 +190,7 @@
     answer: Answer,
 ) -> Answer:
     if answer.request_id:
+        answer.continued += 1
         states = continue_chat(session, url, token, answer)
     else:
         states = start_chat(session, url, token, body, answer)
