Make the rolling restart last longer than a server's own shutdown

Cause: the HTTP server goes on for about 2.5 s after its stop, and answers of 250 tokens had less left, so the test passed without the drain. Ruled out: a mutation that was not in force (the scratch copy's daemon ended after 2.6 s with a stream of 400 tokens cut). Change: answers of 500 tokens, none of which may be continued.

--- a/mallowspindle/tests/integration/test_shutdown.py
+++ b/mallowspindle/tests/integration/test_shutdown.py
@@ -7,7 +7,7 @@
 from mallowspindle.bench.caller import bearer, chat_body, chat_to_end
 from mallowspindle.bench.venture import Venture, token_of
 
-TOKENS = 250
+TOKENS = 500
 
 
 async def test_rolling_restart_under_load(small_venture: Venture) -> None:
@@ -26,7 +26,7 @@
         assert await small_venture.process(old).wait() == 0
     load.stopped = True
     await asyncio.gather(*workers)
-    assert load.answers >= 10
+    assert load.answers >= 8
     assert load.filed
     assert await _takeovers(small_venture, load.nodes) == 0
     runs = await small_venture.runs('claims-1')
