Check the freshness of settings in one place

Cause: reading as a newcomer: three places on a request's path built the same refusal, one of them after the first had passed; and a call to a peer took its time limit from the log's long poll. Ruled out: leaving out the check for unknown tokens (a node without settings knows no token, and must not answer 401).

--- a/mallowspindle/attempts/service.py
+++ b/mallowspindle/attempts/service.py
@@ -86,8 +86,6 @@
 
     def refusal(self, model: str) -> NotRun | None:
         """Return why a request for the model can't be accepted now."""
-        if not self._settings.fresh:
-            return NotRun('the settings in force are not known', _RETRY_AFTER_S)
         if self.in_progress >= self._config.limits.requests_in_progress:
             return NotRun('this entry VM is full', _RETRY_AFTER_S)
         if not self._directory.serving(model, Role.ENGINE):
--- a/mallowspindle/entry/context.py
+++ b/mallowspindle/entry/context.py
@@ -67,10 +67,7 @@
             )
         if found is not None:
             return found
-        if not self.settings.fresh:
-            raise self.not_run(
-                NotRun('the settings in force are not known', _RETRY_AFTER_S)
-            )
+        self._ensure_fresh()
         raise ProblemError(
             _UNAUTHORIZED, 'unauthorized', 'the token is not known'
         )
@@ -81,6 +78,10 @@
             raise self.not_run(
                 NotRun('this entry VM is leaving', _RETRY_AFTER_S)
             )
+        self._ensure_fresh()
+
+    def _ensure_fresh(self) -> None:
+        """Raise a 503 problem while the settings in force are not known."""
         if not self.settings.fresh:
             raise self.not_run(
                 NotRun('the settings in force are not known', _RETRY_AFTER_S)
--- a/mallowspindle/settings/service.py
+++ b/mallowspindle/settings/service.py
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 _LONG_POLL_S = 1.0
+_PEER_TIMEOUT_S = 1.0
 _PEER_CHECK_INTERVAL_S = 0.25
 _RETRY_PAUSE_S = 0.2
 _START_TIMEOUT_S = 5.0
@@ -130,7 +131,7 @@
         before = self._tree.through
         link = self._membership.link(ahead)
         try:
-            reply = await link.call(SettingsRequest(before), _LONG_POLL_S)
+            reply = await link.call(SettingsRequest(before), _PEER_TIMEOUT_S)
         except PeerError as error:
             log.info('settings not given by %s: %s', ahead.name, error)
             return
