Move the clients of the native interface into a package of their own

Cause: mallowspindle/platform is to hold the translation for the users' platform and nothing else, and it held the clients of this project's own log and cloud interface. They move to mallowspindle/native unchanged; the settings section [platform] of the native interface becomes [native]. Ruled out: a second folder for the users' platform beside the old one, since two folders of nearly the same name would have to be told apart for ever. Before and after: no behaviour changes. Conclusion: the name is free.

--- a/mallowspindle/attempts/service.py
+++ b/mallowspindle/attempts/service.py
@@ -19,7 +19,7 @@
 from mallowspindle.ledger.service import LedgerService
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.outcomes import NotRun
-from mallowspindle.platform.cloud import Role
+from mallowspindle.native.cloud import Role
 from mallowspindle.recovery.service import RecoveryService
 from mallowspindle.routing.directory import DirectoryService
 from mallowspindle.routing.router import RouterService
--- a/mallowspindle/bench/venture.py
+++ b/mallowspindle/bench/venture.py
@@ -11,7 +11,7 @@
 from aiohttp import ClientSession, ClientTimeout
 
 from mallowspindle.bench.processes import ManagedProcess
-from mallowspindle.platform.log import LogClient
+from mallowspindle.native.log import LogClient
 from mallowspindle.settings.publisher import new_change, publish
 from mallowspindle.settings.reader import catch_up
 from mallowspindle.settings.tree import SettingsTree, Verdict
@@ -177,7 +177,7 @@
                 'shared_key': _SHARED_KEY,
                 'seeds': ' '.join(self._seeds),
             },
-            'platform': {
+            'native': {
                 'log_url': self.process('log').url,
                 'cloud_url': self.process('cloud').url,
             },
--- a/mallowspindle/commands/client.py
+++ b/mallowspindle/commands/client.py
@@ -11,8 +11,8 @@
 from mallowspindle.config.errors import ConfigError
 from mallowspindle.config.ini import load_model
 from mallowspindle.config.operator import OperatorSection, OperatorSettings
-from mallowspindle.platform.errors import PlatformError
-from mallowspindle.platform.log import LogClient
+from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.log import LogClient
 from mallowspindle.settings.errors import SettingsError
 from mallowspindle.settings.reader import catch_up
 from mallowspindle.settings.tree import SettingsTree
--- a/mallowspindle/commands/settings.py
+++ b/mallowspindle/commands/settings.py
@@ -15,7 +15,7 @@
 )
 from mallowspindle.config.operator import OperatorSection
 from mallowspindle.ledger.report import first_offset
-from mallowspindle.platform.errors import PlatformError
+from mallowspindle.native.errors import PlatformError
 from mallowspindle.settings.document import parse_document
 from mallowspindle.settings.errors import (
     ChangeUncertain,
--- a/mallowspindle/config/daemon.py
+++ b/mallowspindle/config/daemon.py
@@ -37,7 +37,7 @@
     max_frame_bytes: int = Field(16_000_000, ge=1024)
 
 
-class PlatformSection(Section):
+class NativeSection(Section):
     """Where the platform's services are."""
 
     log_url: str
@@ -111,7 +111,7 @@
 
     node: NodeSection
     peers: PeersSection
-    platform: PlatformSection
+    native: NativeSection
     limits: LimitsSection = LimitsSection.model_validate({})
     effects: EffectsSection = EffectsSection.model_validate({})
     routing: RoutingSection = RoutingSection.model_validate({})
--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -20,8 +20,8 @@
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.membership.service import MembershipService
-from mallowspindle.platform.cloud import CloudClient
-from mallowspindle.platform.errors import PlatformError
+from mallowspindle.native.cloud import CloudClient
+from mallowspindle.native.errors import PlatformError
 from mallowspindle.routing.policies import policies
 from mallowspindle.services import load_services
 from mallowspindle.utils.logs import configure_logging
@@ -131,7 +131,7 @@
 
 async def _noticed(config: DaemonSettings) -> float:
     """Return once the cloud gives a reclaim notice for this VM."""
-    platform = config.platform
+    platform = config.native
     async with ClientSession() as session:
         cloud = CloudClient(session, platform.cloud_url, platform.log_timeout_s)
         while True:
--- a/mallowspindle/effects/service.py
+++ b/mallowspindle/effects/service.py
@@ -29,8 +29,8 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.outcomes import Done, Failed, NotRun, Outcome, Unknown
-from mallowspindle.platform.log import LogClient
-from mallowspindle.platform.service import PlatformService
+from mallowspindle.native.log import LogClient
+from mallowspindle.native.service import NativeService
 from mallowspindle.routing.router import RouterService
 from mallowspindle.utils.identifiers import new_id, rendezvous_order
 from mallowspindle.utils.tasks import TaskGroup, repeat
@@ -42,7 +42,7 @@
 _CARRY_FRACTION = 4
 
 
-@service('effects', requires=('platform', 'membership', 'router'))
+@service('effects', requires=('native', 'membership', 'router'))
 class EffectsService(Service):
     """Claims each keyed call in the log before it is sent."""
 
@@ -85,7 +85,7 @@
         )
         return cls(
             kernel.config,
-            kernel.find('platform', PlatformService).log,
+            kernel.find('native', NativeService).log,
             kernel.find('membership', MembershipService),
             kernel.find('router', RouterService),
             client,
--- a/mallowspindle/effects/stream.py
+++ b/mallowspindle/effects/stream.py
@@ -8,12 +8,12 @@
 from mallowspindle.effects.errors import ClaimRefused, ClaimUncertain
 from mallowspindle.effects.records import EffectsRecord, effects_codec
 from mallowspindle.effects.table import KeyTable
-from mallowspindle.platform.errors import (
+from mallowspindle.native.errors import (
     AppendRefused,
     PlatformError,
     RecordsExpired,
 )
-from mallowspindle.platform.log import LogClient, LogPage
+from mallowspindle.native.log import LogClient, LogPage
 from mallowspindle.utils.codec import CodecError
 from mallowspindle.utils.tasks import TaskGroup
 
--- a/mallowspindle/ledger/report.py
+++ b/mallowspindle/ledger/report.py
@@ -11,8 +11,8 @@
     LedgerEntry,
     ledger_codec,
 )
-from mallowspindle.platform.errors import PlatformError, RecordsExpired
-from mallowspindle.platform.log import LogClient
+from mallowspindle.native.errors import PlatformError, RecordsExpired
+from mallowspindle.native.log import LogClient
 from mallowspindle.utils.codec import CodecError
 
 
--- a/mallowspindle/ledger/service.py
+++ b/mallowspindle/ledger/service.py
@@ -13,9 +13,9 @@
     LedgerEntry,
     ledger_codec,
 )
-from mallowspindle.platform.errors import PlatformError
-from mallowspindle.platform.log import LogClient
-from mallowspindle.platform.service import PlatformService
+from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.log import LogClient
+from mallowspindle.native.service import NativeService
 from mallowspindle.settings.service import SettingsService
 from mallowspindle.utils.tasks import TaskGroup, repeat
 
@@ -25,7 +25,7 @@
 _MAX_BATCH = 500
 
 
-@service('ledger', requires=('platform', 'settings'))
+@service('ledger', requires=('native', 'settings'))
 class LedgerService(Service):
     """Keeps entries in memory until the log has them."""
 
@@ -41,7 +41,7 @@
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service on the shared log client."""
         return cls(
-            kernel.find('platform', PlatformService).log,
+            kernel.find('native', NativeService).log,
             kernel.find('settings', SettingsService),
         )
 
--- a/mallowspindle/platform/cloud.py
+++ b/mallowspindle/native/cloud.py
@@ -6,7 +6,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
-from mallowspindle.platform.errors import PlatformError
+from mallowspindle.native.errors import PlatformError
 
 _OK = 200
 
--- a/mallowspindle/platform/log.py
+++ b/mallowspindle/native/log.py
@@ -12,7 +12,7 @@
 )
 from opentelemetry.trace import SpanKind
 
-from mallowspindle.platform.errors import (
+from mallowspindle.native.errors import (
     AppendRefused,
     AppendUncertain,
     PlatformError,
--- a/mallowspindle/platform/service.py
+++ b/mallowspindle/native/service.py
@@ -6,12 +6,12 @@
 
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
-from mallowspindle.platform.cloud import CloudClient
-from mallowspindle.platform.log import LogClient
+from mallowspindle.native.cloud import CloudClient
+from mallowspindle.native.log import LogClient
 
 
-@service('platform')
-class PlatformService(Service):
+@service('native')
+class NativeService(Service):
     """Holds one log client and one cloud client."""
 
     def __init__(
@@ -23,8 +23,8 @@
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
-        """Construct the clients for the addresses in ``[platform]``."""
-        section = kernel.config.platform
+        """Construct the clients for the addresses in ``[native]``."""
+        section = kernel.config.native
         session = ClientSession()
         return cls(
             session,
--- a/mallowspindle/routing/directory.py
+++ b/mallowspindle/routing/directory.py
@@ -11,9 +11,9 @@
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
-from mallowspindle.platform.cloud import CloudClient, Role, Vm
-from mallowspindle.platform.errors import PlatformError
-from mallowspindle.platform.service import PlatformService
+from mallowspindle.native.cloud import CloudClient, Role, Vm
+from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.service import NativeService
 from mallowspindle.routing.servers import LoadReport, ServerView
 from mallowspindle.utils.identifiers import rendezvous_order
 from mallowspindle.utils.tasks import TaskGroup, repeat
@@ -23,7 +23,7 @@
 _FAILED_POLLS_UNTIL_SUSPECT = 2
 
 
-@service('directory', requires=('platform', 'membership'))
+@service('directory', requires=('native', 'membership'))
 class DirectoryService(Service):
     """Knows the backend servers and which of them are leaving."""
 
@@ -44,7 +44,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service on the shared cloud client."""
-        platform = kernel.find('platform', PlatformService)
+        platform = kernel.find('native', NativeService)
         membership = kernel.find('membership', MembershipService)
         return cls(kernel.config, platform.cloud, membership)
 
@@ -56,7 +56,7 @@
         await self._refresh_list()
         self._tasks.spawn(
             repeat(
-                self._refresh_list, self._config.platform.vm_poll_interval_s
+                self._refresh_list, self._config.native.vm_poll_interval_s
             ),
             'VM list',
         )
--- a/mallowspindle/routing/router.py
+++ b/mallowspindle/routing/router.py
@@ -6,7 +6,7 @@
 
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
-from mallowspindle.platform.cloud import Role
+from mallowspindle.native.cloud import Role
 from mallowspindle.routing.directory import DirectoryService
 from mallowspindle.routing.errors import NoServer
 from mallowspindle.routing.policies import Choice, Policy, policies
--- a/mallowspindle/routing/servers.py
+++ b/mallowspindle/routing/servers.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
-from mallowspindle.platform.cloud import Vm
+from mallowspindle.native.cloud import Vm
 
 _SUSPECT_S = 2.0
 _MAX_SUSPECT_S = 30.0
--- a/mallowspindle/services.py
+++ b/mallowspindle/services.py
@@ -3,7 +3,7 @@
 from importlib import import_module
 
 _MODULES = (
-    'mallowspindle.platform.service',
+    'mallowspindle.native.service',
     'mallowspindle.membership.service',
     'mallowspindle.settings.service',
     'mallowspindle.routing.directory',
--- a/mallowspindle/settings/publisher.py
+++ b/mallowspindle/settings/publisher.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 
-from mallowspindle.platform.errors import AppendRefused, PlatformError
-from mallowspindle.platform.log import LogClient
+from mallowspindle.native.errors import AppendRefused, PlatformError
+from mallowspindle.native.log import LogClient
 from mallowspindle.settings.errors import ChangeUncertain, SettingsError
 from mallowspindle.settings.reader import catch_up
 from mallowspindle.settings.records import (
--- a/mallowspindle/settings/reader.py
+++ b/mallowspindle/settings/reader.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-from mallowspindle.platform.errors import RecordsExpired
-from mallowspindle.platform.log import LogClient, LogRecord
+from mallowspindle.native.errors import RecordsExpired
+from mallowspindle.native.log import LogClient, LogRecord
 from mallowspindle.settings.errors import SettingsUnavailable
 from mallowspindle.settings.records import (
     SETTINGS_STREAM,
--- a/mallowspindle/settings/service.py
+++ b/mallowspindle/settings/service.py
@@ -12,9 +12,9 @@
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.peers.errors import PeerError
-from mallowspindle.platform.errors import PlatformError
-from mallowspindle.platform.log import LogClient
-from mallowspindle.platform.service import PlatformService
+from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.log import LogClient
+from mallowspindle.native.service import NativeService
 from mallowspindle.settings.errors import SettingsError
 from mallowspindle.settings.messages import SettingsRequest, SettingsState
 from mallowspindle.settings.reader import catch_up
@@ -32,7 +32,7 @@
 _START_TIMEOUT_S = 5.0
 
 
-@service('settings', requires=('platform', 'membership'))
+@service('settings', requires=('native', 'membership'))
 class SettingsService(Service):
     """Follows the settings stream and gives the tree in force."""
 
@@ -54,7 +54,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service on the shared log client."""
-        platform = kernel.find('platform', PlatformService)
+        platform = kernel.find('native', NativeService)
         membership = kernel.find('membership', MembershipService)
         return cls(kernel.config, platform.log, membership)
 
@@ -152,7 +152,7 @@
         return SettingsState(self._tree.snapshot())
 
     def _snapshot_interval_s(self) -> float:
-        return self._config.platform.settings_snapshot_interval_s
+        return self._config.native.settings_snapshot_interval_s
 
     async def _keep_snapshot(self) -> None:
         if self._tree.through == NEVER_SET or not self._writes_snapshots():
--- a/mallowspindle/standins/cloud.py
+++ b/mallowspindle/standins/cloud.py
@@ -13,7 +13,7 @@
     json_response,
 )
 
-from mallowspindle.platform.cloud import Vm
+from mallowspindle.native.cloud import Vm
 from mallowspindle.standins.faults import Faults, add_fault_routes
 from mallowspindle.standins.server import serve
 
--- a/mallowspindle/tests/config/test_ini.py
+++ b/mallowspindle/tests/config/test_ini.py
@@ -18,7 +18,7 @@
 shared_key = a-key-of-sixteen-characters
 seeds = 127.0.0.1:1 127.0.0.1:2
 
-[platform]
+[native]
 log_url = http://127.0.0.1:1
 cloud_url = http://127.0.0.1:2
 """
--- a/mallowspindle/tests/effects/fakes.py
+++ b/mallowspindle/tests/effects/fakes.py
@@ -8,13 +8,13 @@
 
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
-from mallowspindle.platform.errors import (
+from mallowspindle.native.errors import (
     AppendRefused,
     AppendUncertain,
     PlatformError,
     RecordsExpired,
 )
-from mallowspindle.platform.log import LogPage, LogRecord
+from mallowspindle.native.log import LogPage, LogRecord
 from mallowspindle.routing.errors import NoServer
 
 _SERVERS = 2
--- a/mallowspindle/tests/effects/test_machine.py
+++ b/mallowspindle/tests/effects/test_machine.py
@@ -37,7 +37,7 @@
     {
         'node': {'name': 'n', 'zone': 'z'},
         'peers': {'shared_key': 'x' * 16},
-        'platform': {'log_url': 'http://x', 'cloud_url': 'http://x'},
+        'native': {'log_url': 'http://x', 'cloud_url': 'http://x'},
         'effects': {'streams': 1, 'window_s': WINDOW_S},
     }
 )
--- a/mallowspindle/tests/integration/test_settings.py
+++ b/mallowspindle/tests/integration/test_settings.py
@@ -65,7 +65,7 @@
 
 
 async def test_state_outlives_expired_records(venture: Venture) -> None:
-    venture.overrides = {'platform': {'settings_snapshot_interval_s': 0.3}}
+    venture.overrides = {'native': {'settings_snapshot_interval_s': 0.3}}
     await venture.start_platform()
     await venture.publish_defaults('farm')
     await venture.start_engine('engine-1', 'a')
--- a/mallowspindle/tests/platform/test_log.py
+++ b/mallowspindle/tests/native/test_log.py
@@ -8,13 +8,13 @@
 from aiohttp.test_utils import TestServer
 
 from mallowspindle.bench.proxy import FaultProxy, Mode
-from mallowspindle.platform.errors import (
+from mallowspindle.native.errors import (
     AppendRefused,
     AppendUncertain,
     PlatformError,
     RecordsExpired,
 )
-from mallowspindle.platform.log import LogClient
+from mallowspindle.native.log import LogClient
 from mallowspindle.standins.log import LogStandin
 
 STREAM = 'stream'
--- a/mallowspindle/tests/routing/test_directory.py
+++ b/mallowspindle/tests/routing/test_directory.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from mallowspindle.platform.cloud import Role, Vm
+from mallowspindle.native.cloud import Role, Vm
 from mallowspindle.routing.directory import watched_subset
 
 
--- a/mallowspindle/tests/routing/test_policies.py
+++ b/mallowspindle/tests/routing/test_policies.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mallowspindle.platform.cloud import Role, Vm
+from mallowspindle.native.cloud import Role, Vm
 from mallowspindle.routing.policies import Choice, policies
 from mallowspindle.routing.prefixes import PrefixMemory, Prompt
 from mallowspindle.routing.servers import Dispatch, LoadReport, ServerView
