--- a/mallowspindle/attempts/service.py
+++ b/mallowspindle/attempts/service.py
@@ -41,7 +41,7 @@
     """Runs accepted requests until they end or another node owns them."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._config: DaemonSettings = kernel.config
+        self._config: DaemonSettings = kernel.settings(DaemonSettings)
         self._membership = kernel.find('membership', MembershipService)
         self._settings = kernel.find('settings', SettingsService)
         self._directory = kernel.find('directory', DirectoryService)
--- /dev/null
+++ b/mallowspindle/backends/__init__.py
@@ -0,0 +1,1 @@
+"""What this node knows of the backend servers' work and health."""
--- /dev/null
+++ b/mallowspindle/backends/prefixes.py
@@ -0,0 +1,43 @@
+"""Which parts of prompts a backend server probably caches."""
+
+from collections import OrderedDict
+from itertools import takewhile
+
+from mallowspindle.proxy.messages import PromptPart
+
+
+class PartMemory:
+    """Parts of prompts that one server has read, least recently used first.
+
+    A part is cached only behind the parts before it, so it is remembered
+    under the chain of their ids.
+    """
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_tokens = capacity_tokens
+        self._parts: OrderedDict[tuple[str, ...], int] = OrderedDict()
+        self._held_tokens = 0
+
+    def remember(self, prompt: tuple[PromptPart, ...]) -> None:
+        """Note that the server reads this prompt."""
+        for chain, part in _chains(prompt):
+            self._held_tokens += part.tokens - self._parts.get(chain, 0)
+            self._parts[chain] = part.tokens
+            self._parts.move_to_end(chain)
+        while self._parts and self._held_tokens > self._capacity_tokens:
+            _, tokens = self._parts.popitem(last=False)
+            self._held_tokens -= tokens
+
+    def cached_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
+        """Return the leading tokens that the server should cache."""
+        leading = takewhile(
+            lambda entry: entry[0] in self._parts, _chains(prompt)
+        )
+        return sum(part.tokens for _, part in leading)
+
+
+def _chains(
+    prompt: tuple[PromptPart, ...],
+) -> list[tuple[tuple[str, ...], PromptPart]]:
+    ids = tuple(part.part_id for part in prompt)
+    return [(ids[: end + 1], part) for end, part in enumerate(prompt)]
--- /dev/null
+++ b/mallowspindle/backends/service.py
@@ -0,0 +1,170 @@
+"""Keeps a view of each registered backend server."""
+
+import logging
+from collections import Counter
+from collections.abc import Collection
+from typing import Self
+
+from mallowspindle.backends.prefixes import PartMemory
+from mallowspindle.backends.view import BackendView
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.service import CatalogService
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.policies.placement import (
+    Candidate,
+    Placement,
+    choose_server,
+)
+from mallowspindle.proxy.messages import CallerRequest
+from mallowspindle.sharing.messages import ServerLoad
+from mallowspindle.sharing.service import SharingService
+from mallowspindle.utils.identifiers import rendezvous_order
+
+log = logging.getLogger(__name__)
+
+# Servers that are taken to cache a shared part of which nothing is known:
+# all nodes then send it to the same few.
+_OWNERS = 2
+
+
+@service('backends', requires=('catalog', 'sharing'))
+class BackendsService(Service):
+    """Chooses a server for each attempt and knows the work at each."""
+
+    def __init__(
+        self, catalog: CatalogService, sharing: SharingService
+    ) -> None:
+        self._catalog = catalog
+        self._sharing = sharing
+        self._zone = sharing.membership.own.zone
+        self._views: dict[str, BackendView] = {}
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service on the catalog."""
+        return cls(
+            kernel.find('catalog', CatalogService),
+            kernel.find('sharing', SharingService),
+        )
+
+    async def start(self) -> None:
+        """Begin to tell the peers of this node's work."""
+        self._sharing.provide('loads', self._own_loads)
+
+    def views(self, service_name: str) -> list[BackendView]:
+        """Return the servers of a service, draining ones included."""
+        return [
+            self._view_of(server)
+            for server in self._catalog.servers.values()
+            if server.service == service_name
+        ]
+
+    def usable(
+        self, service_name: str, avoid: Collection[str]
+    ) -> list[BackendView]:
+        """Return the servers that may get new work.
+
+        Ejected servers are left out unless all are ejected.
+        """
+        serving = [
+            view
+            for view in self.views(service_name)
+            if not view.server.draining and view.server.server_id not in avoid
+        ]
+        return [view for view in serving if not view.ejected] or serving
+
+    def pick(
+        self,
+        service_name: str,
+        request: CallerRequest,
+        avoid: Collection[str],
+    ) -> BackendView | None:
+        """Return the server for the next attempt; None if there is none."""
+        usable = self.usable(service_name, avoid)
+        if not usable:
+            return None
+        peer_loads = self._peer_loads()
+        owners = self._owners(usable, request)
+        placement = Placement(
+            self._zone, request.prompt_tokens or 0, self._cache_worth(request)
+        )
+        candidates = [
+            self._candidate(view, request, peer_loads, owners)
+            for view in usable
+        ]
+        chosen = choose_server(candidates, placement)
+        return next(
+            view for view in usable if view.server.server_id == chosen.server_id
+        )
+
+    def _candidate(
+        self,
+        view: BackendView,
+        request: CallerRequest,
+        peer_loads: dict[str, tuple[int, int]],
+        owners: list[str],
+    ) -> Candidate:
+        server = view.server
+        own = view.load()
+        peer_running, peer_waiting = peer_loads.get(server.server_id, (0, 0))
+        return Candidate(
+            server_id=server.server_id,
+            zone=server.zone,
+            slots=server.slots,
+            running=own.running + peer_running,
+            waiting_tokens=own.waiting_tokens + peer_waiting,
+            cached_tokens=view.memory.cached_tokens(request.prompt),
+            is_owner=server.server_id in owners,
+            full=view.full,
+            cold=server.cold_s > 0,
+        )
+
+    def _owners(
+        self, usable: list[BackendView], request: CallerRequest
+    ) -> list[str]:
+        shared = request.prompt[:-1]
+        if not shared:
+            return []
+        key = ','.join(part.part_id for part in shared)
+        names = [view.server.server_id for view in usable]
+        return rendezvous_order(key, names)[:_OWNERS]
+
+    def _cache_worth(self, request: CallerRequest) -> int:
+        return sum(part.tokens for part in request.prompt[:-1])
+
+    def _peer_loads(self) -> dict[str, tuple[int, int]]:
+        running: Counter[str] = Counter()
+        waiting: Counter[str] = Counter()
+        for state in self._sharing.states():
+            for load in state.loads:
+                running[load.server_id] += load.running
+                waiting[load.server_id] += load.waiting_tokens
+        return {name: (running[name], waiting[name]) for name in running}
+
+    def _own_loads(self) -> list[ServerLoad]:
+        return [view.load() for view in self._views.values() if view.work]
+
+    def _view_of(self, server: BackendServer) -> BackendView:
+        view = self._views.get(server.server_id)
+        if view is None or (
+            view.server.started_at_ms != server.started_at_ms
+            or view.server.address != server.address
+        ):
+            self._forget_gone()
+            view = BackendView(server, PartMemory(self._capacity(server)))
+            self._views[server.server_id] = view
+        view.server = server
+        return view
+
+    def _forget_gone(self) -> None:
+        self._views = {
+            server_id: view
+            for server_id, view in self._views.items()
+            if server_id in self._catalog.servers or view.work
+        }
+
+    def _capacity(self, server: BackendServer) -> int:
+        configuration = self._catalog.configuration
+        spec = configuration and configuration.services.get(server.service)
+        return spec.engine.cache_tokens if spec and spec.engine else 0
--- /dev/null
+++ b/mallowspindle/backends/view.py
@@ -0,0 +1,87 @@
+"""One backend server as this node sees it."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from mallowspindle.backends.prefixes import PartMemory
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.proxy.messages import CallerRequest, ServerReport
+from mallowspindle.sharing.messages import ServerLoad
+
+# Failures in a row after which a server is left alone for a while.
+_FAILURES_UNTIL_EJECTED = 3
+_EJECTED_S = 1.0
+_MOST_EJECTED_S = 8.0
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One request at a server; ``waiting_tokens`` until its first event."""
+
+    waiting_tokens: int
+    sent_at_s: float
+
+    def note_first_event(self) -> None:
+        """Note that the prompt has been read."""
+        self.waiting_tokens = 0
+
+
+@dataclass(slots=True, eq=False)
+class BackendView:
+    """A server, this node's work there, and its recent failures."""
+
+    server: BackendServer
+    memory: PartMemory
+    work: set[Work] = field(default_factory=set)
+    report: ServerReport | None = None
+    reported_at_s: float = 0
+    failures: int = 0
+    ejected_until_s: float = 0
+    refused_until_s: float = 0
+
+    @property
+    def ejected(self) -> bool:
+        """Whether the server is left alone for its failures."""
+        return time.monotonic() < self.ejected_until_s
+
+    @property
+    def full(self) -> bool:
+        """Whether the server has just turned work away."""
+        return time.monotonic() < self.refused_until_s
+
+    def load(self) -> ServerLoad:
+        """Return this node's work at the server."""
+        waiting = sum(work.waiting_tokens for work in self.work)
+        return ServerLoad(self.server.server_id, len(self.work), waiting)
+
+    @contextmanager
+    def working(self, request: CallerRequest) -> Iterator[Work]:
+        """Count a request while it is at the server."""
+        tokens = request.prompt_tokens or 0
+        cached = self.memory.cached_tokens(request.prompt)
+        work = Work(max(0, tokens - cached), time.monotonic())
+        self.memory.remember(request.prompt)
+        self.work.add(work)
+        try:
+            yield work
+        finally:
+            self.work.discard(work)
+
+    def note_success(self) -> None:
+        """Forget the failures."""
+        self.failures = 0
+        self.ejected_until_s = 0
+
+    def note_failure(self) -> None:
+        """Eject the server after some failures in a row."""
+        self.failures += 1
+        extra = self.failures - _FAILURES_UNTIL_EJECTED
+        if extra >= 0:
+            pause_s = min(_MOST_EJECTED_S, _EJECTED_S * 2**extra)
+            self.ejected_until_s = time.monotonic() + pause_s
+
+    def note_full(self, pause_s: float) -> None:
+        """Send no further work for a moment."""
+        self.refused_until_s = time.monotonic() + pause_s
--- /dev/null
+++ b/mallowspindle/border.py
@@ -0,0 +1,137 @@
+"""What an interface gives to the services behind it."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mallowspindle.catalog.routes import Configuration
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.kernel.service import Service
+from mallowspindle.log.interface import Log
+from mallowspindle.log.records import KeyedRecord, LogRecord
+from mallowspindle.proxy.messages import (
+    AnswerHead,
+    CallerRequest,
+    Dispatch,
+    ServerReport,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LogLayout:
+    """Where the log holds what operators and servers write, and how."""
+
+    configuration_stream: str
+    configuration_key: str
+    servers_stream: str
+    decode_keyed: Callable[[LogRecord], KeyedRecord]
+    decode_configuration: Callable[[bytes], Configuration]
+    decode_server: Callable[[str, bytes], BackendServer]
+
+
+class Dialect(ABC):
+    """How requests and answers are spelled on the wire."""
+
+    @abstractmethod
+    def decode_request(
+        self,
+        method: str,
+        target: str,
+        headers: CIMultiDictProxy[str],
+    ) -> CallerRequest:
+        """Return a caller's request; ``BadRequest`` if it is malformed."""
+
+    @abstractmethod
+    def encode_dispatch(
+        self, request: CallerRequest, dispatch: Dispatch
+    ) -> CIMultiDict[str]:
+        """Return the headers with which a server gets the request."""
+
+    @abstractmethod
+    def decode_answer(
+        self, status: int, headers: CIMultiDictProxy[str]
+    ) -> AnswerHead:
+        """Return what the head of a server's answer says."""
+
+    @abstractmethod
+    def decode_zone(self, query: Mapping[str, str]) -> str | None:
+        """Return the zone of a caller that asks for addresses."""
+
+    @abstractmethod
+    def encode_addresses(
+        self, addresses: list[str], valid_for_s: float
+    ) -> bytes:
+        """Return the answer to a caller that asks for addresses."""
+
+    @abstractmethod
+    def decode_report(self, body: bytes) -> ServerReport:
+        """Return a server's report of itself."""
+
+    @property
+    @abstractmethod
+    def report_path(self) -> str:
+        """Where a model engine gives its report."""
+
+
+class Duties(ABC):
+    """Calls to the platform that one node makes at a time."""
+
+    @abstractmethod
+    async def report_usage(
+        self, fencing_number: int, window: int, counts: Mapping[str, int]
+    ) -> None:
+        """Report the requests that each organisation began in a window."""
+
+    @abstractmethod
+    async def order_servers(
+        self, fencing_number: int, order: 'FleetOrder'
+    ) -> None:
+        """Order servers; ``NoneAvailable`` if the zone has none."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOrder:
+    """How many servers of one class a service shall have in a zone."""
+
+    service: str
+    zone: str
+    desired: int
+    reclaimable: bool
+
+
+class DutyError(Exception):
+    """The platform gave no usable answer to a duty's call."""
+
+
+class FencedOff(DutyError):
+    """A higher fencing number was used before."""
+
+
+class NoneAvailable(DutyError):
+    """No such server is to be had at present."""
+
+
+class BorderService(Service):
+    """The service that an interface registers under the name ``border``."""
+
+    @property
+    def log(self) -> Log:
+        """The log in which everything is kept that must last."""
+        raise NotImplementedError
+
+    @property
+    def layout(self) -> LogLayout:
+        """Where the log holds the configuration and the servers."""
+        raise NotImplementedError
+
+    @property
+    def dialect(self) -> Dialect:
+        """How requests and answers are spelled."""
+        raise NotImplementedError
+
+    @property
+    def duties(self) -> Duties | None:
+        """The duties of the platform; None if there are none."""
+        raise NotImplementedError
--- /dev/null
+++ b/mallowspindle/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""What operators configured, and which backend servers there are."""
--- /dev/null
+++ b/mallowspindle/catalog/errors.py
@@ -0,0 +1,5 @@
+"""Errors of the catalog."""
+
+
+class UnusableRecord(ValueError):
+    """A record that names no usable configuration or server."""
--- /dev/null
+++ b/mallowspindle/catalog/routes.py
@@ -0,0 +1,170 @@
+"""The operators' configuration as typed data."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from functools import cached_property
+
+
+class RouteKind(StrEnum):
+    """How often a request of a route may run, and what its answer is."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host and path prefix.
+
+    ``objective_s`` is the time in which an answer, or the first event of a
+    stream, counts as on time; ``priority`` 0 comes first.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run again after it has begun to run."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Tokens, or requests, that an organisation may use.
+
+    A zero rate means no limit. In tokens, a request that states none counts
+    as ``plain_tokens``.
+    """
+
+    rate_per_s: float = 0
+    burst: float = 0
+    in_tokens: bool = False
+    plain_tokens: int = 1
+
+    def cost_of(self, tokens: int | None) -> float:
+        """Return what a request of that many tokens takes off the quota."""
+        if not self.in_tokens:
+            return 1
+        return self.plain_tokens if tokens is None else tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """Who sends requests, with keys and a quota."""
+
+    name: str
+    keys: frozenset[str]
+    priority: int = 0
+    quota: Quota = Quota()
+
+
+@dataclass(frozen=True, slots=True)
+class EngineModel:
+    """What the operators say of the model engines of a service."""
+
+    slots: int
+    cache_tokens: int
+    bytes_per_token: float = 0
+    can_move: bool = False
+    can_back_up: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FleetBounds:
+    """How many servers of a service a zone may have, and what they cost.
+
+    Prices are for each second of an on-demand server by zone; a reclaimable
+    one costs ``reclaimable_price`` times as much.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    zone_prices: dict[str, float]
+    reclaimable_price: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class BackendService:
+    """One kind of backend server."""
+
+    name: str
+    max_connections: int
+    engine: EngineModel | None = None
+    fleet: FleetBounds | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the operators' configuration."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, BackendService] = field(default_factory=dict)
+    organisations: tuple[Organisation, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+    @property
+    def checks_keys(self) -> bool:
+        """Whether requests need a key, but on public routes."""
+        return bool(self.organisations)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest matching prefix."""
+        matching = (
+            route
+            for route in self._routes_by_host.get(host, ())
+            if path.startswith(route.path_prefix)
+        )
+        return next(matching, None)
+
+    def find_organisation(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key."""
+        return self._organisations_by_key.get(key)
+
+    @cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        by_host: dict[str, list[Route]] = {}
+        longest_first = sorted(
+            self.routes, key=lambda route: len(route.path_prefix), reverse=True
+        )
+        for route in longest_first:
+            by_host.setdefault(route.host, []).append(route)
+        return by_host
+
+    @cached_property
+    def _organisations_by_key(self) -> dict[str, Organisation]:
+        return {
+            key: organisation
+            for organisation in self.organisations
+            for key in organisation.keys
+        }
--- /dev/null
+++ b/mallowspindle/config/common.py
@@ -0,0 +1,74 @@
+"""Settings that the daemon has whatever its interface."""
+
+from typing import Annotated, Any
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+
+from mallowspindle.config.ini import Section
+
+
+def _split_words(text: Any) -> Any:
+    return text.split() if isinstance(text, str) else text
+
+
+WordList = Annotated[list[str], BeforeValidator(_split_words)]
+
+
+class InterfaceChoice(BaseModel):
+    """The option of ``[node]`` that selects the other settings."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+    interface: str = 'native'
+
+
+class NodeSection(Section):
+    """Identity, border and addresses of this entry VM."""
+
+    interface: str = 'native'
+    name: str = Field(pattern=r'^[a-z0-9][a-z0-9-]*$')
+    region: str = 'local'
+    zone: str
+    host: str = '127.0.0.1'
+    http_port: int = Field(0, ge=0, le=65535)
+    peer_port: int = Field(0, ge=0, le=65535)
+    vm_id: str = ''
+
+
+class PeersSection(Section):
+    """How this entry VM finds and proves itself to its peers."""
+
+    shared_key: str = Field(min_length=16)
+    seeds: WordList = Field(default_factory=list)
+    heartbeat_interval_s: float = Field(0.5, gt=0)
+    suspect_after_s: float = Field(1.5, gt=0)
+    fanout: int = Field(8, ge=1)
+    max_frame_bytes: int = Field(16_000_000, ge=1024)
+
+
+class TelemetrySection(Section):
+    """Exporters of traces, and the log level."""
+
+    traces_file: str = ''
+    otlp_endpoint: str = ''
+    log_level: str = Field('info', pattern='^(debug|info|warning|error)$')
+
+
+class CommonSettings(BaseModel):
+    """What every interface needs: identity, peers and telemetry."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    node: NodeSection
+    peers: PeersSection
+    telemetry: TelemetrySection = TelemetrySection.model_validate({})
+
+    @property
+    def peer_endpoint(self) -> tuple[str, int]:
+        """Host and port on which peers reach this entry VM."""
+        return self.node.host, self.node.peer_port
+
+    @property
+    def drain_timeout_s(self) -> float:
+        """Seconds in which requests in progress may end after a signal."""
+        raise NotImplementedError
--- a/mallowspindle/config/daemon.py
+++ b/mallowspindle/config/daemon.py
@@ -1,40 +1,10 @@
-"""Settings of the daemon on one entry VM."""
+"""Settings of the daemon behind the native interface."""
 
-from typing import Annotated, Any
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from pydantic import Field, field_validator
 
+from mallowspindle.config.common import CommonSettings
 from mallowspindle.config.ini import Section
-
-
-def _split_words(text: Any) -> Any:
-    return text.split() if isinstance(text, str) else text
-
-
-WordList = Annotated[list[str], BeforeValidator(_split_words)]
-
-
-class NodeSection(Section):
-    """Identity and addresses of this entry VM."""
-
-    name: str = Field(pattern=r'^[a-z0-9][a-z0-9-]*$')
-    region: str = 'local'
-    zone: str
-    host: str = '127.0.0.1'
-    http_port: int = Field(0, ge=0, le=65535)
-    peer_port: int = Field(0, ge=0, le=65535)
-    vm_id: str = ''
-
-
-class PeersSection(Section):
-    """How this entry VM finds and proves itself to its peers."""
-
-    shared_key: str = Field(min_length=16)
-    seeds: WordList = Field(default_factory=list)
-    heartbeat_interval_s: float = Field(0.5, gt=0)
-    suspect_after_s: float = Field(1.5, gt=0)
-    fanout: int = Field(8, ge=1)
-    max_frame_bytes: int = Field(16_000_000, ge=1024)
+from mallowspindle.routing.policies import policies
 
 
 class NativeSection(Section):
@@ -96,25 +66,25 @@
     token_sha256: str = Field('', pattern='^([0-9a-f]{64})?$')
 
 
-class TelemetrySection(Section):
-    """Exporters of traces, and the log level."""
-
-    traces_file: str = ''
-    otlp_endpoint: str = ''
-    log_level: str = Field('info', pattern='^(debug|info|warning|error)$')
+class DaemonSettings(CommonSettings):
+    """All settings of ``mallowspindled`` with ``interface = native``."""
 
-
-class DaemonSettings(BaseModel):
-    """All settings of ``mallowspindled``."""
-
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-    node: NodeSection
-    peers: PeersSection
     native: NativeSection
     limits: LimitsSection = LimitsSection.model_validate({})
     effects: EffectsSection = EffectsSection.model_validate({})
     routing: RoutingSection = RoutingSection.model_validate({})
     recovery: RecoverySection = RecoverySection.model_validate({})
     operators: OperatorsSection = OperatorsSection.model_validate({})
-    telemetry: TelemetrySection = TelemetrySection.model_validate({})
+
+    @field_validator('routing')
+    @classmethod
+    def _policy_is_known(cls, routing: RoutingSection) -> RoutingSection:
+        if routing.policy not in policies:
+            known = ', '.join(sorted(policies))
+            raise ValueError(f'policy is none of {known}')
+        return routing
+
+    @property
+    def drain_timeout_s(self) -> float:
+        """Seconds in which requests in progress may end after a signal."""
+        return self.limits.drain_timeout_s
--- /dev/null
+++ b/mallowspindle/config/gateway.py
@@ -0,0 +1,89 @@
+"""Settings of the daemon in front of the users' platform."""
+
+from typing import Annotated, Any
+
+from pydantic import AfterValidator, BeforeValidator, Field
+
+from mallowspindle.config.common import CommonSettings, WordList
+from mallowspindle.config.ini import Section
+
+
+def _split_endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _check_endpoint(address: str) -> str:
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdecimal():
+        raise ValueError('is no HOST:PORT')
+    return address
+
+
+def _absent_if_empty(text: Any) -> Any:
+    return None if text == '' else text  # noqa: PLC1901
+
+
+Endpoint = Annotated[str, AfterValidator(_check_endpoint)]
+OptionalEndpoint = Annotated[Endpoint | None, BeforeValidator(_absent_if_empty)]
+
+
+class ListenSection(Section):
+    """Where this entry VM is reached."""
+
+    callers: Endpoint
+    readiness: Endpoint
+    addresses: Endpoint
+    peers: Endpoint
+    metrics: OptionalEndpoint = None
+
+
+class StoreSection(Section):
+    """The platform's store, and how often the entry VMs read it together."""
+
+    address: Endpoint
+    timeout_s: float = Field(1.5, gt=0)
+    read_interval_s: float = Field(0.5, gt=0)
+
+
+class DutiesSection(Section):
+    """Duties that one entry VM has at a time; no address means none."""
+
+    address: OptionalEndpoint = None
+    kinds: WordList = Field(default_factory=list)
+    timeout_s: float = Field(2.0, gt=0)
+    lease_s: float = Field(3.0, gt=0)
+    usage_window_s: float = Field(5.0, gt=0)
+    usage_late_s: float = Field(10.0, gt=0)
+
+
+class ProxySection(Section):
+    """Limits and timeouts of the path between callers and servers."""
+
+    connect_timeout_s: float = Field(0.5, gt=0)
+    address_validity_s: float = Field(1.5, gt=0)
+    drain_timeout_s: float = Field(8.0, gt=0)
+    retry_ratio: float = Field(0.2, ge=0)
+    retry_window_s: float = Field(10.0, gt=0)
+    retry_slack: float = Field(10.0, ge=0)
+    quota_window_s: float = Field(8.0, gt=0)
+    buffered_answer_bytes: int = Field(8_000_000, ge=1024)
+
+
+class GatewaySettings(CommonSettings):
+    """All settings of ``mallowspindled`` with ``interface = platform``."""
+
+    listen: ListenSection
+    store: StoreSection
+    duties: DutiesSection = DutiesSection.model_validate({})
+    proxy: ProxySection = ProxySection.model_validate({})
+
+    @property
+    def peer_endpoint(self) -> tuple[str, int]:
+        """Host and port on which peers reach this entry VM."""
+        return _split_endpoint(self.listen.peers)
+
+    @property
+    def drain_timeout_s(self) -> float:
+        """Seconds in which requests in progress may end after a signal."""
+        return self.proxy.drain_timeout_s
--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -11,19 +11,14 @@
 
 import cappa
 import uvloop
-from aiohttp import ClientSession
 
-from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.config.common import CommonSettings, InterfaceChoice
 from mallowspindle.config.errors import ConfigError, Problem
-from mallowspindle.config.ini import load_model
-from mallowspindle.entry.service import EntryService
+from mallowspindle.config.ini import load_model, parse_sections
+from mallowspindle.interfaces import interfaces
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import Kernel
-from mallowspindle.membership.service import MembershipService
-from mallowspindle.native.cloud import CloudClient
-from mallowspindle.native.errors import PlatformError
-from mallowspindle.routing.policies import policies
-from mallowspindle.services import load_services
+from mallowspindle.reloading import SettingsWatch
 from mallowspindle.utils.logs import configure_logging
 from mallowspindle.utils.telemetry import configure_telemetry
 
@@ -54,23 +49,30 @@
     if arguments.check_settings:
         sys.stdout.write('the settings are valid\n')
         return
-    uvloop.run(run(config))
+    uvloop.run(run(config, arguments.settings))
 
 
-def load_settings(path: Path) -> DaemonSettings:
+def load_settings(path: Path) -> CommonSettings:
     """Return the settings in a file; ``ConfigError`` lists all problems."""
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError([Problem('file', str(path), str(error))]) from error
-    config = load_model(DaemonSettings, text)
-    if config.routing.policy not in policies:
-        known = ', '.join(sorted(policies))
-        raise ConfigError([Problem('routing', 'policy', f'is none of {known}')])
-    return config
+    return parse_settings(text)
 
 
-async def run(config: DaemonSettings) -> None:
+def parse_settings(text: str) -> CommonSettings:
+    """Return the settings of the interface that ``[node]`` names."""
+    node = parse_sections(text).get('node', {})
+    choice = InterfaceChoice.model_validate(node)
+    factory = interfaces.get(choice.interface)
+    if factory is None:
+        known = ', '.join(sorted(interfaces))
+        raise ConfigError([Problem('node', 'interface', f'is none of {known}')])
+    return load_model(factory().settings, text)
+
+
+async def run(config: CommonSettings, path: Path) -> None:
     """Run all services until a signal or a reclaim notice, then drain."""
     configure_logging(config.telemetry.log_level, config.node.name)
     traces = configure_telemetry(
@@ -78,42 +80,46 @@
         config.telemetry.traces_file,
         config.telemetry.otlp_endpoint,
     )
-    load_services()
+    interfaces[config.node.interface]().load_services()
     kernel = Kernel(config)
+    watch = SettingsWatch(path, config, load_settings, kernel.reload)
+    stop_signal = _stop_signal()
     try:
         await kernel.start()
     except KernelError as error:
         log.error('not started: %s', error)
         sys.exit(_INVALID_SETTINGS)
     _announce(kernel)
-    drain_s = await _wait_for_end(config)
+    watch.start()
+    drain_s = await _wait_for_end(kernel, stop_signal)
     await kernel.drain(drain_s)
+    await watch.stop()
     await kernel.stop()
+    log.info('stopped')
     traces.shutdown()
 
 
 def _announce(kernel: Kernel) -> None:
-    """Print the ports in use as one JSON line."""
-    membership = kernel.find('membership', MembershipService)
-    entry = kernel.find('entry', EntryService)
-    ports = {
-        'port': entry.port,
-        'peer_address': membership.own.peer_address,
-    }
-    sys.stdout.write(f'{json.dumps(ports)}\n')
+    """Print the addresses in use as one JSON line."""
+    addresses = kernel.announcements()
+    sys.stdout.write(f'{json.dumps(addresses)}\n')
     sys.stdout.flush()
-    log.info('serving callers on port %s', entry.port)
+    log.info('started', extra=addresses)
 
 
-async def _wait_for_end(config: DaemonSettings) -> float:
-    """Return the seconds left to drain, once this node has to leave."""
+def _stop_signal() -> asyncio.Event:
     loop = asyncio.get_running_loop()
     signalled = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, signalled.set)
+    return signalled
+
+
+async def _wait_for_end(kernel: Kernel, signalled: asyncio.Event) -> float:
+    """Return the seconds left to drain, once this node has to leave."""
     waits = {
-        asyncio.create_task(_signalled(signalled, config)),
-        asyncio.create_task(_noticed(config)),
+        asyncio.create_task(_signalled(signalled, kernel)),
+        asyncio.create_task(kernel.wait_for_notice()),
     }
     done, pending = await asyncio.wait(
         waits, return_when=asyncio.FIRST_COMPLETED
@@ -123,29 +129,10 @@
     return done.pop().result()
 
 
-async def _signalled(event: asyncio.Event, config: DaemonSettings) -> float:
+async def _signalled(event: asyncio.Event, kernel: Kernel) -> float:
     await event.wait()
     log.info('asked to stop')
-    return config.limits.drain_timeout_s
-
-
-async def _noticed(config: DaemonSettings) -> float:
-    """Return once the cloud gives a reclaim notice for this VM."""
-    platform = config.native
-    async with ClientSession() as session:
-        cloud = CloudClient(session, platform.cloud_url, platform.log_timeout_s)
-        while True:
-            await asyncio.sleep(platform.notice_poll_interval_s)
-            if not config.node.vm_id:
-                continue
-            try:
-                notice = await cloud.notice(config.node.vm_id)
-            except PlatformError as error:
-                log.debug('notice not read: %s', error)
-                continue
-            if notice is not None:
-                log.info('reclaim in %.1f s', notice.leaves_in_s)
-                return notice.leaves_in_s
+    return kernel.config.drain_timeout_s
 
 
 if __name__ == '__main__':
--- a/mallowspindle/effects/service.py
+++ b/mallowspindle/effects/service.py
@@ -80,11 +80,11 @@
         """Construct the service on the shared log client."""
         client = PlainClient(
             ClientSession(connector=TCPConnector(force_close=True)),
-            kernel.config.routing.connect_timeout_s,
-            kernel.config.effects.call_timeout_s,
+            kernel.settings(DaemonSettings).routing.connect_timeout_s,
+            kernel.settings(DaemonSettings).effects.call_timeout_s,
         )
         return cls(
-            kernel.config,
+            kernel.settings(DaemonSettings),
             kernel.find('native', NativeService).log,
             kernel.find('membership', MembershipService),
             kernel.find('router', RouterService),
--- a/mallowspindle/entry/context.py
+++ b/mallowspindle/entry/context.py
@@ -45,7 +45,7 @@
         """Find the services by name."""
         membership = kernel.find('membership', MembershipService)
         return cls(
-            config=kernel.config,
+            config=kernel.settings(DaemonSettings),
             membership=membership,
             settings=kernel.find('settings', SettingsService),
             directory=kernel.find('directory', DirectoryService),
--- /dev/null
+++ b/mallowspindle/interfaces.py
@@ -0,0 +1,74 @@
+"""The interfaces that the daemon can show at its border, by name."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from importlib import import_module
+
+from mallowspindle.config.common import CommonSettings
+
+
+@dataclass(frozen=True, slots=True)
+class Interface:
+    """The settings of an interface and the modules of its services."""
+
+    settings: type[CommonSettings]
+    modules: tuple[str, ...]
+
+    def load_services(self) -> None:
+        """Import the modules; their decorators fill the registry."""
+        for module in self.modules:
+            import_module(module)
+
+
+Factory = Callable[[], Interface]
+interfaces: dict[str, Factory] = {}
+
+
+def interface(name: str) -> Callable[[Factory], Factory]:
+    """Return a decorator that registers a factory under ``name``."""
+
+    def decorate(factory: Factory) -> Factory:
+        interfaces[name] = factory
+        return factory
+
+    return decorate
+
+
+@interface('native')
+def native() -> Interface:
+    """Serve this project's own HTTP interface."""
+    from mallowspindle.config.daemon import DaemonSettings  # noqa: PLC0415
+
+    return Interface(
+        DaemonSettings,
+        (
+            'mallowspindle.native.service',
+            'mallowspindle.membership.service',
+            'mallowspindle.settings.service',
+            'mallowspindle.routing.directory',
+            'mallowspindle.routing.router',
+            'mallowspindle.ledger.service',
+            'mallowspindle.recovery.service',
+            'mallowspindle.attempts.service',
+            'mallowspindle.effects.service',
+            'mallowspindle.entry.service',
+        ),
+    )
+
+
+@interface('platform')
+def platform() -> Interface:
+    """Serve the users' platform as a proxy in front of its servers."""
+    from mallowspindle.config.gateway import GatewaySettings  # noqa: PLC0415
+
+    return Interface(
+        GatewaySettings,
+        (
+            'mallowspindle.platform.service',
+            'mallowspindle.membership.service',
+            'mallowspindle.sharing.service',
+            'mallowspindle.catalog.service',
+            'mallowspindle.backends.service',
+            'mallowspindle.proxy.service',
+        ),
+    )
--- a/mallowspindle/kernel/kernel.py
+++ b/mallowspindle/kernel/kernel.py
@@ -1,30 +1,67 @@
 """Starts, drains and stops the registered services."""
 
+import asyncio
 import logging
 import time
 from graphlib import CycleError, TopologicalSorter
 from typing import TypeVar
 
-from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.config.common import CommonSettings
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.service import Service, registry
 
 log = logging.getLogger(__name__)
 ServiceT = TypeVar('ServiceT', bound=Service)
+SettingsT = TypeVar('SettingsT', bound=CommonSettings)
 
 
 class Kernel:
     """Holds the running services and lets them find each other by name."""
 
-    def __init__(self, config: DaemonSettings) -> None:
+    def __init__(self, config: CommonSettings) -> None:
         self._config = config
         self._services: dict[str, Service] = {}
 
     @property
-    def config(self) -> DaemonSettings:
-        """The daemon's settings."""
+    def config(self) -> CommonSettings:
+        """The settings that every interface has."""
         return self._config
 
+    def settings(self, kind: type[SettingsT]) -> SettingsT:
+        """Return the settings of the interface, which must be a ``kind``."""
+        if not isinstance(self._config, kind):
+            raise KernelError(f'the settings are not {kind.__name__}')
+        return self._config
+
+    def reload(self, config: CommonSettings) -> None:
+        """Put new settings in force and tell the services."""
+        self._config = config
+        for running in self._services.values():
+            running.reload(self)
+
+    def announcements(self) -> dict[str, str | int]:
+        """Return the addresses in use, as the services name them."""
+        return {
+            name: address
+            for running in self._services.values()
+            for name, address in running.announcements().items()
+        }
+
+    async def wait_for_notice(self) -> float:
+        """Return the seconds left, once a service has to leave with its VM."""
+        waits = [
+            asyncio.create_task(running.wait_for_notice())
+            for running in self._services.values()
+        ]
+        try:
+            done, _ = await asyncio.wait(
+                waits, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for wait in waits:
+                wait.cancel()
+        return done.pop().result()
+
     def find(self, name: str, kind: type[ServiceT]) -> ServiceT:
         """Return the running service ``name``, which must be a ``kind``."""
         found = self._services.get(name)
--- a/mallowspindle/kernel/service.py
+++ b/mallowspindle/kernel/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import TYPE_CHECKING, ClassVar, Self, TypeVar
 
@@ -30,6 +31,17 @@
     async def start(self) -> None:
         """Begin work; services named in ``requires`` run already."""
 
+    def announcements(self) -> dict[str, str | int]:
+        """Return addresses in use that the daemon prints at its start."""
+        return {}
+
+    def reload(self, kernel: Kernel) -> None:
+        """Take over settings that changed while the daemon runs."""
+
+    async def wait_for_notice(self) -> float:
+        """Return the seconds left once this VM is about to be taken away."""
+        return await asyncio.get_running_loop().create_future()
+
     async def prepare_drain(self) -> None:
         """Tell others that this node is leaving; take no new work."""
 
--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -9,7 +9,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Observation
 
-from mallowspindle.config.daemon import NodeSection, PeersSection
+from mallowspindle.config.common import NodeSection, PeersSection
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.gossip import Gossip
@@ -43,11 +43,14 @@
     """Exchanges heartbeats with a bounded number of peers."""
 
     def __init__(
-        self, node: NodeSection, peers: PeersSection, server: PeerServer
+        self,
+        node: NodeSection,
+        peers: PeersSection,
+        server: PeerServer,
+        endpoint: tuple[str, int],
     ) -> None:
         self._peers = peers
-        self._host = node.host
-        self._port = node.peer_port
+        self._host, self._port = endpoint
         self._server = server
         self._info = MemberInfo(
             name=node.name,
@@ -70,9 +73,12 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service and the server that peers dial."""
-        node, peers = kernel.config.node, kernel.config.peers
-        credentials = Credentials(node.name, peers.shared_key.encode())
-        return cls(node, peers, PeerServer(credentials, peers.max_frame_bytes))
+        config = kernel.config
+        credentials = Credentials(
+            config.node.name, config.peers.shared_key.encode()
+        )
+        server = PeerServer(credentials, config.peers.max_frame_bytes)
+        return cls(config.node, config.peers, server, config.peer_endpoint)
 
     @property
     def own(self) -> MemberInfo:
--- a/mallowspindle/native/service.py
+++ b/mallowspindle/native/service.py
@@ -1,36 +1,40 @@
-"""The platform service: clients shared by the other services."""
+"""The clients of the log and the cloud, shared by the other services."""
 
+import asyncio
+import logging
 from typing import Self
 
 from aiohttp import ClientSession
 
+from mallowspindle.config.daemon import DaemonSettings
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.native.cloud import CloudClient
+from mallowspindle.native.errors import PlatformError
 from mallowspindle.native.log import LogClient
 
+log = logging.getLogger(__name__)
+
 
 @service('native')
 class NativeService(Service):
     """Holds one log client and one cloud client."""
 
     def __init__(
-        self, session: ClientSession, log_client: LogClient, cloud: CloudClient
+        self, config: DaemonSettings, session: ClientSession
     ) -> None:
+        section = config.native
+        timeout_s = section.log_timeout_s
         self._session = session
-        self._log = log_client
-        self._cloud = cloud
+        self._log = LogClient(session, section.log_url, timeout_s)
+        self._cloud = CloudClient(session, section.cloud_url, timeout_s)
+        self._vm_id = config.node.vm_id
+        self._poll_interval_s = section.notice_poll_interval_s
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the clients for the addresses in ``[native]``."""
-        section = kernel.config.native
-        session = ClientSession()
-        return cls(
-            session,
-            LogClient(session, section.log_url, section.log_timeout_s),
-            CloudClient(session, section.cloud_url, section.log_timeout_s),
-        )
+        return cls(kernel.settings(DaemonSettings), ClientSession())
 
     @property
     def log(self) -> LogClient:
@@ -42,6 +46,21 @@
         """The client of the cloud API."""
         return self._cloud
 
+    async def wait_for_notice(self) -> float:
+        """Return once the cloud gives a reclaim notice for this VM."""
+        while True:
+            await asyncio.sleep(self._poll_interval_s)
+            if not self._vm_id:
+                continue
+            try:
+                notice = await self._cloud.notice(self._vm_id)
+            except PlatformError as error:
+                log.debug('notice not read: %s', error)
+                continue
+            if notice is not None:
+                log.info('reclaim in %.1f s', notice.leaves_in_s)
+                return notice.leaves_in_s
+
     async def stop(self) -> None:
         """Close the connections."""
         await self._session.close()
--- /dev/null
+++ b/mallowspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the users' platform and the project's own types."""
--- /dev/null
+++ b/mallowspindle/platform/configuration.py
@@ -0,0 +1,191 @@
+"""Decodes the operators' configuration."""
+
+
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mallowspindle.catalog.routes import (
+    BackendService,
+    CallerLimits,
+    Configuration,
+    EngineModel,
+    FleetBounds,
+    Organisation,
+    Quota,
+    Route,
+    RouteKind,
+    Share,
+)
+from mallowspindle.platform.errors import DecodeError
+
+# The key of the configuration's record in the operators' stream.
+CONFIGURATION_KEY = 'config'
+
+_KINDS = {
+    'safe': RouteKind.SAFE,
+    'unsafe': RouteKind.UNSAFE,
+    'streaming': RouteKind.STREAM,
+}
+_MS = 1000
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _Split(_Model):
+    service: str
+    weight: float = Field(1, ge=0)
+
+
+class _Route(_Model):
+    name: str
+    host: str
+    path_prefix: str
+    # Says what may be repeated; the names of routes say nothing.
+    kind: str
+    # Bound on the whole answer, not on a silence within it.
+    timeout_ms: float = Field(gt=0)
+    # Objective; for streams up to the first event.
+    target_latency_ms: float = 1000
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] | None = None
+    # Servers that one request may run at, not tries to reach one.
+    max_attempts: int = Field(1, ge=1)
+    public: bool = False
+    resumable: bool = False
+
+    def decode(self) -> Route:
+        splits = self.traffic_split or []
+        shares = tuple(Share(part.service, part.weight) for part in splits)
+        if not shares and self.service is not None:
+            shares = (Share(self.service, 1),)
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            path_prefix=self.path_prefix,
+            # What isn't known to be repeatable runs at most once.
+            kind=_KINDS.get(self.kind, RouteKind.UNSAFE),
+            shares=shares,
+            timeout_s=self.timeout_ms / _MS,
+            objective_s=self.target_latency_ms / _MS,
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            public=self.public,
+            resumable=self.resumable,
+        )
+
+
+class _Engine(_Model):
+    slots: int = Field(1, ge=1)
+    kv_capacity_tokens: int = 0
+    # Bytes of cache memory that each token takes.
+    kv_bytes: float = 0
+    moves: bool = False
+    backups: bool = False
+
+
+class _Autoscale(_Model):
+    # Both bounds hold for each zone, for both kinds of server together.
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0
+    # Price of a reclaimable server as a share of an on-demand one's.
+    spot_price: float | None = None
+    zone_prices: dict[str, float] = Field(default_factory=dict)
+
+
+class _Service(_Model):
+    name: str
+    max_connections: int = Field(1, ge=1)
+    engine: _Engine | None = None
+    autoscale: _Autoscale | None = None
+
+    def decode(self) -> BackendService:
+        return BackendService(
+            self.name,
+            self.max_connections,
+            self.engine and _decode_engine(self.engine),
+            self.autoscale and _decode_fleet(self.autoscale),
+        )
+
+
+class _Limits(_Model):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(_Model):
+    name: str
+    api_keys: list[str] = Field(default_factory=list)
+    priority: int = 0
+    # Unit of the two figures below.
+    unit: str = 'requests'
+    plain_tokens: int = 1
+    rate_per_s: float = 0
+    burst: float = 0
+
+    def decode(self) -> Organisation:
+        quota = Quota(
+            self.rate_per_s,
+            self.burst,
+            self.unit == 'tokens',
+            self.plain_tokens,
+        )
+        return Organisation(
+            self.name, frozenset(self.api_keys), self.priority, quota
+        )
+
+
+class _Configuration(_Model):
+    version: int
+    routes: list[_Route] = Field(default_factory=list)
+    services: list[_Service] = Field(default_factory=list)
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] = Field(default_factory=list)
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Return the configuration in a record; ``DecodeError`` if unusable."""
+    try:
+        found = _Configuration.model_validate_json(value)
+    except ValidationError as error:
+        raise DecodeError(f'unusable configuration: {error}') from error
+    limits = found.limits
+    return Configuration(
+        version=found.version,
+        routes=tuple(route.decode() for route in found.routes),
+        services={each.name: each.decode() for each in found.services},
+        organisations=tuple(tenant.decode() for tenant in found.tenants),
+        limits=CallerLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / _MS,
+            idle_timeout_s=limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def _decode_engine(engine: _Engine) -> EngineModel:
+    return EngineModel(
+        slots=engine.slots,
+        cache_tokens=engine.kv_capacity_tokens,
+        bytes_per_token=engine.kv_bytes,
+        can_move=engine.moves,
+        can_back_up=engine.backups,
+    )
+
+
+def _decode_fleet(scale: _Autoscale) -> FleetBounds:
+    return FleetBounds(
+        least=scale.min,
+        most=scale.max,
+        boot_s=scale.boot_s,
+        zone_prices=dict(scale.zone_prices),
+        reclaimable_price=scale.spot_price,
+    )
+
+
--- /dev/null
+++ b/mallowspindle/platform/dialect.py
@@ -0,0 +1,235 @@
+"""Headers of callers' requests and servers' answers."""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mallowspindle.border import Dialect
+from mallowspindle.platform.errors import DecodeError
+from mallowspindle.proxy.errors import BadRequest
+from mallowspindle.proxy.messages import (
+    AnswerHead,
+    CallerRequest,
+    Dispatch,
+    PromptPart,
+    ServerReport,
+)
+
+_MS = 1000
+_MISDIRECTED = 421
+# Callers take no more addresses than this.
+_MAX_ADDRESSES = 64
+_KEY_SCHEME = 'token '
+
+# Headers of one connection, never passed on.
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    )
+)
+# Request headers that only the system may set; ``authorization`` holds the
+# key, which servers must not see.
+_SET_BY_SYSTEM = frozenset(
+    (
+        'authorization',
+        'deadline-ms',
+        'expect-instance',
+        'expect-version',
+        'hold',
+        'kv-backup',
+        'kv-fetch',
+        'kv-from',
+        'last-event-id',
+        'pin-ms',
+        'request-priority',
+        'tenant',
+    )
+)
+# Answer headers that servers mean for the system.
+_FOR_SYSTEM = frozenset(
+    ('not-executed', 'instance-id', 'server-load', 'date', 'server')
+)
+
+
+class _Report(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+
+    running: int = Field(0, ge=0)
+    waiting: int = Field(0, ge=0)
+    # Memory in tokens that can't be given up for other requests.
+    kv_used: int = 0
+    kv_total: int = 0
+    leaves_ms: float | None = None
+    state: str = 'ready'
+
+
+class PlatformDialect(Dialect):
+    """The headers of the users' platform."""
+
+    @property
+    def report_path(self) -> str:
+        """Where a model engine gives its report."""
+        return '/report'
+
+    def decode_request(
+        self, method: str, target: str, headers: CIMultiDictProxy[str]
+    ) -> CallerRequest:
+        """Return a caller's request; ``BadRequest`` if it is malformed."""
+        request_id = headers.get('Request-Id')
+        host = headers.get('Host')
+        if not request_id or not host:
+            raise BadRequest('a request needs an id and a host')
+        prompt_tokens, output_tokens = _decode_token_count(headers)
+        return CallerRequest(
+            method=method,
+            target=target,
+            host=host.lower(),
+            request_id=request_id,
+            headers=_passed_on(headers, _HOP_BY_HOP | _SET_BY_SYSTEM),
+            key=_decode_key(headers.get('Authorization')),
+            patience_s=_decode_ms(headers, 'Deadline-Ms'),
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            expected_output_tokens=_decode_int(headers, 'Length-Hint'),
+            prompt=tuple(_decode_prompt(headers.get('Prompt-Prefix', ''))),
+            last_event_id=headers.get('Last-Event-Id'),
+        )
+
+    def encode_dispatch(
+        self, request: CallerRequest, dispatch: Dispatch
+    ) -> CIMultiDict[str]:
+        """Return the headers with which a server gets the request."""
+        headers = request.headers.copy()
+        headers['Expect-Instance'] = dispatch.server_id
+        headers['Deadline-Ms'] = str(int(dispatch.time_left_s * _MS))
+        added = (
+            ('Tenant', dispatch.organisation),
+            ('Last-Event-Id', dispatch.last_event_id),
+            (
+                'Request-Priority',
+                None if dispatch.urgency is None else str(dispatch.urgency),
+            ),
+        )
+        headers.update({name: text for name, text in added if text is not None})
+        return headers
+
+    def decode_answer(
+        self, status: int, headers: CIMultiDictProxy[str]
+    ) -> AnswerHead:
+        """Return what the head of a server's answer says."""
+        running, waiting = _decode_load(headers.get('Server-Load', ''))
+        misdirected = status == _MISDIRECTED
+        return AnswerHead(
+            status=status,
+            request_id=headers.get('Request-Id'),
+            not_run=misdirected or 'Not-Executed' in headers,
+            misdirected=misdirected,
+            headers=_passed_on(headers, _HOP_BY_HOP | _FOR_SYSTEM),
+            running=running,
+            waiting=waiting,
+        )
+
+    def decode_zone(self, query: Mapping[str, str]) -> str | None:
+        """Return the zone of a caller that asks for addresses."""
+        return query.get('zone')
+
+    def encode_addresses(
+        self, addresses: list[str], valid_for_s: float
+    ) -> bytes:
+        """Return the answer to a caller that asks for addresses."""
+        answer = {
+            'addresses': addresses[:_MAX_ADDRESSES],
+            'ttl_s': valid_for_s,
+        }
+        return json.dumps(answer).encode()
+
+    def decode_report(self, body: bytes) -> ServerReport:
+        """Return a server's report of itself."""
+        try:
+            found = _Report.model_validate_json(body)
+        except ValidationError as error:
+            raise DecodeError(f'unusable report: {error}') from error
+        left_ms = found.leaves_ms
+        return ServerReport(
+            running=found.running,
+            waiting=found.waiting,
+            cache_used=found.kv_used,
+            cache_total=found.kv_total,
+            leaves_in_s=None if left_ms is None else left_ms / _MS,
+            draining=found.state == 'draining',
+        )
+
+
+def _passed_on(
+    headers: Mapping[str, str], dropped: Iterable[str]
+) -> CIMultiDict[str]:
+    named = headers.get('Connection', '').lower().split(',')
+    left_out = {*dropped, *(name.strip() for name in named)}
+    return CIMultiDict(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in left_out
+    )
+
+
+def _decode_key(authorization: str | None) -> str | None:
+    if authorization is None:
+        return None
+    if authorization[: len(_KEY_SCHEME)].lower() != _KEY_SCHEME:
+        return None
+    return authorization[len(_KEY_SCHEME) :].strip()
+
+
+def _decode_ms(headers: Mapping[str, str], name: str) -> float | None:
+    millis = _decode_int(headers, name)
+    return None if millis is None else millis / _MS
+
+
+def _decode_int(headers: Mapping[str, str], name: str) -> int | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        return int(text)
+    except ValueError as error:
+        raise BadRequest(f'{name} is no whole number: {text!r}') from error
+
+
+def _decode_token_count(headers: Mapping[str, str]) -> tuple[int | None, int]:
+    text = headers.get('Token-Count')
+    if text is None:
+        return None, 0
+    try:
+        prompt_tokens, output_tokens = map(int, text.split(','))
+    except ValueError as error:
+        raise BadRequest(f'unreadable count of tokens: {text!r}') from error
+    return prompt_tokens, output_tokens
+
+
+def _decode_prompt(text: str) -> Iterator[PromptPart]:
+    for entry in filter(None, text.split(',')):
+        part_id, _, tokens = entry.strip().partition(':')
+        if not tokens.isdecimal():
+            raise BadRequest(f'unreadable part of a prompt: {entry!r}')
+        yield PromptPart(part_id, int(tokens))
+
+
+def _decode_load(text: str) -> tuple[int | None, int | None]:
+    """Return the running and waiting requests; None if not told."""
+    running, _, rest = text.partition(',')
+    waiting = rest.partition(',')[0]
+    if not (running.isdecimal() and waiting.isdecimal()):
+        return None, None
+    return int(running), int(waiting)
--- /dev/null
+++ b/mallowspindle/platform/duties.py
@@ -0,0 +1,86 @@
+"""Calls to the platform that one node makes at a time."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from mallowspindle.border import (
+    Duties,
+    DutyError,
+    FencedOff,
+    FleetOrder,
+    NoneAvailable,
+)
+
+_OK = 200
+_CONFLICT = 409
+
+
+class PlatformDuties(Duties):
+    """Client of the platform's interface for duties."""
+
+    def __init__(
+        self,
+        session: ClientSession,
+        address: str,
+        holder: str,
+        timeout_s: float,
+    ) -> None:
+        self._session = session
+        self._url = f'http://{address}'
+        self._holder = holder
+        self._timeout = ClientTimeout(total=timeout_s)
+
+    async def report_usage(
+        self, fencing_number: int, window: int, counts: Mapping[str, int]
+    ) -> None:
+        """Report usage; see ``Duties.report_usage``."""
+        body = {'window_id': window, 'counts': dict(counts)}
+        status, _ = await self._post('/usage', fencing_number, body)
+        if status == _CONFLICT:
+            raise FencedOff('a higher fencing number reported usage')
+        _require_ok(status)
+
+    async def order_servers(
+        self, fencing_number: int, order: FleetOrder
+    ) -> None:
+        """Order servers; see ``Duties.order_servers``."""
+        body = {
+            'service': order.service,
+            'zone': order.zone,
+            'desired_count': order.desired,
+        }
+        if order.reclaimable:
+            body['spot'] = True
+        status, answer = await self._post('/scale', fencing_number, body)
+        if status == _CONFLICT:
+            # One status for two matters: the reason tells a higher fencing
+            # number from a zone without such servers.
+            if b'fence' in answer.lower():
+                raise FencedOff('a higher fencing number ordered servers')
+            raise NoneAvailable(answer.decode('utf-8', 'replace')[:200])
+        _require_ok(status)
+
+    async def _post(
+        self, path: str, fencing_number: int, body: dict[str, Any]
+    ) -> tuple[int, bytes]:
+        headers = {
+            'Lease-Holder': self._holder,
+            'Fencing-Token': str(fencing_number),
+        }
+        try:
+            async with self._session.post(
+                f'{self._url}{path}',
+                json=body,
+                headers=headers,
+                timeout=self._timeout,
+            ) as response:
+                return response.status, await response.read()
+        except (ClientError, TimeoutError) as error:
+            raise DutyError(f'no answer of the platform: {error!r}') from error
+
+
+def _require_ok(status: int) -> None:
+    if status != _OK:
+        raise DutyError(f'the platform answered {status}')
--- /dev/null
+++ b/mallowspindle/platform/entries.py
@@ -0,0 +1,61 @@
+"""Decodes the entries of backend servers."""
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.platform.errors import DecodeError
+
+_STATES = frozenset(('ready', 'draining'))
+_MS = 1000
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _LoadedModel(_Model):
+    version: int = 1
+
+
+class _Entry(_Model):
+    service: str = Field(min_length=1, strict=True)
+    address: str = Field(pattern=r'^[0-9.]+:\d+$', strict=True)
+    zone: str = Field(strict=True)
+    slots: int = Field(ge=1, strict=True)
+    state: str = Field(strict=True)
+    # How much longer the server is slow after its start.
+    cold_remaining_ms: float = 0
+    # Unix milliseconds of the server's start.
+    born: int = 0
+    spot: bool = False
+    # Time left after a reclaim notice.
+    leaves_ms: float | None = None
+    models: list[_LoadedModel] = Field(default_factory=list)
+
+
+def decode_entry(server_id: str, value: bytes) -> BackendServer:
+    """Return the server in an entry; ``DecodeError`` if it names none."""
+    try:
+        entry = _Entry.model_validate_json(value)
+    except ValidationError as error:
+        raise DecodeError(
+            f'unusable entry of server {server_id}: {error}'
+        ) from error
+    if entry.state not in _STATES:
+        raise DecodeError(
+            f'server {server_id} is in the unknown state {entry.state!r}'
+        )
+    left_ms = entry.leaves_ms
+    return BackendServer(
+        server_id=server_id,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.state == 'draining',
+        started_at_ms=entry.born,
+        cold_s=entry.cold_remaining_ms / _MS,
+        reclaimable=entry.spot,
+        leaves_in_s=None if left_ms is None else left_ms / _MS,
+        model_version=entry.models[0].version if entry.models else None,
+    )
--- /dev/null
+++ b/mallowspindle/platform/service.py
@@ -0,0 +1,77 @@
+"""The border towards the users' platform."""
+
+from typing import Self
+
+from aiohttp import ClientSession, TCPConnector
+
+from mallowspindle.border import BorderService, Dialect, Duties, LogLayout
+from mallowspindle.config.gateway import GatewaySettings
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import service
+from mallowspindle.log.interface import Log
+from mallowspindle.platform.configuration import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+)
+from mallowspindle.platform.dialect import PlatformDialect
+from mallowspindle.platform.duties import PlatformDuties
+from mallowspindle.platform.entries import decode_entry
+from mallowspindle.platform.store import (
+    CONFIGURATION_STREAM,
+    SERVERS_STREAM,
+    StoreLog,
+    decode_keyed,
+)
+
+
+@service('border')
+class PlatformService(BorderService):
+    """Holds the clients of the platform and its spelling."""
+
+    def __init__(self, config: GatewaySettings, session: ClientSession) -> None:
+        self._session = session
+        self._log = StoreLog(
+            session, config.store.address, config.store.timeout_s
+        )
+        self._dialect = PlatformDialect()
+        address = config.duties.address
+        self._duties = address and PlatformDuties(
+            session, address, config.node.name, config.duties.timeout_s
+        )
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the clients for the addresses in the settings."""
+        session = ClientSession(connector=TCPConnector(limit=0))
+        return cls(kernel.settings(GatewaySettings), session)
+
+    @property
+    def log(self) -> Log:
+        """The platform's store."""
+        return self._log
+
+    @property
+    def layout(self) -> LogLayout:
+        """Where the store holds the configuration and the servers."""
+        return LogLayout(
+            configuration_stream=CONFIGURATION_STREAM,
+            configuration_key=CONFIGURATION_KEY,
+            servers_stream=SERVERS_STREAM,
+            decode_keyed=decode_keyed,
+            decode_configuration=decode_configuration,
+            decode_server=decode_entry,
+        )
+
+    @property
+    def dialect(self) -> Dialect:
+        """How requests and answers are spelled."""
+        return self._dialect
+
+    @property
+    def duties(self) -> Duties | None:
+        """The duties' client; None where the platform has none."""
+        return self._duties or None
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        await self._session.close()
--- /dev/null
+++ b/mallowspindle/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output, each for a stated load pattern."""
--- /dev/null
+++ b/mallowspindle/policies/placement.py
@@ -0,0 +1,101 @@
+"""Which server gets a request.
+
+Load pattern: prompts of very different lengths, of which many share long
+parts, on servers that read prompts one after the other between the tokens of
+running requests. Sending each prompt to the server that will have read it
+first keeps the time to the first token short and reads shared parts once.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+# Prompt tokens that a server reads in a second; only the ratio to the delays
+# below matters.
+_READ_TOKENS_PER_S = 60_000
+# Delay that each running request adds to the tokens of the others.
+_RUNNING_S = 0.0006
+# Delay for each request that a server without a free slot has too many.
+_QUEUED_S = 0.05
+# Disadvantages in seconds of predicted time to the first token.
+_OTHER_ZONE_S = 0.002
+_FULL_S = 1.0
+_COLD_S = 0.5
+# Share of the cached tokens' time that counts for a server that should get
+# the shared parts, though it may not have read them yet.
+_OWNER_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server that may get the request; loads include those of peers."""
+
+    server_id: str
+    zone: str
+    slots: int
+    running: int
+    waiting_tokens: int
+    cached_tokens: int
+    is_owner: bool = False
+    full: bool = False
+    cold: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The request to place, as seen from a node in ``zone``."""
+
+    zone: str
+    prompt_tokens: int
+    shared_tokens: int
+
+
+Policy = Callable[[Candidate, Placement], float]
+policies: dict[str, Policy] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Return a decorator that registers a cost function under ``name``."""
+
+    def decorate(function: Policy) -> Policy:
+        policies[name] = function
+        return function
+
+    return decorate
+
+
+@policy('least_loaded')
+def load_cost(candidate: Candidate, placement: Placement) -> float:
+    """Return the share of busy slots: the baseline, blind to prompts."""
+    return candidate.running / candidate.slots
+
+
+@policy('predicted')
+def predicted_cost_s(candidate: Candidate, placement: Placement) -> float:
+    """Return the predicted seconds to the first token."""
+    cached = candidate.cached_tokens
+    if candidate.is_owner:
+        cached = max(cached, int(placement.shared_tokens * _OWNER_SHARE))
+    unread = max(0, placement.prompt_tokens - cached)
+    read_s = (candidate.waiting_tokens + unread) / _READ_TOKENS_PER_S
+    queued = max(0, candidate.running + 1 - candidate.slots)
+    return (
+        read_s
+        + candidate.running * _RUNNING_S
+        + candidate.running / candidate.slots * _QUEUED_S
+        + queued * _QUEUED_S
+        + (_OTHER_ZONE_S if candidate.zone != placement.zone else 0)
+        + (_FULL_S if candidate.full else 0)
+        + (_COLD_S if candidate.cold else 0)
+    )
+
+
+def choose_server(
+    candidates: Sequence[Candidate],
+    placement: Placement,
+    name: str = 'predicted',
+) -> Candidate:
+    """Return the candidate of the lowest cost; equal ones at random."""
+    cost = policies[name]
+    shuffled = random.sample(list(candidates), len(candidates))
+    return min(shuffled, key=lambda candidate: cost(candidate, placement))
--- /dev/null
+++ b/mallowspindle/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The path between callers and backend servers."""
--- /dev/null
+++ b/mallowspindle/proxy/errors.py
@@ -0,0 +1,5 @@
+"""Errors of the path between callers and backend servers."""
+
+
+class BadRequest(ValueError):
+    """A caller's request that can't be read as one."""
--- /dev/null
+++ b/mallowspindle/proxy/exchange.py
@@ -0,0 +1,289 @@
+"""One request of a caller: pick a server, send, relay, repeat, end."""
+
+import asyncio
+import logging
+from itertools import count
+
+from aiohttp import ClientError, ClientResponse
+from aiohttp.web import BaseRequest, Response, StreamResponse
+
+from mallowspindle.backends.view import BackendView, Work
+from mallowspindle.catalog.routes import Organisation, Route, RouteKind
+from mallowspindle.outcomes import NotRun, Unknown
+from mallowspindle.policies.splitting import choose_service
+from mallowspindle.proxy import replies
+from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.messages import AnswerHead, CallerRequest, Dispatch
+from mallowspindle.proxy.outcomes import Answered, AttemptOutcome, Relayed
+from mallowspindle.proxy.upstream import ClosedWatch, SendMark
+from mallowspindle.utils.telemetry import meter
+
+log = logging.getLogger(__name__)
+
+_OK = 200
+_SERVER_ERROR = 500
+# Pauses told to callers: how long a full or missing server usually stays so.
+_FULL_PAUSE_S = 0.4
+# Time kept back for the way of the answer to the caller.
+_RETURN_S = 0.02
+# A second attempt needs at least this time to be worth its place.
+_LEAST_ATTEMPT_S = 0.05
+
+attempts_total = meter.create_counter('attempts')
+
+
+class Exchange:
+    """One request and its answer."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        web_request: BaseRequest,
+        request: CallerRequest,
+        route: Route,
+        organisation: Organisation | None,
+        began_at_s: float,
+    ) -> None:
+        self._context = context
+        self._web_request = web_request
+        self._request = request
+        self._route = route
+        self._organisation = organisation
+        self._began_at_s = began_at_s
+        patience_s = request.patience_s
+        limit_s = route.timeout_s
+        if patience_s is not None:
+            limit_s = min(limit_s, patience_s - _RETURN_S)
+        self._ends_at_s = began_at_s + limit_s
+        self._service = choose_service(route.shares)
+        self._response: StreamResponse | None = None
+        self._splitter = EventSplitter(request.last_event_id)
+        self._tried: set[str] = set()
+        self._runs = 0
+        self._counted = False
+        self._last_failure: Answered | None = None
+
+    async def run(self, body: bytes) -> StreamResponse:
+        """Return the response for the caller, which may be under way."""
+        self._context.budgets.note_request(self._service)
+        try:
+            async with asyncio.timeout_at(self._ends_at_s):
+                return await self._run_attempts(body)
+        except TimeoutError:
+            return self._time_out()
+
+    async def _run_attempts(self, body: bytes) -> StreamResponse:
+        for number in count(1):
+            view = self._context.backends.pick(
+                self._service, self._request, self._tried
+            )
+            if view is None:
+                return self._refuse('no server is left to try')
+            outcome = await self._attempt(view, body)
+            self._note(view, outcome, number)
+            if isinstance(outcome, Relayed):
+                break
+            if not self._may_repeat(outcome):
+                return await self._conclude(outcome)
+        return self._started()
+
+    async def _attempt(
+        self, view: BackendView, body: bytes
+    ) -> AttemptOutcome:
+        self._tried.add(view.server.server_id)
+        mark = SendMark()
+        request = self._request
+        dispatch = Dispatch(
+            server_id=view.server.server_id,
+            time_left_s=self._time_left_s(),
+            organisation=self._organisation and self._organisation.name,
+            last_event_id=self._splitter.last_event_id,
+        )
+        headers = self._context.dialect.encode_dispatch(request, dispatch)
+        url = f'http://{view.server.address}{request.target}'
+        try:
+            with view.working(request) as work:
+                async with self._context.upstream.send(
+                    request.method, url, headers, body, mark
+                ) as answer:
+                    return await self._take(answer, work)
+        except (ClientError, OSError, TimeoutError) as error:
+            if self._is_overdue():
+                raise TimeoutError from error
+            return self._lost(error, mark)
+
+    def _lost(self, error: Exception, mark: SendMark) -> AttemptOutcome:
+        self._splitter.drop_pending()
+        reason = f'{type(error).__name__}: {error}'
+        if mark.sent:
+            return Unknown(reason)
+        return NotRun(reason, _FULL_PAUSE_S)
+
+    async def _take(
+        self, answer: ClientResponse, work: Work
+    ) -> AttemptOutcome:
+        head = self._context.dialect.decode_answer(
+            answer.status, answer.headers
+        )
+        if head.request_id != self._request.request_id:
+            answer.close()
+            return Unknown(f'answer to another request: {head.request_id}')
+        if head.not_run:
+            await answer.read()
+            return NotRun(f'server answered {head.status}', _FULL_PAUSE_S)
+        closed = ClosedWatch(answer)
+        if head.status == _OK and self._route.kind is RouteKind.STREAM:
+            return await self._relay(answer, head, closed, work)
+        self._count_usage()
+        body = await answer.read()
+        await closed.check()
+        return Answered(head, body)
+
+    async def _relay(
+        self,
+        answer: ClientResponse,
+        head: AnswerHead,
+        closed: ClosedWatch,
+        work: Work,
+    ) -> AttemptOutcome:
+        """Pass on whole events as they come."""
+        async for chunk in answer.content.iter_any():
+            work.note_first_event()
+            self._count_usage()
+            events = self._splitter.feed(chunk)
+            if events:
+                response = await self._started_stream(head)
+                await response.write(events)
+        await closed.check()
+        response = await self._started_stream(head)
+        if self._splitter.pending:
+            await response.write(self._splitter.pending)
+        return Relayed()
+
+    async def _started_stream(self, head: AnswerHead) -> StreamResponse:
+        if self._response is None:
+            response = replies.stream(head)
+            await response.prepare(self._web_request)
+            self._response = response
+        return self._response
+
+    def _count_usage(self) -> None:
+        if self._counted or self._organisation is None:
+            return
+        self._counted = True
+        self._context.usage.note_begun(self._organisation.name)
+
+    def _note(
+        self, view: BackendView, outcome: AttemptOutcome, number: int
+    ) -> None:
+        """Log an attempt and keep what it says of the server."""
+        attempts_total.add(1, {'outcome': type(outcome).__name__})
+        fields = {
+            'request': self._request.request_id,
+            'route': self._route.name,
+            'server': view.server.server_id,
+            'attempt': number,
+            'elapsed_ms': self._elapsed_ms(),
+        }
+        match outcome:
+            case NotRun(reason=reason):
+                view.note_full(_FULL_PAUSE_S)
+                log.info('attempt not run', extra={**fields, 'reason': reason})
+            case Unknown(reason=reason):
+                self._runs += 1
+                view.note_failure()
+                log.info('attempt lost', extra={**fields, 'reason': reason})
+            case Answered(head=head) if head.status >= _SERVER_ERROR:
+                self._runs += 1
+                self._last_failure = outcome
+                view.note_failure()
+                log.info(
+                    'server failed', extra={**fields, 'status': head.status}
+                )
+            case _:
+                self._runs += 1
+                view.note_success()
+
+    def _may_repeat(self, outcome: AttemptOutcome) -> bool:
+        if self._time_left_s() < _LEAST_ATTEMPT_S:
+            return False
+        match outcome:
+            case NotRun():
+                allowed = True
+            case Answered(head=head):
+                allowed = head.status >= _SERVER_ERROR and self._may_rerun()
+            case _:
+                allowed = self._may_rerun()
+        return allowed and self._context.budgets.take(self._service)
+
+    def _may_rerun(self) -> bool:
+        """Tell whether the request may run at one more server."""
+        route = self._route
+        return route.repeatable and self._runs < route.max_attempts
+
+    async def _conclude(self, outcome: AttemptOutcome) -> StreamResponse:
+        match outcome:
+            case Answered(head=head, body=body):
+                return replies.whole(head, body)
+            case NotRun(reason=reason):
+                return self._refuse(reason)
+            case _:
+                return self._fail(replies.unknown())
+
+    def _refuse(self, reason: str) -> StreamResponse:
+        """End a request that no server took; say not run only if true."""
+        if self._last_failure is not None and self._response is None:
+            return replies.whole(
+                self._last_failure.head, self._last_failure.body
+            )
+        if self._runs:
+            return self._fail(replies.unknown())
+        self._log_end('refused', reason)
+        return replies.refusal(_FULL_PAUSE_S)
+
+    def _time_out(self) -> StreamResponse:
+        if self._tried or self._response is not None:
+            return self._fail(replies.timed_out())
+        self._log_end('refused', 'no time was left')
+        return replies.refusal(_FULL_PAUSE_S)
+
+    def _fail(self, response: Response) -> StreamResponse:
+        """End a request whose fate is unknown, or cut a begun answer."""
+        if self._response is None:
+            self._log_end('failed', f'status {response.status}')
+            return response
+        self._log_end('cut', 'the stream can not go on')
+        transport = self._web_request.transport
+        if transport is not None:
+            transport.abort()
+        return self._response
+
+    def _started(self) -> StreamResponse:
+        if self._response is None:
+            raise RuntimeError('the answer was not begun')
+        return self._response
+
+    def _log_end(self, ending: str, reason: str) -> None:
+        log.info(
+            'request %s',
+            ending,
+            extra={
+                'request': self._request.request_id,
+                'route': self._route.name,
+                'reason': reason,
+                'runs': self._runs,
+                'tried': sorted(self._tried),
+                'elapsed_ms': self._elapsed_ms(),
+            },
+        )
+
+    def _time_left_s(self) -> float:
+        return self._ends_at_s - asyncio.get_running_loop().time()
+
+    def _is_overdue(self) -> bool:
+        return self._time_left_s() <= 0
+
+    def _elapsed_ms(self) -> int:
+        now_s = asyncio.get_running_loop().time()
+        return int((now_s - self._began_at_s) * 1000)
--- /dev/null
+++ b/mallowspindle/proxy/gate.py
@@ -0,0 +1,144 @@
+"""Checks a caller's request before it is exchanged."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from aiohttp.web import BaseRequest, Response, StreamResponse
+
+from mallowspindle.catalog.routes import CallerLimits, Configuration
+from mallowspindle.proxy import replies
+from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.errors import BadRequest
+from mallowspindle.proxy.exchange import Exchange
+from mallowspindle.proxy.messages import CallerRequest
+
+log = logging.getLogger(__name__)
+
+# Pause told to callers while this node knows no configuration, which it has
+# within a second or two of its start.
+_UNKNOWN_PAUSE_S = 0.5
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@dataclass(frozen=True, slots=True)
+class _Body:
+    payload: bytes
+
+
+class Gate:
+    """Finds route and organisation, reads the body, applies limits."""
+
+    def __init__(self, context: ProxyContext) -> None:
+        self._context = context
+
+    async def handle(self, web_request: BaseRequest) -> StreamResponse:
+        """Answer one request of a caller."""
+        began_at_s = asyncio.get_running_loop().time()
+        configuration = self._context.catalog.configuration
+        if configuration is None:
+            await web_request.content.read()
+            return replies.refusal(_UNKNOWN_PAUSE_S)
+        if _headers_size(web_request) > configuration.limits.header_bytes:
+            return replies.headers_too_large()
+        try:
+            request = self._context.dialect.decode_request(
+                web_request.method, web_request.raw_path, web_request.headers
+            )
+        except BadRequest as error:
+            log.info('bad request', extra={'reason': str(error)})
+            return replies.bad_request(str(error))
+        return await self._admit(
+            web_request, request, configuration, began_at_s
+        )
+
+    async def _admit(
+        self,
+        web_request: BaseRequest,
+        request: CallerRequest,
+        configuration: Configuration,
+        began_at_s: float,
+    ) -> StreamResponse:
+        host = request.host.partition(':')[0]
+        route = configuration.find_route(host, request.path)
+        if route is None:
+            _log_refusal(request, configuration, 'no route')
+            return replies.not_found()
+        organisation = configuration.find_organisation(request.key or '')
+        needs_key = configuration.checks_keys and not route.public
+        if needs_key and organisation is None:
+            _log_refusal(request, configuration, 'unknown key')
+            return replies.unauthorized()
+        body = await self._read_body(web_request, configuration.limits)
+        if isinstance(body, Response):
+            _log_refusal(request, configuration, f'status {body.status}')
+            return body
+        if organisation is not None:
+            pause_s = self._context.quotas.wait_s(organisation, request.tokens)
+            if pause_s:
+                _log_refusal(request, configuration, 'over quota')
+                return replies.over_quota(pause_s)
+        exchange = Exchange(
+            self._context,
+            web_request,
+            request,
+            route,
+            organisation,
+            began_at_s,
+        )
+        return await exchange.run(body.payload)
+
+    async def _read_body(
+        self, web_request: BaseRequest, limits: CallerLimits
+    ) -> _Body | Response:
+        length = web_request.content_length
+        if length is not None and length > limits.body_bytes:
+            return replies.body_too_large()
+        if not web_request.can_read_body:
+            return _Body(b'')
+        if '100-continue' in web_request.headers.get('Expect', '').lower():
+            _send_continue(web_request)
+        try:
+            async with asyncio.timeout(limits.idle_timeout_s):
+                return await _read_up_to(web_request, limits.body_bytes)
+        except TimeoutError:
+            return replies.body_too_late()
+
+
+async def _read_up_to(
+    web_request: BaseRequest, most_bytes: int
+) -> _Body | Response:
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in web_request.content.iter_any():
+        size += len(chunk)
+        if size > most_bytes:
+            return replies.body_too_large()
+        chunks.append(chunk)
+    return _Body(b''.join(chunks))
+
+
+def _send_continue(web_request: BaseRequest) -> None:
+    if web_request.transport is not None:
+        web_request.transport.write(_CONTINUE)
+
+
+def _headers_size(web_request: BaseRequest) -> int:
+    # Each header line has a colon, a space and a line end besides.
+    return sum(
+        len(name) + len(text) + 4 for name, text in web_request.raw_headers
+    )
+
+
+def _log_refusal(
+    request: CallerRequest, configuration: Configuration, reason: str
+) -> None:
+    log.info(
+        'request refused',
+        extra={
+            'request': request.request_id,
+            'path': request.path,
+            'version': configuration.version,
+            'reason': reason,
+        },
+    )
--- /dev/null
+++ b/mallowspindle/proxy/service.py
@@ -0,0 +1,182 @@
+"""Listens for callers and for the platform's questions."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Self
+
+from aiohttp.web import BaseRequest, Response, Server, StreamResponse
+from prometheus_client import generate_latest
+
+from mallowspindle.border import BorderService
+from mallowspindle.config.gateway import GatewaySettings, ListenSection
+from mallowspindle.entry.addresses import addresses_for
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.proxy import replies
+from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.gate import Gate
+from mallowspindle.utils.telemetry import meter
+
+log = logging.getLogger(__name__)
+
+_UNAVAILABLE = 503
+# Longest request line and header field; the operators' limit on all headers
+# together is checked on each request.
+_MAX_LINE_BYTES = 32_768
+# Unread bytes of a refused body are taken in for this long, so that the
+# caller reads the answer before the connection ends.
+_LINGERING_S = 1.0
+_KEEPALIVE_S = 60.0
+# Callers keep an address for a few seconds after it is no longer named.
+_SERVES_ON_S = 3.0
+_DRAIN_TICK_S = 0.05
+# Time before the end of a drain that is kept for closing down.
+_CLOSING_S = 0.3
+_BACKLOG = 1024
+_REFUSED_PAUSE_S = 0.1
+
+Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
+requests_total = meter.create_counter('caller_requests')
+request_duration = meter.create_histogram('caller_request_duration', 's')
+
+
+@service('proxy', requires=('border', 'catalog', 'backends', 'sharing'))
+class ProxyService(Service):
+    """Serves callers, and says which entry VMs they should use."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        listen: ListenSection,
+        membership: MembershipService,
+    ) -> None:
+        self._context = context
+        self._listen = listen
+        self._membership = membership
+        self._gate = Gate(context)
+        self._servers: list[asyncio.Server] = []
+        self._callers: Server | None = None
+        self._open_requests = 0
+        self._draining = False
+        self._refusing = False
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the listeners on the other services."""
+        return cls(
+            ProxyContext.from_kernel(kernel),
+            kernel.settings(GatewaySettings).listen,
+            kernel.find('membership', MembershipService),
+        )
+
+    @property
+    def context(self) -> ProxyContext:
+        """What exchanges share."""
+        return self._context
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent to this node."""
+        return not self._draining and self._context.catalog.configuration is not None
+
+    def announcements(self) -> dict[str, str | int]:
+        """Return the addresses in use."""
+        return {'callers': self._membership.own.http_address}
+
+    async def start(self) -> None:
+        """Listen on all addresses of the settings."""
+        listen = self._listen
+        self._callers = Server(
+            self._serve,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_KEEPALIVE_S,
+            lingering_time=_LINGERING_S,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_LINE_BYTES,
+        )
+        callers = await self._open(self._callers, listen.callers)
+        await self._open(_plain_server(self._readiness), listen.readiness)
+        await self._open(_plain_server(self._addresses), listen.addresses)
+        if listen.metrics is not None:
+            await self._open(_plain_server(_metrics), listen.metrics)
+        self._membership.update(http_address=callers)
+
+    async def prepare_drain(self) -> None:
+        """Stop being ready; the members hear it too."""
+        self._draining = True
+
+    async def drain(self, timeout_s: float) -> None:
+        """Serve on for a while, then finish the requests in progress."""
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        log.info('draining', extra={'open_requests': self._open_requests})
+        ends_at_s = began_at_s + max(0, timeout_s - _CLOSING_S)
+        refuses_at_s = min(began_at_s + _SERVES_ON_S, ends_at_s)
+        while loop.time() < ends_at_s:
+            self._refusing = loop.time() >= refuses_at_s
+            if self._refusing and not self._open_requests:
+                break
+            await asyncio.sleep(_DRAIN_TICK_S)
+        log.info('drained', extra={'open_requests': self._open_requests})
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        for server in self._servers:
+            server.close()
+        if self._callers is not None:
+            await self._callers.shutdown(_CLOSING_S)
+        await self._context.upstream.close()
+
+    async def _open(self, server: Server, endpoint: str) -> str:
+        host, _, port = endpoint.rpartition(':')
+        opened = await asyncio.get_running_loop().create_server(
+            server, host, int(port), backlog=_BACKLOG
+        )
+        self._servers.append(opened)
+        return f'{host}:{opened.sockets[0].getsockname()[1]}'
+
+    async def _serve(self, web_request: BaseRequest) -> StreamResponse:
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        self._open_requests += 1
+        try:
+            response = await self._answer(web_request)
+        finally:
+            self._open_requests -= 1
+        requests_total.add(1, {'status': response.status})
+        request_duration.record(loop.time() - began_at_s)
+        if self._draining:
+            response.force_close()
+        return response
+
+    async def _answer(self, web_request: BaseRequest) -> StreamResponse:
+        if self._refusing:
+            return replies.refusal(_REFUSED_PAUSE_S)
+        return await self._gate.handle(web_request)
+
+    async def _readiness(self, web_request: BaseRequest) -> Response:
+        return Response(status=200 if self.ready else _UNAVAILABLE)
+
+    async def _addresses(self, web_request: BaseRequest) -> Response:
+        dialect = self._context.dialect
+        own = self._membership.own
+        zone = dialect.decode_zone(web_request.query) or own.zone
+        live = self._membership.table.live()
+        body = dialect.encode_addresses(
+            addresses_for(zone, own, live),
+            self._context.config.address_validity_s,
+        )
+        return Response(body=body, content_type='application/json')
+
+
+def _plain_server(handler: Handler) -> Server:
+    return Server(handler, access_log=None)
+
+
+async def _metrics(web_request: BaseRequest) -> Response:
+    return Response(body=generate_latest(), content_type='text/plain')
+
+
--- /dev/null
+++ b/mallowspindle/proxy/upstream.py
@@ -0,0 +1,119 @@
+"""Sends requests to backend servers."""
+
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any
+
+from aiohttp import (
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+    TraceConfig,
+)
+from multidict import CIMultiDict
+from yarl import URL
+
+log = logging.getLogger(__name__)
+
+# Idle connections are given up before most servers close them, so that a
+# request seldom meets a connection that is being closed.
+_IDLE_S = 4.0
+_ADDED_BY_CLIENT = frozenset(
+    ('accept', 'accept-encoding', 'content-type', 'user-agent')
+)
+
+
+@dataclass(slots=True)
+class SendMark:
+    """Whether any byte of a request may have left."""
+
+    sent: bool = False
+
+
+class Upstream:
+    """Connections to backend servers, kept open between requests."""
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        self._timeout = ClientTimeout(
+            total=None, sock_connect=connect_timeout_s
+        )
+        tracing = TraceConfig()
+        tracing.on_request_headers_sent.append(_mark_sent)
+        self._session = ClientSession(
+            connector=TCPConnector(
+                limit=0, keepalive_timeout=_IDLE_S, use_dns_cache=False
+            ),
+            cookie_jar=DummyCookieJar(),
+            auto_decompress=False,
+            trace_configs=[tracing],
+            skip_auto_headers=_ADDED_BY_CLIENT,
+        )
+        # Repeats are the exchange's decision: it knows what may run twice.
+        self._session._retry_connection = False  # noqa: SLF001
+
+    @asynccontextmanager
+    async def send(
+        self,
+        method: str,
+        url: str,
+        headers: CIMultiDict[str],
+        body: bytes,
+        mark: SendMark,
+    ) -> AsyncIterator[ClientResponse]:
+        """Send a request and give the answer once its head is there.
+
+        The connection is closed, not kept, unless the answer was read whole.
+        """
+        response = await self._session.request(
+            method,
+            URL(url, encoded=True),
+            headers=headers,
+            data=body or None,
+            allow_redirects=False,
+            timeout=self._timeout,
+            trace_request_ctx=mark,
+        )
+        try:
+            yield response
+        finally:
+            if not response.content.is_eof():
+                response.close()
+            response.release()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
+class ClosedWatch:
+    """Tells whether an answer without a length has come whole.
+
+    Such an answer ends with its connection; one that is reset is cut.
+    """
+
+    def __init__(self, response: ClientResponse) -> None:
+        framed = (
+            'Content-Length' in response.headers
+            or 'Transfer-Encoding' in response.headers
+        )
+        connection = None if framed else response.connection
+        protocol = connection.protocol if connection else None
+        self._closed = protocol.closed if protocol else None
+
+    async def check(self) -> None:
+        """Raise ``ClientConnectionError`` if the connection was reset."""
+        if self._closed is not None:
+            await self._closed
+
+
+async def _mark_sent(
+    session: ClientSession, context: SimpleNamespace, params: Any
+) -> None:
+    context.trace_request_ctx.sent = True
+
+
--- a/mallowspindle/recovery/service.py
+++ b/mallowspindle/recovery/service.py
@@ -62,7 +62,7 @@
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service."""
         membership = kernel.find('membership', MembershipService)
-        return cls(kernel.config, membership)
+        return cls(kernel.settings(DaemonSettings), membership)
 
     @property
     def owned(self) -> dict[str, OwnedRequest]:
--- /dev/null
+++ b/mallowspindle/reloading.py
@@ -0,0 +1,93 @@
+"""Reloads the daemon's settings when their file changes."""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+from mallowspindle.config.common import CommonSettings
+from mallowspindle.config.errors import ConfigError
+from mallowspindle.utils.tasks import TaskGroup
+
+log = logging.getLogger(__name__)
+
+# Pause between two looks at the file; a change without a signal is in force
+# within this time.
+_LOOK_INTERVAL_S = 0.5
+
+Load = Callable[[Path], CommonSettings]
+Apply = Callable[[CommonSettings], None]
+FileStamp = tuple[int, int, int]
+
+
+class SettingsWatch:
+    """Looks at the settings file on SIGHUP and at short intervals.
+
+    Settings that can't be used leave the old ones in force.
+    """
+
+    def __init__(
+        self, path: Path, config: CommonSettings, load: Load, apply: Apply
+    ) -> None:
+        self._path = path
+        self._config = config
+        self._load = load
+        self._apply = apply
+        self._stamp = _stamp_of(path)
+        self._hurry = asyncio.Event()
+        self._tasks = TaskGroup()
+
+    def start(self) -> None:
+        """Begin to watch."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._hurry.set)
+        self._tasks.spawn(self._watch(), 'settings file')
+
+    async def stop(self) -> None:
+        """Stop watching."""
+        await self._tasks.cancel()
+
+    def reload(self) -> None:
+        """Put the file's settings in force if they are valid and new."""
+        try:
+            config = self._load(self._path)
+        except ConfigError as error:
+            log.error(
+                'settings not reloaded, the old ones stay in force',
+                extra={'problems': str(error)},
+            )
+            return
+        if config == self._config:
+            log.info('settings read again, nothing changed')
+            return
+        self._config = config
+        self._apply(config)
+        log.info('settings reloaded')
+
+    async def _watch(self) -> None:
+        while True:
+            signalled = await self._wait()
+            stamp = _stamp_of(self._path)
+            if signalled or stamp != self._stamp:
+                self._stamp = stamp
+                self.reload()
+
+    async def _wait(self) -> bool:
+        """Wait for SIGHUP or the next look; tell whether it was SIGHUP."""
+        try:
+            await asyncio.wait_for(self._hurry.wait(), _LOOK_INTERVAL_S)
+        except TimeoutError:
+            return False
+        self._hurry.clear()
+        return True
+
+
+def _stamp_of(path: Path) -> FileStamp:
+    """Return what changes with the file; zeros while it is missing."""
+    try:
+        status = path.stat()
+    except OSError as error:
+        log.warning('settings file not found: %s', error)
+        return 0, 0, 0
+    return status.st_mtime_ns, status.st_size, status.st_ino
--- a/mallowspindle/routing/directory.py
+++ b/mallowspindle/routing/directory.py
@@ -46,7 +46,7 @@
         """Construct the service on the shared cloud client."""
         platform = kernel.find('native', NativeService)
         membership = kernel.find('membership', MembershipService)
-        return cls(kernel.config, platform.cloud, membership)
+        return cls(kernel.settings(DaemonSettings), platform.cloud, membership)
 
     async def start(self) -> None:
         """Read the list once, then follow it."""
--- a/mallowspindle/routing/router.py
+++ b/mallowspindle/routing/router.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 from typing import Self
 
+from mallowspindle.config.daemon import DaemonSettings
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.native.cloud import Role
@@ -28,7 +29,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the router with the policy that the settings name."""
-        chosen = policies[kernel.config.routing.policy]
+        chosen = policies[kernel.settings(DaemonSettings).routing.policy]
         return cls(kernel.find('directory', DirectoryService), chosen)
 
     def pick_engine(
--- a/mallowspindle/settings/document.py
+++ b/mallowspindle/settings/document.py
@@ -6,7 +6,7 @@
 
 from pydantic import BeforeValidator, Field, TypeAdapter, ValidationError
 
-from mallowspindle.config.daemon import WordList
+from mallowspindle.config.common import WordList
 from mallowspindle.config.errors import ConfigError, Problem
 from mallowspindle.config.ini import Section, parse_sections, problems_of
 from mallowspindle.settings.errors import DocumentInvalid
--- a/mallowspindle/settings/service.py
+++ b/mallowspindle/settings/service.py
@@ -56,7 +56,7 @@
         """Construct the service on the shared log client."""
         platform = kernel.find('native', NativeService)
         membership = kernel.find('membership', MembershipService)
-        return cls(kernel.config, platform.log, membership)
+        return cls(kernel.settings(DaemonSettings), platform.log, membership)
 
     @property
     def tree(self) -> SettingsTree:
--- /dev/null
+++ b/mallowspindle/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""What entry VMs tell each other besides being alive."""
--- /dev/null
+++ b/mallowspindle/sharing/messages.py
@@ -0,0 +1,58 @@
+"""Messages of the sharing service."""
+
+from dataclasses import dataclass, field
+
+from mallowspindle.peers.codec import peer_codec
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Work that one entry VM has at a backend server.
+
+    ``waiting_tokens`` are prompt tokens of requests without a first event.
+    """
+
+    server_id: str
+    running: int
+    waiting_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class WindowCounts:
+    """Requests of each organisation that began in a window of usage.
+
+    The counts of one node only grow, so the newest report replaces others.
+    """
+
+    window: int
+    counts: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What callers of an organisation ask at one node, in units a second."""
+
+    organisation: str
+    rate_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseNews:
+    """Who held the duties ``age_s`` ago, under which fencing number."""
+
+    holder: str
+    fencing_number: int
+    age_s: float
+
+
+@peer_codec.register('node-state')
+@dataclass(frozen=True, slots=True)
+class NodeState:
+    """What one entry VM says of its work."""
+
+    node: str
+    incarnation: int
+    loads: list[ServerLoad] = field(default_factory=list)
+    usage: list[WindowCounts] = field(default_factory=list)
+    demands: list[Demand] = field(default_factory=list)
+    lease: LeaseNews | None = None
--- a/mallowspindle/utils/telemetry.py
+++ b/mallowspindle/utils/telemetry.py
@@ -6,9 +6,6 @@
 
 from opentelemetry import metrics, propagate
 from opentelemetry import trace as tracing
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
-    OTLPSpanExporter,
-)
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
@@ -41,9 +38,7 @@
             BatchSpanProcessor(_file_exporter(traces_file))
         )
     if otlp_endpoint:
-        provider.add_span_processor(
-            BatchSpanProcessor(OTLPSpanExporter(endpoint=otlp_endpoint))
-        )
+        provider.add_span_processor(_otlp_processor(otlp_endpoint))
     tracing.set_tracer_provider(provider)
     return provider
 
@@ -63,6 +58,17 @@
     return headers
 
 
+def _otlp_processor(endpoint: str) -> BatchSpanProcessor:
+    # Loaded only where it is used: it takes a tenth of a second and 10 MB.
+    from opentelemetry.exporter.otlp.proto.http import (  # noqa: PLC0415
+        trace_exporter,
+    )
+
+    return BatchSpanProcessor(
+        trace_exporter.OTLPSpanExporter(endpoint=endpoint)
+    )
+
+
 def _file_exporter(path: str) -> ConsoleSpanExporter:
     stream: TextIO = open(path, 'a', encoding='utf-8')  # noqa: SIM115, WPS515
     return ConsoleSpanExporter(out=stream, formatter=_one_line)
