--- /dev/null
+++ b/mallowspindle/duties/fleet.py
@@ -0,0 +1,175 @@
+"""Orders backend servers as the fleet policy plans them."""
+
+import logging
+import time
+from dataclasses import dataclass
+
+from mallowspindle.border import (
+    Duties,
+    DutyError,
+    FencedOff,
+    FleetOrder,
+    NoneAvailable,
+)
+from mallowspindle.catalog.routes import BackendService, FleetBounds
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.service import CatalogService
+from mallowspindle.policies.fleet import ZoneFleet, plan_fleet
+
+log = logging.getLogger(__name__)
+
+# Time beyond the boot in which an ordered server should have registered.
+_REGISTERS_WITHIN_S = 2.5
+# Pause after a refusal until servers of that class are asked for again.
+_REFUSED_PAUSE_S = 2.5
+# Surplus servers are given back after the fleet has been complete this long.
+_SETTLED_AFTER_S = 1.5
+
+Slot = tuple[str, str, bool]
+
+
+@dataclass(slots=True)
+class _Ordered:
+    """The last order that was accepted for a service, zone and class."""
+
+    desired: int
+    ordered_at_s: float
+
+
+class FleetKeeper:
+    """Keeps each service's fleet at what the policy plans."""
+
+    def __init__(
+        self, catalog: CatalogService, duties: Duties, wanted: int
+    ) -> None:
+        self._catalog = catalog
+        self._duties = duties
+        self._wanted = wanted
+        self._ordered: dict[Slot, _Ordered] = {}
+        self._refused_until_s: dict[Slot, float] = {}
+        self._complete_since_s: float | None = None
+
+    def forget(self) -> None:
+        """Forget all orders: this node holds the duty anew."""
+        self._ordered.clear()
+        self._refused_until_s.clear()
+        self._complete_since_s = None
+
+    async def step(self, fencing_number: int) -> None:
+        """Order what the plan lacks; ``FencedOff`` if another node acts."""
+        configuration = self._catalog.configuration
+        if configuration is None:
+            return
+        for spec in configuration.services.values():
+            if spec.fleet is not None:
+                await self._step(fencing_number, spec, spec.fleet)
+
+    async def _step(
+        self, fencing_number: int, spec: BackendService, bounds: FleetBounds
+    ) -> None:
+        zones = {
+            zone: self._zone_fleet(spec.name, zone, bounds)
+            for zone in bounds.zone_prices
+        }
+        targets = plan_fleet(bounds, zones, self._wanted)
+        settled = self._is_settled(spec.name)
+        for zone, target in targets.items():
+            for reclaimable, desired in (
+                (True, target.reclaimable),
+                (False, target.on_demand),
+            ):
+                slot = (spec.name, zone, reclaimable)
+                present = self._present(slot)
+                if desired > present or (desired < present and settled):
+                    await self._order(fencing_number, slot, desired, bounds)
+
+    async def _order(
+        self, fencing_number: int, slot: Slot, desired: int, bounds: FleetBounds
+    ) -> None:
+        last = self._ordered.get(slot)
+        if last is not None and last.desired == desired:
+            return
+        service, zone, reclaimable = slot
+        order = FleetOrder(service, zone, desired, reclaimable)
+        fields = {
+            'service': service,
+            'zone': zone,
+            'desired': desired,
+            'reclaimable': reclaimable,
+            'present': self._present(slot),
+            'fencing_number': fencing_number,
+        }
+        try:
+            await self._duties.order_servers(fencing_number, order)
+        except NoneAvailable as error:
+            until_s = time.monotonic() + _REFUSED_PAUSE_S
+            self._refused_until_s[slot] = until_s
+            log.info('no servers to be had', extra={**fields, 'error': str(error)})
+        except FencedOff:
+            raise
+        except DutyError as error:
+            log.warning('order failed', extra={**fields, 'error': str(error)})
+        else:
+            self._ordered[slot] = _Ordered(desired, time.monotonic())
+            log.info('servers ordered', extra=fields)
+
+    def _zone_fleet(
+        self, service: str, zone: str, bounds: FleetBounds
+    ) -> ZoneFleet:
+        reclaimable = (service, zone, True)
+        on_demand = (service, zone, False)
+        for slot in (reclaimable, on_demand):
+            self._expire_order(slot, bounds)
+        return ZoneFleet(
+            reclaimable=self._coming(reclaimable),
+            on_demand=self._coming(on_demand),
+            reclaimable_to_be_had=self._to_be_had(reclaimable),
+            on_demand_to_be_had=self._to_be_had(on_demand),
+        )
+
+    def _expire_order(self, slot: Slot, bounds: FleetBounds) -> None:
+        """Forget an order whose servers should have come, and did not."""
+        last = self._ordered.get(slot)
+        if last is None:
+            return
+        age_s = time.monotonic() - last.ordered_at_s
+        late = age_s > bounds.boot_s + _REGISTERS_WITHIN_S
+        if late and self._present(slot) != last.desired:
+            del self._ordered[slot]
+
+    def _coming(self, slot: Slot) -> int:
+        last = self._ordered.get(slot)
+        present = self._present(slot)
+        return present if last is None else max(present, last.desired)
+
+    def _present(self, slot: Slot) -> int:
+        return sum(1 for _ in self._servers(slot))
+
+    def _servers(self, slot: Slot) -> list[BackendServer]:
+        service, zone, reclaimable = slot
+        return [
+            server
+            for server in self._catalog.servers.values()
+            if server.service == service
+            and server.zone == zone
+            and server.reclaimable == reclaimable
+            and not server.draining
+        ]
+
+    def _to_be_had(self, slot: Slot) -> bool:
+        return time.monotonic() >= self._refused_until_s.get(slot, 0)
+
+    def _is_settled(self, service: str) -> bool:
+        """Tell whether the fleet has been complete for some time."""
+        present = [
+            server
+            for server in self._catalog.servers.values()
+            if server.service == service and not server.draining
+        ]
+        now_s = time.monotonic()
+        if len(present) <= self._wanted:
+            self._complete_since_s = None
+            return False
+        if self._complete_since_s is None:
+            self._complete_since_s = now_s
+        return now_s - self._complete_since_s >= _SETTLED_AFTER_S
--- /dev/null
+++ b/mallowspindle/duties/ledger.py
@@ -0,0 +1,77 @@
+"""What the records of the duties' stream say."""
+
+from dataclasses import dataclass
+
+from mallowspindle.duties.records import (
+    Claim,
+    DutyRecord,
+    Release,
+    Renewal,
+    UsageReport,
+)
+
+# Reported windows that are kept to be sent again by a successor.
+_KEPT_WINDOWS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """Who holds the duties under which fencing number."""
+
+    holder: str
+    incarnation: int
+    fencing_number: int
+    released: bool = False
+
+
+class DutyLedger:
+    """The fold of the stream: the present tenure and the logged usage."""
+
+    def __init__(self) -> None:
+        self._tenure: Tenure | None = None
+        self._reports: dict[int, dict[str, int]] = {}
+
+    @property
+    def tenure(self) -> Tenure | None:
+        """The present tenure; None before the first claim."""
+        return self._tenure
+
+    @property
+    def reports(self) -> dict[int, dict[str, int]]:
+        """The logged counts by window."""
+        return self._reports
+
+    def fold(self, offset: int, record: DutyRecord) -> bool:
+        """Take in a record; tell whether the holder has shown itself."""
+        match record:
+            case Claim(holder=holder, incarnation=incarnation):
+                self._tenure = Tenure(holder, incarnation, offset)
+                return True
+            case Release(fencing_number=number) if self._is_present(number):
+                self._release()
+                return False
+            case UsageReport(window=window, counts=counts):
+                self._reports.setdefault(window, dict(counts))
+                self._forget_old()
+                return self._is_present(record.fencing_number)
+            case Renewal(fencing_number=number):
+                return self._is_present(number)
+        return False
+
+    def _is_present(self, fencing_number: int) -> bool:
+        tenure = self._tenure
+        return tenure is not None and tenure.fencing_number == fencing_number
+
+    def _release(self) -> None:
+        tenure = self._tenure
+        if tenure is not None:
+            self._tenure = Tenure(
+                tenure.holder,
+                tenure.incarnation,
+                tenure.fencing_number,
+                released=True,
+            )
+
+    def _forget_old(self) -> None:
+        for window in sorted(self._reports)[:-_KEPT_WINDOWS]:
+            del self._reports[window]
--- /dev/null
+++ b/mallowspindle/duties/records.py
@@ -0,0 +1,49 @@
+"""Records of the stream that decides who holds the duties."""
+
+from dataclasses import dataclass
+
+from mallowspindle.utils.codec import Codec
+
+DUTIES_STREAM = 'duties'
+duties_codec = Codec('duty record')
+
+
+@duties_codec.register('claim')
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A node takes over; the record's offset is its fencing number."""
+
+    holder: str
+    incarnation: int
+
+
+@duties_codec.register('renewal')
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """The holder goes on."""
+
+    fencing_number: int
+
+
+@duties_codec.register('release')
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The holder leaves; any node may claim at once."""
+
+    fencing_number: int
+
+
+@duties_codec.register('usage')
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """The counts of a window, logged before they are sent.
+
+    Whoever holds the duties sends exactly these.
+    """
+
+    fencing_number: int
+    window: int
+    counts: dict[str, int]
+
+
+DutyRecord = Claim | Renewal | Release | UsageReport
--- /dev/null
+++ b/mallowspindle/duties/service.py
@@ -0,0 +1,196 @@
+"""Holds the duties while this node has their lease."""
+
+import asyncio
+import logging
+import time
+from typing import Self
+
+from mallowspindle.border import (
+    BorderService,
+    Duties,
+    DutyError,
+    FencedOff,
+)
+from mallowspindle.catalog.service import CatalogService
+from mallowspindle.config.gateway import DutiesSection, GatewaySettings
+from mallowspindle.duties.fleet import FleetKeeper
+from mallowspindle.duties.lease import Lease
+from mallowspindle.duties.records import UsageReport
+from mallowspindle.duties.usage import UsageTable
+from mallowspindle.kernel.kernel import Kernel
+from mallowspindle.kernel.service import Service, service
+from mallowspindle.log.errors import LogError
+from mallowspindle.log.interface import Log
+from mallowspindle.proxy.service import ProxyService
+from mallowspindle.sharing.messages import LeaseNews, NodeState, WindowCounts
+from mallowspindle.sharing.service import SharingService
+from mallowspindle.usage import UsageCounter
+from mallowspindle.utils.identifiers import rendezvous_order
+from mallowspindle.utils.tasks import TaskGroup
+
+log = logging.getLogger(__name__)
+
+_TICK_S = 0.2
+# Time after a window's end in which the counts of all nodes arrive.
+_COUNTS_ARRIVE_S = 1.2
+# Lead that each node in the order has over the next when the lease is free.
+_CLAIM_STEP_S = 0.4
+_FAILURE_PAUSE_S = 0.5
+# Windows that a new holder sends again, as their sender may have died.
+_REPEATED_WINDOWS = 2
+
+
+@service('duties', requires=('border', 'catalog', 'proxy', 'sharing'))
+class DutiesService(Service):
+    """Claims the lease, reports usage and keeps the fleet."""
+
+    def __init__(
+        self,
+        section: DutiesSection,
+        duties: Duties,
+        source: Log,
+        catalog: CatalogService,
+        sharing: SharingService,
+        usage: UsageCounter,
+    ) -> None:
+        own = sharing.membership.own
+        self._section = section
+        self._duties = duties
+        self._sharing = sharing
+        self._usage = usage
+        self._own = own
+        self._lease = Lease(source, own.name, own.incarnation, section.lease_s)
+        self._table = UsageTable()
+        self._fleet = FleetKeeper(catalog, duties, section.wanted_servers)
+        self._sent: set[int] = set()
+        self._tasks = TaskGroup()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct the service on the border's log and duties."""
+        border = kernel.find('border', BorderService)
+        if border.duties is None:
+            return NoDuties.from_config(kernel)  # type: ignore[return-value]
+        return cls(
+            kernel.settings(GatewaySettings).duties,
+            border.duties,
+            border.log,
+            kernel.find('catalog', CatalogService),
+            kernel.find('sharing', SharingService),
+            kernel.find('proxy', ProxyService).context.usage,
+        )
+
+    async def start(self) -> None:
+        """Begin to tell usage and to look at the lease."""
+        self._sharing.provide('usage', self._own_usage)
+        self._sharing.provide('lease', self._lease_news)
+        self._sharing.watch(self._learn)
+        self._tasks.spawn(self._run(), 'duties')
+
+    async def prepare_drain(self) -> None:
+        """Let another node take over at once."""
+        await self._tasks.cancel()
+        await self._lease.release()
+
+    async def stop(self) -> None:
+        """Stop."""
+        await self._tasks.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except LogError as error:
+                log.info('lease not renewed', extra={'error': str(error)})
+                await asyncio.sleep(_FAILURE_PAUSE_S)
+            except FencedOff as error:
+                self._lease.give_up(str(error))
+            except DutyError as error:
+                log.warning('duty failed', extra={'error': str(error)})
+            except Exception:
+                log.exception('duties failed')
+                await asyncio.sleep(_FAILURE_PAUSE_S)
+            await asyncio.sleep(_TICK_S)
+
+    async def _step(self) -> None:
+        if not self._lease.holds:
+            if not self._lease.may_claim(self._rank() * _CLAIM_STEP_S):
+                return
+            if not await self._lease.claim():
+                return
+            self._fleet.forget()
+            self._sent = set(
+                sorted(self._lease.ledger.reports)[:-_REPEATED_WINDOWS]
+            )
+        await self._lease.renew()
+        await self._log_usage()
+        await self._send_usage()
+        tenure = self._lease.held
+        if tenure is not None and 'autoscale' in self._section.kinds:
+            await self._fleet.step(tenure.fencing_number)
+
+    async def _log_usage(self) -> None:
+        """Log the counts of windows that are over, before they are sent."""
+        tenure = self._lease.held
+        if tenure is None:
+            return
+        self._table.put(
+            self._own.name, self._own.incarnation, self._own_usage()
+        )
+        over_before_s = time.time() - _COUNTS_ARRIVE_S
+        logged = self._lease.ledger.reports
+        for window in self._table.windows():
+            ends_at_s = (window + 1) * self._usage.window_s
+            if ends_at_s > over_before_s or window in logged:
+                continue
+            counts = self._table.total(window)
+            record = UsageReport(tenure.fencing_number, window, counts)
+            if await self._lease.append(record):
+                log.info(
+                    'usage logged', extra={'window': window, 'counts': counts}
+                )
+
+    async def _send_usage(self) -> None:
+        for window, counts in sorted(self._lease.ledger.reports.items()):
+            tenure = self._lease.held
+            if window in self._sent or tenure is None:
+                continue
+            await self._duties.report_usage(
+                tenure.fencing_number, window, counts
+            )
+            self._sent.add(window)
+            log.info('usage reported', extra={'window': window})
+
+    def _rank(self) -> int:
+        names = [info.name for info in self._sharing.peers()]
+        order = rendezvous_order('duties', [self._own.name, *names])
+        return order.index(self._own.name)
+
+    def _learn(self, state: NodeState) -> None:
+        self._table.learn(state)
+        news = state.lease
+        if news is not None and news.holder != self._own.name:
+            self._lease.note_shown(news.fencing_number, news.age_s)
+
+    def _own_usage(self) -> list[WindowCounts]:
+        return [
+            WindowCounts(window, counts)
+            for window, counts in self._usage.windows().items()
+        ]
+
+    def _lease_news(self) -> LeaseNews | None:
+        tenure = self._lease.ledger.tenure
+        if tenure is None or tenure.released:
+            return None
+        return LeaseNews(
+            tenure.holder, tenure.fencing_number, self._lease.shown_age_s
+        )
+
+
+class NoDuties(Service):
+    """Stands in where the platform has no duties."""
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Self:
+        """Construct nothing."""
+        return cls()
--- a/mallowspindle/interfaces.py
+++ b/mallowspindle/interfaces.py
@@ -70,5 +70,6 @@
             'mallowspindle.catalog.service',
             'mallowspindle.backends.service',
             'mallowspindle.proxy.service',
+            'mallowspindle.duties.service',
         ),
     )
