Drop stray answers, and see a reset behind an answer without length

The reset was sought on the connection after the client had let go of it. Mechanism: the connection itself notes how it ended; answers that bear another request's id are dropped where they are parsed, and bytes between two requests close the connection. Ruled out: a chunked answer cut short (the parser raises for those).

--- a/mallowspindle/border.py
+++ b/mallowspindle/border.py
@@ -69,6 +69,11 @@
     def decode_report(self, body: bytes) -> ServerReport:
         """Return a server's report of itself."""
 
+    @property
+    @abstractmethod
+    def id_header(self) -> str:
+        """The header in which servers return the id of a request."""
+
     @property
     @abstractmethod
     def report_path(self) -> str:
--- a/mallowspindle/platform/dialect.py
+++ b/mallowspindle/platform/dialect.py
@@ -78,6 +78,11 @@
 class PlatformDialect(Dialect):
     """The headers of the users' platform."""
 
+    @property
+    def id_header(self) -> str:
+        """The header in which servers return the id of a request."""
+        return 'Request-Id'
+
     @property
     def report_path(self) -> str:
         """Where a model engine gives its report."""
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -104,6 +104,7 @@
         settings = kernel.settings(GatewaySettings)
         proxy = settings.proxy
         sharing = kernel.find('sharing', SharingService)
+        dialect = kernel.find('border', BorderService).dialect
         terms = BudgetTerms(
             proxy.retry_ratio, proxy.retry_window_s, proxy.retry_slack
         )
@@ -111,8 +112,8 @@
             config=proxy,
             catalog=kernel.find('catalog', CatalogService),
             backends=kernel.find('backends', BackendsService),
-            dialect=kernel.find('border', BorderService).dialect,
-            upstream=Upstream(proxy.connect_timeout_s),
+            dialect=dialect,
+            upstream=Upstream(proxy.connect_timeout_s, dialect.id_header),
             quotas=Quotas(sharing),
             budgets=Budgets(terms, sharing),
             usage=UsageCounter(settings.duties.usage_window_s),
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -4,7 +4,7 @@
 import logging
 from itertools import count
 
-from aiohttp import ClientError, ClientResponse
+from aiohttp import ClientError
 from aiohttp.web import BaseRequest, Response, StreamResponse
 
 from mallowspindle.backends.view import BackendView, Work
@@ -12,11 +12,12 @@
 from mallowspindle.outcomes import NotRun, Unknown
 from mallowspindle.policies.splitting import choose_service
 from mallowspindle.proxy import replies
+from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.events import EventSplitter
 from mallowspindle.proxy.messages import AnswerHead, CallerRequest, Dispatch
 from mallowspindle.proxy.outcomes import Answered, AttemptOutcome, Relayed
-from mallowspindle.proxy.upstream import ClosedWatch, SendMark
+from mallowspindle.proxy.upstream import SendMark
 from mallowspindle.utils.telemetry import meter
 
 log = logging.getLogger(__name__)
@@ -121,7 +122,7 @@
         return NotRun(reason, _FULL_PAUSE_S)
 
     async def _take(
-        self, answer: ClientResponse, work: Work
+        self, answer: MatchedResponse, work: Work
     ) -> AttemptOutcome:
         head = self._context.dialect.decode_answer(
             answer.status, answer.headers
@@ -132,19 +133,18 @@
         if head.not_run:
             await answer.read()
             return NotRun(f'server answered {head.status}', _FULL_PAUSE_S)
-        closed = ClosedWatch(answer)
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
-            return await self._relay(answer, head, closed, work)
+            return await self._relay(answer, head, work)
         self._count_usage()
         body = await answer.read()
-        await closed.check()
+        if answer.cut:
+            return Unknown('the connection was reset within the answer')
         return Answered(head, body)
 
     async def _relay(
         self,
-        answer: ClientResponse,
+        answer: MatchedResponse,
         head: AnswerHead,
-        closed: ClosedWatch,
         work: Work,
     ) -> AttemptOutcome:
         """Pass on whole events as they come."""
@@ -155,7 +155,9 @@
             if events:
                 response = await self._started_stream(head)
                 await response.write(events)
-        await closed.check()
+        if answer.cut:
+            self._splitter.drop_pending()
+            return Unknown('the connection was reset within the stream')
         response = await self._started_stream(head)
         if self._splitter.pending:
             await response.write(self._splitter.pending)
--- a/mallowspindle/proxy/upstream.py
+++ b/mallowspindle/proxy/upstream.py
@@ -1,24 +1,25 @@
 """Sends requests to backend servers."""
 
-import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import (
-    ClientResponse,
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
     TraceConfig,
 )
 from multidict import CIMultiDict
 from yarl import URL
 
-log = logging.getLogger(__name__)
+from mallowspindle.proxy.connections import (
+    AnswerConnector,
+    MatchedRequest,
+    MatchedResponse,
+)
 
 # Idle connections are given up before most servers close them, so that a
 # request seldom meets a connection that is being closed.
@@ -36,18 +37,25 @@
 
 
 class Upstream:
-    """Connections to backend servers, kept open between requests."""
+    """Connections to backend servers, kept open between requests.
+
+    ``id_header`` is the header in which servers return a request's id.
+    """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(self, connect_timeout_s: float, id_header: str) -> None:
         self._timeout = ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         )
         tracing = TraceConfig()
         tracing.on_request_headers_sent.append(_mark_sent)
         self._session = ClientSession(
-            connector=TCPConnector(
+            connector=AnswerConnector(
                 limit=0, keepalive_timeout=_IDLE_S, use_dns_cache=False
             ),
+            request_class=type(
+                'IdentifiedRequest', (MatchedRequest,), {'id_header': id_header}
+            ),
+            response_class=MatchedResponse,
             cookie_jar=DummyCookieJar(),
             auto_decompress=False,
             trace_configs=[tracing],
@@ -64,7 +72,7 @@
         headers: CIMultiDict[str],
         body: bytes,
         mark: SendMark,
-    ) -> AsyncIterator[ClientResponse]:
+    ) -> AsyncIterator[MatchedResponse]:
         """Send a request and give the answer once its head is there.
 
         The connection is closed, not kept, unless the answer was read whole.
@@ -79,7 +87,7 @@
             trace_request_ctx=mark,
         )
         try:
-            yield response
+            yield cast(MatchedResponse, response)
         finally:
             if not response.content.is_eof():
                 response.close()
@@ -90,30 +98,7 @@
         await self._session.close()
 
 
-class ClosedWatch:
-    """Tells whether an answer without a length has come whole.
-
-    Such an answer ends with its connection; one that is reset is cut.
-    """
-
-    def __init__(self, response: ClientResponse) -> None:
-        framed = (
-            'Content-Length' in response.headers
-            or 'Transfer-Encoding' in response.headers
-        )
-        connection = None if framed else response.connection
-        protocol = connection.protocol if connection else None
-        self._closed = protocol.closed if protocol else None
-
-    async def check(self) -> None:
-        """Raise ``ClientConnectionError`` if the connection was reset."""
-        if self._closed is not None:
-            await self._closed
-
-
 async def _mark_sent(
     session: ClientSession, context: SimpleNamespace, params: Any
 ) -> None:
     context.trace_request_ctx.sent = True
-
-
--- a/mallowspindle/tests/kernel/test_kernel.py
+++ b/mallowspindle/tests/kernel/test_kernel.py
@@ -5,7 +5,7 @@
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import start_order
 from mallowspindle.kernel.service import Service, registry
-from mallowspindle.services import load_services
+from mallowspindle.interfaces import interfaces
 
 
 def _kind(*requires: str) -> type[Service]:
@@ -13,7 +13,7 @@
 
 
 def test_daemon_services_follow_what_they_require() -> None:
-    load_services()
+    interfaces['native']().load_services()
     order = start_order(registry)
     assert set(order) == set(registry)
     for name, kind in registry.items():
