Hold removals back only when no node reads the store

The store turned two nodes away for nine seconds; one of them then took the removal of a server for a lapse of the store's leases and kept using it 2.2 s longer, though its peers had kept it up to date all the while. Ruled out: late news between peers (all other nodes heard within 80 ms). Conclusion: an outage is one of the store only if no node reads it.

--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -31,6 +31,9 @@
 # Pause after a failed read; calls that the store refuses are priced too.
 _FAILURE_PAUSE_S = 0.5
 _PEER_TIMEOUT_S = 0.5
+# Knowledge of this age means that no node reads the store: entries lapse
+# only after three heartbeats of a server, so a shorter outage removes none.
+_AWAY_AFTER_S = 2.0
 
 
 @service('catalog', requires=('border', 'sharing'))
@@ -128,19 +131,20 @@
         try:
             news = await follower.read()
         except LogError as error:
-            self._note_outage(error)
+            self._note_failure(follower, error)
             await self._ask_peers(follower)
             await asyncio.sleep(_FAILURE_PAUSE_S)
             return
         if not self._reachable:
             self._reachable = True
-            self._servers.note_outage()
             log.info('store reached again')
         self._sharing.tell_all(news)
         self._note_news(news)
 
-    def _note_outage(self, error: LogError) -> None:
-        self._servers.note_outage()
+    def _note_failure(self, follower: StreamFollower, error: LogError) -> None:
+        """Tell an outage of the store from one of this node's path to it."""
+        if follower.age_s > _AWAY_AFTER_S:
+            self._servers.note_outage()
         if self._reachable:
             log.warning('store not reached', extra={'error': str(error)})
         self._reachable = False
--- a/mallowspindle/tests/native/__init__.py
+++ b/mallowspindle/tests/native/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the platform package."""
+"""Tests of the native package."""
