Stand-ins of the users' platform and tests of the whole path

The daemon runs as separate processes against a store, a duties' interface and servers written here. A failure that a server told goes before a 502 of our own.

--- /dev/null
+++ b/mallowspindle/bench/gateway.py
@@ -0,0 +1,296 @@
+"""Gateways on loopback in front of stand-ins of the users' platform."""
+
+import asyncio
+import json
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any, Self
+
+from aiohttp import ClientSession, ClientTimeout
+from yarl import URL
+
+from mallowspindle.bench.processes import ManagedProcess
+
+HOST = 'shop.example'
+KEY = 'key-of-farm'
+_SHARED_KEY = 'a-shared-key-for-loopback'
+_WAIT_S = 30.0
+_POLL_S = 0.05
+_PORTS_OF_A_NODE = 4
+
+CONFIGURATION: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'letters',
+            'host': HOST,
+            'path_prefix': '/letters/',
+            'kind': 'streaming',
+            'timeout_ms': 15000,
+            'target_latency_ms': 1000,
+            'service': 'models',
+            'max_attempts': 2,
+            'resumable': True,
+            'sticky': True,
+        },
+        {
+            'name': 'questions',
+            'host': HOST,
+            'path_prefix': '/questions/',
+            'kind': 'streaming',
+            'timeout_ms': 15000,
+            'target_latency_ms': 1000,
+            'service': 'models',
+            'max_attempts': 1,
+            'sticky': True,
+        },
+        {
+            'name': 'orders',
+            'host': HOST,
+            'path_prefix': '/orders/',
+            'kind': 'unsafe',
+            'timeout_ms': 2000,
+            'target_latency_ms': 200,
+            'service': 'shop',
+        },
+        {
+            'name': 'status',
+            'host': HOST,
+            'path_prefix': '/status/',
+            'kind': 'safe',
+            'timeout_ms': 2000,
+            'target_latency_ms': 200,
+            'service': 'shop',
+            'max_attempts': 2,
+        },
+    ],
+    'services': [
+        {'name': 'models', 'max_connections': 100},
+        {'name': 'shop', 'max_connections': 100},
+    ],
+    'tenants': [{'name': 'farm', 'api_keys': [KEY]}],
+}
+
+
+class GatewayVenture:
+    """Starts stand-ins and gateways, and talks to them as callers do."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: dict[str, ManagedProcess] = {}
+        self._seeds: list[str] = []
+        self._listen: dict[str, list[str]] = {}
+        self._session = ClientSession(timeout=ClientTimeout(total=30))
+
+    @property
+    def session(self) -> ClientSession:
+        """The HTTP session of the callers."""
+        return self._session
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.stop()
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by name."""
+        return self._processes[name]
+
+    async def start_platform(self) -> None:
+        """Start the store and the duties' interface."""
+        await asyncio.gather(
+            self._start('store', 'platform_store'),
+            self._start('duties', 'platform_duties'),
+        )
+
+    async def configure(self, **changes: Any) -> None:
+        """Write the operators' configuration."""
+        document = json.dumps({**CONFIGURATION, **changes})
+        await self.put('keyed.op', 'config', document.encode())
+
+    async def start_server(
+        self, name: str, service: str, *arguments: str
+    ) -> ManagedProcess:
+        """Start a backend server and register it."""
+        started = await self._start(
+            name, 'platform_server', '--server-id', name, *arguments
+        )
+        await self.register(name, service)
+        return started
+
+    async def register(
+        self, name: str, service: str, **changes: Any
+    ) -> None:
+        """Write a server's entry, as the server does."""
+        entry = {
+            'service': service,
+            'address': self.process(name).address,
+            'zone': 'a',
+            'slots': 8,
+            'state': 'ready',
+            'born': 1,
+            **changes,
+        }
+        await self.put('keyed.servers', name, json.dumps(entry).encode())
+
+    async def start_gateway(
+        self, name: str, zone: str = 'a', *, wait: bool = True, **proxy: Any
+    ) -> ManagedProcess:
+        """Start a gateway; wait until it serves unless told otherwise."""
+        self._listen[name] = _free_endpoints(_PORTS_OF_A_NODE)
+        self._seeds.append(self._listen[name][3])
+        path = self.write_settings(name, zone, **proxy)
+        started = await ManagedProcess.start(
+            name,
+            'mallowspindle.daemon',
+            ['--settings', str(path)],
+            self._folder / f'{name}.log',
+        )
+        self._processes[name] = started
+        if wait:
+            await self.wait_until(lambda: self.is_ready(name))
+        return started
+
+    def write_settings(self, name: str, zone: str, **proxy: Any) -> Path:
+        """Write the INI file of a gateway."""
+        callers, readiness, addresses, peers = self._listen[name]
+        options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
+        path = self._folder / f'{name}.ini'
+        path.write_text(
+            f'[node]\ninterface = platform\nname = {name}\nzone = {zone}\n'
+            f'[listen]\ncallers = {callers}\nreadiness = {readiness}\n'
+            f'addresses = {addresses}\npeers = {peers}\n'
+            f'[peers]\nshared_key = {_SHARED_KEY}\n'
+            f'seeds = {" ".join(self._seeds)}\n'
+            f'[store]\naddress = {self.process("store").address}\n'
+            f'[duties]\naddress = {self.process("duties").address}\n'
+            f'kinds = usage autoscale\nusage_window_s = 1\n'
+            f'[proxy]\n{options}',
+            encoding='utf-8',
+        )
+        return path
+
+    def log_lines(self, name: str, message: str) -> list[dict[str, Any]]:
+        """Return the lines of a process's log with a message."""
+        text = (self._folder / f'{name}.log').read_text(encoding='utf-8')
+        lines = [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{')
+        ]
+        return [line for line in lines if line.get('message') == message]
+
+    def request_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers of a proper request."""
+        return {
+            'Host': HOST,
+            'Request-Id': request_id,
+            'Deadline-Ms': '10000',
+            'Authorization': f'Token {KEY}',
+        }
+
+    def url(self, gateway: str, path: str) -> URL:
+        """Return a URL for callers, spelled as it is given."""
+        return URL(f'http://{self._listen[gateway][0]}{path}', encoded=True)
+
+    async def call(
+        self,
+        gateway: str,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes = b'',
+        **changes: str,
+    ) -> tuple[int, dict[str, str], str]:
+        """Return status, headers and text of a caller's request."""
+        headers = {**self.request_headers(request_id), **changes}
+        async with self._session.request(
+            method, self.url(gateway, path), headers=headers, data=body or None
+        ) as response:
+            return response.status, dict(response.headers), await response.text()
+
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether a gateway says that it is ready."""
+        url = f'http://{self._listen[name][1]}/ready'
+        async with self._session.get(url) as response:
+            return response.status == 200
+
+    async def addresses(self, name: str, zone: str = 'a') -> list[str]:
+        """Return the addresses that a gateway names to callers."""
+        url = f'http://{self._listen[name][2]}/resolve?name={HOST}&zone={zone}'
+        async with self._session.get(url) as response:
+            answer = await response.json()
+            return list(answer['addresses'])
+
+    async def runs(self, server: str) -> list[dict[str, Any]]:
+        """Return what a server ran."""
+        return list(await self.get(f'{self.process(server).url}/runs'))
+
+    async def duty_calls(self) -> list[dict[str, Any]]:
+        """Return the calls that the duties' interface accepted."""
+        return list(await self.get(f'{self.process("duties").url}/calls'))
+
+    async def get(self, url: str) -> Any:
+        """Return a JSON document."""
+        async with self._session.get(url) as response:
+            return await response.json()
+
+    async def put(self, topic: str, key: str, content: bytes) -> None:
+        """Write a keyed record; no content drops the key."""
+        url = f'{self.process("store").url}/operator/{topic}/{key}'
+        async with self._session.post(url, data=content) as response:
+            response.raise_for_status()
+
+    async def set_faults(self, name: str, **faults: Any) -> None:
+        """Make a stand-in show faults."""
+        url = f'{self.process(name).url}/faults'
+        async with self._session.post(url, json=faults) as response:
+            response.raise_for_status()
+
+    async def wait_until(
+        self, condition: Callable[[], Awaitable[bool]]
+    ) -> None:
+        """Poll a condition until it holds; ``TimeoutError`` if never."""
+        async with asyncio.timeout(_WAIT_S):
+            while not await condition():
+                await asyncio.sleep(_POLL_S)
+
+    async def stop(self) -> None:
+        """End all processes and close the session."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+        await asyncio.gather(
+            *(process.kill() for process in self._processes.values())
+        )
+        await self._session.close()
+
+    async def _start(
+        self, name: str, module: str, *arguments: str
+    ) -> ManagedProcess:
+        started = await ManagedProcess.start(
+            name,
+            f'mallowspindle.standins.{module}',
+            list(arguments),
+            self._folder / f'{name}.log',
+        )
+        self._processes[name] = started
+        return started
+
+
+def _free_endpoints(number: int) -> list[str]:
+    """Return loopback endpoints that were free a moment ago.
+
+    The sockets are held together, so that no port comes twice.
+    """
+    with ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(number)
+        ]
+        return [
+            f'127.0.0.1:{opened.getsockname()[1]}' for opened in sockets
+        ]
--- a/mallowspindle/bench/processes.py
+++ b/mallowspindle/bench/processes.py
@@ -5,12 +5,14 @@
 import os
 import signal
 import sys
+from asyncio import StreamReader
 from asyncio.subprocess import PIPE, Process
 from pathlib import Path
 from typing import Any, Self
 
 _START_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 40.0
+_LONGEST_LINE = 1_000_000
 
 
 class ManagedProcess:
@@ -20,6 +22,7 @@
         self._name = name
         self._process = process
         self._ports = ports
+        self._log_task: asyncio.Task[None] | None = None
 
     @classmethod
     async def start(
@@ -34,16 +37,19 @@
                 *arguments,
                 stdout=PIPE,
                 stderr=log_file,
+                limit=_LONGEST_LINE,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
         if process.stdout is None:
             raise RuntimeError('no standard output')
-        line = await asyncio.wait_for(
-            process.stdout.readline(), _START_TIMEOUT_S
+        ports = await asyncio.wait_for(
+            _read_announcement(process.stdout, log_path), _START_TIMEOUT_S
         )
-        if not line:
+        if ports is None:
             raise RuntimeError(f'{name} ended at its start: see {log_path}')
-        return cls(name, process, json.loads(line))
+        started = cls(name, process, ports)
+        started.keep_log(process.stdout, log_path)
+        return started
 
     @property
     def name(self) -> str:
@@ -75,6 +81,15 @@
         """Whether the process has not ended."""
         return self._process.returncode is None
 
+    @property
+    def callers_address(self) -> str:
+        """The ``host:port`` for callers, of gateways only."""
+        return str(self._ports['callers'])
+
+    def keep_log(self, output: StreamReader, log_path: Path) -> None:
+        """Copy the output to a file, so that the process never waits."""
+        self._log_task = asyncio.create_task(_copy_lines(output, log_path))
+
     def send_signal(self, signum: signal.Signals) -> None:
         """Send a signal to a process that still runs."""
         if self.running:
@@ -89,3 +104,29 @@
         if self.running:
             self._process.kill()
         await self._process.wait()
+        if self._log_task is not None:
+            await self._log_task
+
+
+async def _read_announcement(
+    output: StreamReader, log_path: Path
+) -> dict[str, Any] | None:
+    """Return the ports in the first line that tells them."""
+    async for line in output:
+        with log_path.open('ab') as log_file:
+            log_file.write(line)
+        try:
+            entry = json.loads(line)
+        except ValueError:
+            continue
+        ports = entry.get('announced', entry)
+        if 'port' in ports or 'callers' in ports:
+            return dict(ports)
+    return None
+
+
+async def _copy_lines(output: StreamReader, log_path: Path) -> None:
+    with log_path.open('ab') as log_file:
+        async for line in output:
+            log_file.write(line)
+            log_file.flush()
--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -1,7 +1,6 @@
 """``mallowspindled``: the daemon of one entry VM."""
 
 import asyncio
-import json
 import logging
 import signal
 import sys
@@ -74,7 +73,9 @@
 
 async def run(config: CommonSettings, path: Path) -> None:
     """Run all services until a signal or a reclaim notice, then drain."""
-    configure_logging(config.telemetry.log_level, config.node.name)
+    log_writer = configure_logging(
+        config.telemetry.log_level, config.node.name
+    )
     traces = configure_telemetry(
         config.node.name,
         config.telemetry.traces_file,
@@ -97,14 +98,12 @@
     await kernel.stop()
     log.info('stopped')
     traces.shutdown()
+    log_writer.stop()
 
 
 def _announce(kernel: Kernel) -> None:
-    """Print the addresses in use as one JSON line."""
-    addresses = kernel.announcements()
-    sys.stdout.write(f'{json.dumps(addresses)}\n')
-    sys.stdout.flush()
-    log.info('started', extra=addresses)
+    """Log the addresses in use."""
+    log.info('started', extra={'announced': kernel.announcements()})
 
 
 def _stop_signal() -> asyncio.Event:
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -235,10 +235,6 @@
 
     def _refuse(self, reason: str) -> StreamResponse:
         """End a request that no server took; say not run only if true."""
-        if self._last_failure is not None and self._response is None:
-            return replies.whole(
-                self._last_failure.head, self._last_failure.body
-            )
         if self._runs:
             return self._fail(replies.unknown())
         self._log_end('refused', reason)
@@ -251,7 +247,13 @@
         return replies.refusal(_FULL_PAUSE_S)
 
     def _fail(self, response: Response) -> StreamResponse:
-        """End a request whose fate is unknown, or cut a begun answer."""
+        """End a request whose fate is unknown, or cut a begun answer.
+
+        A failure that a server has told goes before one of our own.
+        """
+        told = self._last_failure
+        if told is not None and self._response is None:
+            return replies.whole(told.head, told.body)
         if self._response is None:
             self._log_end('failed', f'status {response.status}')
             return response
--- /dev/null
+++ b/mallowspindle/standins/platform_server.py
@@ -0,0 +1,124 @@
+"""Stand-in of a backend server on the users' platform.
+
+With ``--events`` it streams server-sent events, else it answers at once.
+"""
+
+import argparse
+import asyncio
+from typing import Any
+
+from aiohttp.web import (
+    Application,
+    Request,
+    Response,
+    StreamResponse,
+    json_response,
+)
+
+from mallowspindle.standins.faults import (
+    Faults,
+    add_fault_routes,
+    drop_connection,
+)
+from mallowspindle.standins.server import serve
+
+_MISDIRECTED = 421
+
+
+class ServerStandin:
+    """A server with an id that records what ran."""
+
+    def __init__(self, server_id: str, events: int, pause_s: float) -> None:
+        self._id = server_id
+        self._events = events
+        self._pause_s = pause_s
+        self._faults = Faults()
+        self._runs: list[dict[str, Any]] = []
+
+    def app(self) -> Application:
+        """Return the HTTP application."""
+        app = Application(client_max_size=8_000_000)
+        app.router.add_get('/runs', self._list)
+        app.router.add_get('/report', self._report)
+        add_fault_routes(app, self._faults)
+        app.router.add_route('*', '/{path:.*}', self._serve)
+        return app
+
+    async def _serve(self, request: Request) -> StreamResponse:
+        headers = {
+            'Request-Id': request.headers['Request-Id'],
+            'Instance-Id': self._id,
+        }
+        if request.headers.get('Expect-Instance') != self._id:
+            return Response(status=_MISDIRECTED, headers=headers)
+        if self._faults.take('refuse'):
+            headers['Not-Executed'] = '1'
+            return Response(status=503, headers=headers)
+        run = {
+            'id': request.headers['Request-Id'],
+            'method': request.method,
+            'target': request.raw_path,
+            'headers': dict(request.headers),
+            'body': (await request.read()).decode(),
+            'ended': False,
+        }
+        self._runs.append(run)
+        try:
+            return await self._answer(request, headers)
+        finally:
+            run['ended'] = True
+
+    async def _answer(
+        self, request: Request, headers: dict[str, str]
+    ) -> StreamResponse:
+        if self._faults.take('lose_answers'):
+            drop_connection(request)
+        headers['Response-Signature'] = f'{self._id}-signature'
+        if self._faults.take('truncate'):
+            return Response(status=500, headers=headers, text='failed')
+        if not self._events:
+            await asyncio.sleep(self._pause_s + self._faults.slow_s)
+            return Response(headers=headers, text=f'answer of {self._id}')
+        return await self._stream(request, headers)
+
+    async def _stream(
+        self, request: Request, headers: dict[str, str]
+    ) -> StreamResponse:
+        """Stream the events after the last one that the caller has."""
+        response = StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        cut = self._faults.take('cuts')
+        for number in range(first, self._events + 1):
+            await asyncio.sleep(self._pause_s)
+            if cut and number - first == self._faults.cut_after_tokens:
+                await response.write(f'id: {number}\nda'.encode())
+                drop_connection(request)
+                return response
+            await response.write(f'id: {number}\ndata: t{number}\n\n'.encode())
+        return response
+
+    async def _report(self, request: Request) -> Response:
+        running = sum(not run['ended'] for run in self._runs)
+        return json_response({'running': running, 'waiting': 0})
+
+    async def _list(self, request: Request) -> Response:
+        return json_response(self._runs)
+
+
+def main() -> None:
+    """Run the stand-in of a server."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--server-id', required=True)
+    parser.add_argument('--events', type=int, default=0)
+    parser.add_argument('--pause-s', type=float, default=0.01)
+    args = parser.parse_args()
+    standin = ServerStandin(args.server_id, args.events, args.pause_s)
+    asyncio.run(serve(standin.app(), args.host, args.port))
+
+
+if __name__ == '__main__':
+    main()
