--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -1,12 +1,12 @@
 """Keeps a view of each registered backend server."""
 
 import logging
-from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
 from typing import Self
 
 from mallowspindle.backends.prefixes import PartMemory
-from mallowspindle.backends.view import BackendView
+from mallowspindle.backends.view import BackendView, Work
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
@@ -26,6 +26,10 @@
 # Servers that are taken to cache a shared part of which nothing is known:
 # all nodes then send it to the same few.
 _OWNERS = 2
+# Reading time of a prompt of which the peers hear at once, since a request
+# of theirs behind it would come too late.
+_TOLD_AT_ONCE_S = 0.1
+_NO_LOAD = ServerLoad('', 0, 0)
 
 
 @service('backends', requires=('catalog', 'sharing'))
@@ -98,22 +102,32 @@
             view for view in usable if view.server.server_id == chosen.server_id
         )
 
+    @contextmanager
+    def working(
+        self, view: BackendView, request: CallerRequest
+    ) -> Iterator[Work]:
+        """Count a request while it is at a server."""
+        with view.working(request) as work:
+            if work.reading_s >= _TOLD_AT_ONCE_S:
+                self._sharing.hurry()
+            yield work
+
     def _candidate(
         self,
         view: BackendView,
         request: CallerRequest,
-        peer_loads: dict[str, tuple[int, int]],
+        peer_loads: dict[str, ServerLoad],
         owners: list[str],
     ) -> Candidate:
         server = view.server
         own = view.load()
-        peer_running, peer_waiting = peer_loads.get(server.server_id, (0, 0))
+        peers = peer_loads.get(server.server_id, _NO_LOAD)
         return Candidate(
             server_id=server.server_id,
             zone=server.zone,
             slots=server.slots,
-            running=own.running + peer_running,
-            waiting_tokens=own.waiting_tokens + peer_waiting,
+            running=own.running + peers.running,
+            backlog_s=own.backlog_s + peers.backlog_s,
             cached_tokens=view.memory.cached_tokens(request.prompt),
             is_owner=server.server_id in owners,
             full=view.full,
@@ -133,14 +147,19 @@
     def _cache_worth(self, request: CallerRequest) -> int:
         return sum(part.tokens for part in request.prompt[:-1])
 
-    def _peer_loads(self) -> dict[str, tuple[int, int]]:
-        running: Counter[str] = Counter()
-        waiting: Counter[str] = Counter()
-        for state in self._sharing.states():
-            for load in state.loads:
-                running[load.server_id] += load.running
-                waiting[load.server_id] += load.waiting_tokens
-        return {name: (running[name], waiting[name]) for name in running}
+    def _peer_loads(self) -> dict[str, ServerLoad]:
+        """Return the sum of what the peers have at each server."""
+        total: dict[str, ServerLoad] = {}
+        for heard in self._sharing.heard():
+            for load in heard.state.loads:
+                known = total.get(load.server_id, _NO_LOAD)
+                left_s = max(0, load.backlog_s - heard.age_s)
+                total[load.server_id] = ServerLoad(
+                    load.server_id,
+                    known.running + load.running,
+                    known.backlog_s + left_s,
+                )
+        return total
 
     def _own_loads(self) -> list[ServerLoad]:
         return [view.load() for view in self._views.values() if view.work]
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -7,6 +7,7 @@
 
 from mallowspindle.backends.prefixes import PartMemory
 from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.policies.reading_time import reading_time_s
 from mallowspindle.proxy.messages import CallerRequest, ServerReport
 from mallowspindle.sharing.messages import ServerLoad
 
@@ -18,14 +19,14 @@
 
 @dataclass(slots=True, eq=False)
 class Work:
-    """One request at a server; ``waiting_tokens`` until its first event."""
+    """One request at a server; ``reading_s`` until its first event."""
 
-    waiting_tokens: int
+    reading_s: float
     sent_at_s: float
 
     def note_first_event(self) -> None:
         """Note that the prompt has been read."""
-        self.waiting_tokens = 0
+        self.reading_s = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -53,15 +54,20 @@
 
     def load(self) -> ServerLoad:
         """Return this node's work at the server."""
-        waiting = sum(work.waiting_tokens for work in self.work)
-        return ServerLoad(self.server.server_id, len(self.work), waiting)
+        unread = [work for work in self.work if work.reading_s]
+        backlog_s = sum(work.reading_s for work in unread)
+        if unread:
+            # The server has been reading since the oldest of them came.
+            oldest_s = min(work.sent_at_s for work in unread)
+            backlog_s = max(0, backlog_s - (time.monotonic() - oldest_s))
+        return ServerLoad(self.server.server_id, len(self.work), backlog_s)
 
     @contextmanager
     def working(self, request: CallerRequest) -> Iterator[Work]:
         """Count a request while it is at the server."""
         tokens = request.prompt_tokens or 0
         cached = self.memory.cached_tokens(request.prompt)
-        work = Work(max(0, tokens - cached), time.monotonic())
+        work = Work(reading_time_s(tokens, cached), time.monotonic())
         self.memory.remember(request.prompt)
         self.work.add(work)
         try:
--- a/mallowspindle/policies/placement.py
+++ b/mallowspindle/policies/placement.py
@@ -10,9 +10,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-# Prompt tokens that a server reads in a second; only the ratio to the delays
-# below matters.
-_READ_TOKENS_PER_S = 60_000
+from mallowspindle.policies.reading_time import reading_time_s
+
 # Delay that each running request adds to the tokens of the others.
 _RUNNING_S = 0.0006
 # Delay for each request that a server without a free slot has too many.
@@ -28,13 +27,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server that may get the request; loads include those of peers."""
+    """A server that may get the request; loads include those of peers.
+
+    ``backlog_s`` is the time that prompts ahead of the request take to read.
+    """
 
     server_id: str
     zone: str
     slots: int
     running: int
-    waiting_tokens: int
+    backlog_s: float
     cached_tokens: int
     is_owner: bool = False
     full: bool = False
@@ -76,11 +78,11 @@
     cached = candidate.cached_tokens
     if candidate.is_owner:
         cached = max(cached, int(placement.shared_tokens * _OWNER_SHARE))
-    unread = max(0, placement.prompt_tokens - cached)
-    read_s = (candidate.waiting_tokens + unread) / _READ_TOKENS_PER_S
+    read_s = reading_time_s(placement.prompt_tokens, cached)
     queued = max(0, candidate.running + 1 - candidate.slots)
     return (
-        read_s
+        candidate.backlog_s
+        + read_s
         + candidate.running * _RUNNING_S
         + candidate.running / candidate.slots * _QUEUED_S
         + queued * _QUEUED_S
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -104,7 +104,7 @@
         headers = self._context.dialect.encode_dispatch(request, dispatch)
         url = f'http://{view.server.address}{request.target}'
         try:
-            with view.working(request) as work:
+            with self._context.backends.working(view, request) as work:
                 async with self._context.upstream.send(
                     request.method, url, headers, body, mark
                 ) as answer:
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -9,12 +9,13 @@
 class ServerLoad:
     """Work that one entry VM has at a backend server.
 
-    ``waiting_tokens`` are prompt tokens of requests without a first event.
+    ``backlog_s`` is the time that reading the prompts takes for which no
+    first event has come.
     """
 
     server_id: str
     running: int
-    waiting_tokens: int
+    backlog_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -1,5 +1,6 @@
 """Exchanges the state of work between entry VMs."""
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable
@@ -13,13 +14,15 @@
 from mallowspindle.peers.codec import OkReply
 from mallowspindle.peers.errors import PeerError
 from mallowspindle.sharing.messages import NodeState
-from mallowspindle.utils.tasks import TaskGroup, repeat
+from mallowspindle.utils.tasks import TaskGroup
 
 log = logging.getLogger(__name__)
 
 # Pause between two states sent to each peer: below half of the lag of a
 # backend server's own report, so that peers' sends are known before it.
 _INTERVAL_S = 0.35
+# News in a hurry is sent no more often than this.
+_LEAST_INTERVAL_S = 0.03
 # A state that is older says nothing of the present load any longer.
 _STALE_AFTER_S = 2.0
 _SEND_TIMEOUT_S = 1.0
@@ -49,6 +52,7 @@
         self._sources: dict[str, Source] = {}
         self._watchers: list[Callable[[NodeState], None]] = []
         self._states: dict[str, HeardState] = {}
+        self._hurry = asyncio.Event()
         self._tasks = TaskGroup()
 
     @classmethod
@@ -114,7 +118,7 @@
     async def start(self) -> None:
         """Begin to exchange states."""
         self._membership.server.handle(NodeState, self._receive)
-        self._tasks.spawn(repeat(self._send_state, _INTERVAL_S), 'node state')
+        self._tasks.spawn(self._send_states(), 'node state')
 
     async def stop(self) -> None:
         """Stop the exchange."""
@@ -124,6 +128,22 @@
         """Tell the last state before this node leaves."""
         await self._send_state()
 
+    def hurry(self) -> None:
+        """Send the next state at once."""
+        self._hurry.set()
+
+    async def _send_states(self) -> None:
+        while True:
+            self._hurry.clear()
+            await self._send_state()
+            await asyncio.sleep(_LEAST_INTERVAL_S)
+            try:
+                await asyncio.wait_for(
+                    self._hurry.wait(), _INTERVAL_S - _LEAST_INTERVAL_S
+                )
+            except TimeoutError:
+                continue
+
     async def _send_state(self) -> None:
         self.tell_all(self._own_state())
 
