--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -1,8 +1,10 @@
 """Keeps a view of each registered backend server."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Self
 
 from mallowspindle.backends.prefixes import PartMemory
@@ -11,13 +13,16 @@
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
+from mallowspindle.policies.fleet import Demand
 from mallowspindle.policies.placement import (
     Candidate,
     Placement,
     choose_server,
 )
+from mallowspindle.policies.rates import RateMeter
+from mallowspindle.policies.reading_time import reading_time_s
 from mallowspindle.proxy.messages import CallerRequest
-from mallowspindle.sharing.messages import ServerLoad
+from mallowspindle.sharing.messages import ServerLoad, ServiceDemand
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.utils.identifiers import rendezvous_order
 
@@ -29,6 +34,8 @@
 # Reading time of a prompt of which the peers hear at once, since a request
 # of theirs behind it would come too late.
 _TOLD_AT_ONCE_S = 0.1
+# Span over which the demand is averaged: a few clumps of prompts.
+_DEMAND_SPAN_S = 6.0
 _NO_LOAD = ServerLoad('', 0, 0)
 
 
@@ -43,6 +50,9 @@
         self._sharing = sharing
         self._zone = sharing.membership.own.zone
         self._views: dict[str, BackendView] = {}
+        self._meters: dict[str, RateMeter] = defaultdict(
+            partial(RateMeter, _DEMAND_SPAN_S)
+        )
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
@@ -55,6 +65,7 @@
     async def start(self) -> None:
         """Begin to tell the peers of this node's work."""
         self._sharing.provide('loads', self._own_loads)
+        self._sharing.provide('demands', self._own_demands)
 
     def views(self, service_name: str) -> list[BackendView]:
         """Return the servers of a service, draining ones included."""
@@ -102,6 +113,36 @@
             view for view in usable if view.server.server_id == chosen.server_id
         )
 
+    def note_demand(self, service_name: str, request: CallerRequest) -> None:
+        """Count what a caller asks of a service, served or not."""
+        cached = max(
+            (
+                view.memory.cached_tokens(request.prompt)
+                for view in self.views(service_name)
+            ),
+            default=0,
+        )
+        reading_s = reading_time_s(request.prompt_tokens or 0, cached)
+        self._meters[service_name].note(reading_s)
+
+    def demand(self, service_name: str) -> Demand:
+        """Return what callers ask of a service, over all nodes."""
+        reading = self._meters[service_name].per_s() + sum(
+            demand.reading
+            for state in self._sharing.states()
+            for demand in state.demands
+            if demand.service == service_name
+        )
+        peers = self._peer_loads()
+        views = self.views(service_name)
+        running = sum(
+            view.load().running
+            + peers.get(view.server.server_id, _NO_LOAD).running
+            for view in views
+        )
+        slots = min((view.server.slots for view in views), default=1)
+        return Demand(reading, running, slots)
+
     @contextmanager
     def working(
         self, view: BackendView, request: CallerRequest
@@ -161,6 +202,12 @@
                 )
         return total
 
+    def _own_demands(self) -> list[ServiceDemand]:
+        return [
+            ServiceDemand(name, meter.per_s())
+            for name, meter in self._meters.items()
+        ]
+
     def _own_loads(self) -> list[ServerLoad]:
         return [view.load() for view in self._views.values() if view.work]
 
--- a/mallowspindle/bench/gateway.py
+++ b/mallowspindle/bench/gateway.py
@@ -122,9 +122,7 @@
         await self.register(name, service)
         return started
 
-    async def register(
-        self, name: str, service: str, **changes: Any
-    ) -> None:
+    async def register(self, name: str, service: str, **changes: Any) -> None:
         """Write a server's entry, as the server does."""
         entry = {
             'service': service,
@@ -211,7 +209,11 @@
         async with self._session.request(
             method, self.url(gateway, path), headers=headers, data=body or None
         ) as response:
-            return response.status, dict(response.headers), await response.text()
+            return (
+                response.status,
+                dict(response.headers),
+                await response.text(),
+            )
 
     async def is_ready(self, name: str) -> bool:
         """Tell whether a gateway says that it is ready."""
@@ -291,6 +293,4 @@
             stack.enter_context(socket.create_server(('127.0.0.1', 0)))
             for _ in range(number)
         ]
-        return [
-            f'127.0.0.1:{opened.getsockname()[1]}' for opened in sockets
-        ]
+        return [f'127.0.0.1:{opened.getsockname()[1]}' for opened in sockets]
--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -73,9 +73,7 @@
 
 async def run(config: CommonSettings, path: Path) -> None:
     """Run all services until a signal or a reclaim notice, then drain."""
-    log_writer = configure_logging(
-        config.telemetry.log_level, config.node.name
-    )
+    log_writer = configure_logging(config.telemetry.log_level, config.node.name)
     traces = configure_telemetry(
         config.node.name,
         config.telemetry.traces_file,
--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -2,7 +2,10 @@
 
 import logging
 import time
+from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from mallowspindle.border import (
     Duties,
@@ -14,7 +17,13 @@
 from mallowspindle.catalog.routes import BackendService, FleetBounds
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
-from mallowspindle.policies.fleet import ZoneFleet, plan_fleet
+from mallowspindle.policies.fleet import (
+    Demand,
+    FleetSizer,
+    Wanted,
+    ZoneFleet,
+    plan_fleet,
+)
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +35,7 @@
 _SETTLED_AFTER_S = 1.5
 
 Slot = tuple[str, str, bool]
+Demands = Callable[[str], Demand]
 
 
 @dataclass(slots=True)
@@ -40,11 +50,19 @@
     """Keeps each service's fleet at what the policy plans."""
 
     def __init__(
-        self, catalog: CatalogService, duties: Duties, wanted: int
+        self,
+        catalog: CatalogService,
+        duties: Duties,
+        demands: Demands,
+        at_first: int,
     ) -> None:
         self._catalog = catalog
         self._duties = duties
-        self._wanted = wanted
+        self._demands = demands
+        self._sizers: dict[str, FleetSizer] = defaultdict(
+            partial(FleetSizer, at_first)
+        )
+        self._planned: dict[str, Wanted] = {}
         self._ordered: dict[Slot, _Ordered] = {}
         self._refused_until_s: dict[Slot, float] = {}
         self._complete_since_s: float | None = None
@@ -71,8 +89,24 @@
             zone: self._zone_fleet(spec.name, zone, bounds)
             for zone in bounds.zone_prices
         }
-        targets = plan_fleet(bounds, zones, self._wanted)
-        settled = self._is_settled(spec.name)
+        sizer = self._sizers[spec.name]
+        demand = self._demands(spec.name)
+        sizer.note(demand)
+        wanted = sizer.wanted()
+        targets = plan_fleet(bounds, zones, wanted)
+        if wanted != self._planned.get(spec.name):
+            self._planned[spec.name] = wanted
+            log.info(
+                'fleet planned',
+                extra={
+                    'service': spec.name,
+                    'wanted': wanted.servers,
+                    'when_scarce': wanted.when_scarce,
+                    'reading': round(demand.reading, 2),
+                    'running': demand.running,
+                },
+            )
+        settled = self._is_settled(spec.name, wanted.servers)
         for zone, target in targets.items():
             for reclaimable, desired in (
                 (True, target.reclaimable),
@@ -104,7 +138,9 @@
         except NoneAvailable as error:
             until_s = time.monotonic() + _REFUSED_PAUSE_S
             self._refused_until_s[slot] = until_s
-            log.info('no servers to be had', extra={**fields, 'error': str(error)})
+            log.info(
+                'no servers to be had', extra={**fields, 'error': str(error)}
+            )
         except FencedOff:
             raise
         except DutyError as error:
@@ -159,7 +195,7 @@
     def _to_be_had(self, slot: Slot) -> bool:
         return time.monotonic() >= self._refused_until_s.get(slot, 0)
 
-    def _is_settled(self, service: str) -> bool:
+    def _is_settled(self, service: str, wanted: int) -> bool:
         """Tell whether the fleet has been complete for some time."""
         present = [
             server
@@ -167,7 +203,7 @@
             if server.service == service and not server.draining
         ]
         now_s = time.monotonic()
-        if len(present) <= self._wanted:
+        if len(present) <= wanted:
             self._complete_since_s = None
             return False
         if self._complete_since_s is None:
--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -169,9 +169,7 @@
         asked_at_s = self._clock()
         payload = duties_codec.encode(record)
         try:
-            offset = await self._log.append(
-                DUTIES_STREAM, [payload], self._end
-            )
+            offset = await self._log.append(DUTIES_STREAM, [payload], self._end)
         except AppendConflict as error:
             log.info('duty record not appended', extra={'error': str(error)})
             await self.catch_up()
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -5,6 +5,7 @@
 import time
 from typing import Self
 
+from mallowspindle.backends.service import BackendsService
 from mallowspindle.border import (
     BorderService,
     Duties,
@@ -49,6 +50,7 @@
         section: DutiesSection,
         duties: Duties,
         source: Log,
+        backends: BackendsService,
         catalog: CatalogService,
         sharing: SharingService,
         usage: UsageCounter,
@@ -61,7 +63,9 @@
         self._own = own
         self._lease = Lease(source, own.name, own.incarnation, section.lease_s)
         self._table = UsageTable()
-        self._fleet = FleetKeeper(catalog, duties, section.wanted_servers)
+        self._fleet = FleetKeeper(
+            catalog, duties, backends.demand, section.servers_at_first
+        )
         self._sent: set[int] = set()
         self._tasks = TaskGroup()
 
@@ -75,6 +79,7 @@
             kernel.settings(GatewaySettings).duties,
             border.duties,
             border.log,
+            kernel.find('backends', BackendsService),
             kernel.find('catalog', CatalogService),
             kernel.find('sharing', SharingService),
             kernel.find('proxy', ProxyService).context.usage,
--- a/mallowspindle/native/service.py
+++ b/mallowspindle/native/service.py
@@ -20,9 +20,7 @@
 class NativeService(Service):
     """Holds one log client and one cloud client."""
 
-    def __init__(
-        self, config: DaemonSettings, session: ClientSession
-    ) -> None:
+    def __init__(self, config: DaemonSettings, session: ClientSession) -> None:
         section = config.native
         timeout_s = section.log_timeout_s
         self._session = session
--- a/mallowspindle/platform/configuration.py
+++ b/mallowspindle/platform/configuration.py
@@ -1,7 +1,5 @@
 """Decodes the operators' configuration."""
 
-
-
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mallowspindle.catalog.routes import (
@@ -187,5 +185,3 @@
         zone_prices=dict(scale.zone_prices),
         reclaimable_price=scale.spot_price,
     )
-
-
--- a/mallowspindle/policies/fleet.py
+++ b/mallowspindle/policies/fleet.py
@@ -7,13 +7,90 @@
 until reclaimable ones are back.
 """
 
-from collections.abc import Iterator, Mapping
+import math
+import time
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from itertools import cycle
 
 from mallowspindle.catalog.routes import FleetBounds
 
 
+# Servers for each second of reading that callers ask in a second. Prompts
+# come in clumps and long ones hold up all behind them, so that a server which
+# reads for a quarter of its time is well used.
+_SERVERS_PER_READING = 3.2
+_SPARE_SERVERS = 1.5
+# The same while only servers at the full price are to be had.
+_SCARCE_PER_READING = 2.0
+_SCARCE_SPARE = 1.0
+# Part of a server's slots that running requests should take at most.
+_BUSY_PART = 0.5
+# A smaller fleet is planned once the demand has been lower for this long.
+_LOWER_AFTER_S = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What callers ask of a service, over all nodes.
+
+    ``reading`` is the seconds of reading prompts that they ask each second.
+    """
+
+    reading: float
+    running: int
+    slots: int
+
+    def servers(self, per_reading: float, spare: float) -> int:
+        """Return how many servers carry this."""
+        by_reading = round(self.reading * per_reading + spare)
+        by_slots = math.ceil(self.running / max(1, self.slots * _BUSY_PART))
+        return max(1, by_reading, by_slots)
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """Servers wanted in all, and while only on-demand ones are to be had."""
+
+    servers: int
+    when_scarce: int
+
+
+class FleetSizer:
+    """Follows the demand: up at once, down only after a while."""
+
+    def __init__(
+        self, at_first: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._at_first = at_first
+        self._clock = clock
+        self._history: deque[tuple[float, Wanted]] = deque()
+
+    def note(self, demand: Demand) -> None:
+        """Take in the present demand; none at all says nothing yet."""
+        if not demand.reading and not demand.running:
+            return
+        wanted = Wanted(
+            demand.servers(_SERVERS_PER_READING, _SPARE_SERVERS),
+            demand.servers(_SCARCE_PER_READING, _SCARCE_SPARE),
+        )
+        self._history.append((self._clock(), wanted))
+
+    def wanted(self) -> Wanted:
+        """Return the most that the recent demand called for."""
+        horizon_s = self._clock() - _LOWER_AFTER_S
+        while len(self._history) > 1 and self._history[0][0] < horizon_s:
+            self._history.popleft()
+        if not self._history:
+            return Wanted(self._at_first, self._at_first)
+        recent = [wanted for _, wanted in self._history]
+        return Wanted(
+            max(wanted.servers for wanted in recent),
+            max(wanted.when_scarce for wanted in recent),
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneFleet:
     """Servers of one zone that serve or boot, and whether more are had."""
@@ -33,28 +110,23 @@
 
 
 def plan_fleet(
-    bounds: FleetBounds,
-    zones: Mapping[str, ZoneFleet],
-    wanted: int,
+    bounds: FleetBounds, zones: Mapping[str, ZoneFleet], wanted: Wanted
 ) -> dict[str, ZoneTarget]:
-    """Return the target of each zone for ``wanted`` servers in all."""
-    spread = _spread(bounds, zones, wanted)
+    """Return the target of each zone for the servers wanted in all."""
+    spread = _spread(bounds, zones, wanted.servers)
     reclaimable = {
         zone: _reclaimable_target(bounds, fleet, spread[zone])
         for zone, fleet in zones.items()
     }
+    missing = wanted.when_scarce - sum(reclaimable.values())
+    if bounds.reclaimable_price is None:
+        missing = wanted.servers
     on_demand = dict.fromkeys(zones, 0)
-    for zone, fleet in zones.items():
-        # A zone without reclaimable servers keeps its least number.
-        if reclaimable[zone] < bounds.least and fleet.on_demand_to_be_had:
-            on_demand[zone] = bounds.least - reclaimable[zone]
-    missing = wanted - sum(reclaimable.values()) - sum(on_demand.values())
     for zone in _cheapest_first(bounds, zones):
-        room = bounds.most - reclaimable[zone] - on_demand[zone]
+        room = bounds.most - reclaimable[zone]
         if zones[zone].on_demand_to_be_had:
-            added = max(0, min(room, missing))
-            on_demand[zone] += added
-            missing -= added
+            on_demand[zone] = max(0, min(room, missing))
+            missing -= on_demand[zone]
     return {
         zone: ZoneTarget(reclaimable[zone], on_demand[zone]) for zone in zones
     }
@@ -75,12 +147,14 @@
 ) -> dict[str, int]:
     """Spread servers evenly, the cheapest zones first."""
     spread = dict.fromkeys(zones, bounds.least)
-    left = wanted - sum(spread.values())
+    most = bounds.most * len(spread)
+    left = min(wanted, most) - sum(spread.values())
     turns: Iterator[str] = cycle(_cheapest_first(bounds, zones))
-    for _ in range(max(0, left)):
+    while left > 0:
         zone = next(turns)
         if spread[zone] < bounds.most:
             spread[zone] += 1
+            left -= 1
     return spread
 
 
--- a/mallowspindle/proxy/events.py
+++ b/mallowspindle/proxy/events.py
@@ -25,9 +25,7 @@
         """Return the whole events that ``chunk`` completes, unchanged."""
         text = self._pending + chunk
         end = max(
-            text.rfind(boundary) + len(boundary)
-            if boundary in text
-            else 0
+            text.rfind(boundary) + len(boundary) if boundary in text else 0
             for boundary in _BOUNDARIES
         )
         self._pending = text[end:]
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -68,6 +68,7 @@
     async def run(self, body: bytes) -> StreamResponse:
         """Return the response for the caller, which may be under way."""
         self._context.budgets.note_request(self._service)
+        self._context.backends.note_demand(self._service, self._request)
         try:
             async with asyncio.timeout_at(self._ends_at_s):
                 return await self._run_attempts(body)
@@ -89,9 +90,7 @@
                 return await self._conclude(outcome)
         return self._started()
 
-    async def _attempt(
-        self, view: BackendView, body: bytes
-    ) -> AttemptOutcome:
+    async def _attempt(self, view: BackendView, body: bytes) -> AttemptOutcome:
         self._tried.add(view.server.server_id)
         mark = SendMark()
         request = self._request
--- a/mallowspindle/proxy/quotas.py
+++ b/mallowspindle/proxy/quotas.py
@@ -53,9 +53,7 @@
         self, quota: Quota, cost: float, admitted: AdmittedWork
     ) -> float:
         by_rate_s = cost / quota.rate_per_s
-        return max(
-            _LEAST_PAUSE_S, min(by_rate_s, admitted.frees_in_s(cost))
-        )
+        return max(_LEAST_PAUSE_S, min(by_rate_s, admitted.frees_in_s(cost)))
 
     def _peer_use(self, organisation: str) -> list[PeerUse]:
         return [
--- a/mallowspindle/proxy/replies.py
+++ b/mallowspindle/proxy/replies.py
@@ -36,9 +36,7 @@
 
 def refusal(pause_s: float, status: int = _UNAVAILABLE) -> Response:
     """Return the answer to a request that has not run and never will."""
-    return _plain(
-        status, 'not run', {'Retry-After': _spread_pause(pause_s)}
-    )
+    return _plain(status, 'not run', {'Retry-After': _spread_pause(pause_s)})
 
 
 def over_quota(pause_s: float) -> Response:
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -79,7 +79,10 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent to this node."""
-        return not self._draining and self._context.catalog.configuration is not None
+        return (
+            not self._draining
+            and self._context.catalog.configuration is not None
+        )
 
     def announcements(self) -> dict[str, str | int]:
         """Return the addresses in use."""
@@ -178,5 +181,3 @@
 
 async def _metrics(web_request: BaseRequest) -> Response:
     return Response(body=generate_latest(), content_type='text/plain')
-
-
--- a/mallowspindle/routing/directory.py
+++ b/mallowspindle/routing/directory.py
@@ -55,9 +55,7 @@
         )
         await self._refresh_list()
         self._tasks.spawn(
-            repeat(
-                self._refresh_list, self._config.native.vm_poll_interval_s
-            ),
+            repeat(self._refresh_list, self._config.native.vm_poll_interval_s),
             'VM list',
         )
         self._tasks.spawn(
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -38,6 +38,14 @@
     rate_per_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceDemand:
+    """Seconds of reading that a node's callers ask of a service a second."""
+
+    service: str
+    reading: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseNews:
     """Who held the duties ``age_s`` ago, under which fencing number."""
@@ -56,5 +64,6 @@
     incarnation: int
     loads: list[ServerLoad] = field(default_factory=list)
     usage: list[WindowCounts] = field(default_factory=list)
+    demands: list[ServiceDemand] = field(default_factory=list)
     quota_use: list[QuotaUse] = field(default_factory=list)
     lease: LeaseNews | None = None
--- a/mallowspindle/tests/integration/test_gateway.py
+++ b/mallowspindle/tests/integration/test_gateway.py
@@ -167,9 +167,7 @@
 ) -> None:
     await venture.set_faults('shop-1', truncate=1)
     await venture.set_faults('shop-2', truncate=1)
-    status, headers, _ = await venture.call(
-        'entry-1', 'GET', '/status/x', 'r1'
-    )
+    status, headers, _ = await venture.call('entry-1', 'GET', '/status/x', 'r1')
     assert status == 500
     assert headers['Response-Signature'].endswith('-signature')
 
@@ -210,9 +208,7 @@
         return all(
             any(
                 line['server'] == 'shop-1' and line['draining']
-                for line in venture.log_lines(
-                    name, 'backend server registered'
-                )
+                for line in venture.log_lines(name, 'backend server registered')
             )
             for name in ('entry-1', 'entry-2')
         )
@@ -418,7 +414,4 @@
 
 
 async def _has_run(venture: GatewayVenture, request_id: str) -> bool:
-    return any(
-        run['id'] == request_id for run in await venture.runs('model-3')
-    )
-
+    return any(run['id'] == request_id for run in await venture.runs('model-3'))
