--- a/mallowspindle/attempts/service.py
+++ b/mallowspindle/attempts/service.py
@@ -18,8 +18,8 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.ledger.service import LedgerService
 from mallowspindle.membership.service import MembershipService
-from mallowspindle.outcomes import NotRun
 from mallowspindle.native.cloud import Role
+from mallowspindle.outcomes import NotRun
 from mallowspindle.recovery.service import RecoveryService
 from mallowspindle.routing.directory import DirectoryService
 from mallowspindle.routing.router import RouterService
--- a/mallowspindle/bench/gateway.py
+++ b/mallowspindle/bench/gateway.py
@@ -202,10 +202,10 @@
         path: str,
         request_id: str,
         body: bytes = b'',
-        **changes: str,
+        changes: dict[str, str] | None = None,
     ) -> tuple[int, dict[str, str], str]:
         """Return status, headers and text of a caller's request."""
-        headers = {**self.request_headers(request_id), **changes}
+        headers = {**self.request_headers(request_id), **(changes or {})}
         async with self._session.request(
             method, self.url(gateway, path), headers=headers, data=body or None
         ) as response:
--- a/mallowspindle/config/gateway.py
+++ b/mallowspindle/config/gateway.py
@@ -55,7 +55,6 @@
     lease_s: float = Field(3.0, gt=0)
     usage_window_s: float = Field(5.0, gt=0)
     usage_late_s: float = Field(10.0, gt=0)
-    servers_at_first: int = Field(6, ge=1)
 
 
 class ProxySection(Section):
--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -2,10 +2,8 @@
 
 import logging
 import time
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 
 from mallowspindle.border import (
     Duties,
@@ -54,14 +52,11 @@
         catalog: CatalogService,
         duties: Duties,
         demands: Demands,
-        at_first: int,
     ) -> None:
         self._catalog = catalog
         self._duties = duties
         self._demands = demands
-        self._sizers: dict[str, FleetSizer] = defaultdict(
-            partial(FleetSizer, at_first)
-        )
+        self._sizers: dict[str, FleetSizer] = {}
         self._planned: dict[str, Wanted] = {}
         self._ordered: dict[Slot, _Ordered] = {}
         self._refused_until_s: dict[Slot, float] = {}
@@ -69,6 +64,7 @@
 
     def forget(self) -> None:
         """Forget all orders: this node holds the duty anew."""
+        self._sizers.clear()
         self._ordered.clear()
         self._refused_until_s.clear()
         self._complete_since_s = None
@@ -89,10 +85,14 @@
             zone: self._zone_fleet(spec.name, zone, bounds)
             for zone in bounds.zone_prices
         }
-        sizer = self._sizers[spec.name]
+        sizer = self._sizers.setdefault(spec.name, FleetSizer())
+        sizer.note_present(len(self._present_of(spec.name)))
         demand = self._demands(spec.name)
         sizer.note(demand)
         wanted = sizer.wanted()
+        if not self._present_of(spec.name):
+            # At a cold start the servers have yet to register.
+            return
         targets = plan_fleet(bounds, zones, wanted)
         if wanted != self._planned.get(spec.name):
             self._planned[spec.name] = wanted
@@ -117,6 +117,13 @@
                 if desired > present or (desired < present and settled):
                     await self._order(fencing_number, slot, desired, bounds)
 
+    def _present_of(self, service: str) -> list[BackendServer]:
+        return [
+            server
+            for server in self._catalog.servers.values()
+            if server.service == service and not server.draining
+        ]
+
     async def _order(
         self, fencing_number: int, slot: Slot, desired: int, bounds: FleetBounds
     ) -> None:
@@ -197,13 +204,8 @@
 
     def _is_settled(self, service: str, wanted: int) -> bool:
         """Tell whether the fleet has been complete for some time."""
-        present = [
-            server
-            for server in self._catalog.servers.values()
-            if server.service == service and not server.draining
-        ]
         now_s = time.monotonic()
-        if len(present) <= wanted:
+        if len(self._present_of(service)) <= wanted:
             self._complete_since_s = None
             return False
         if self._complete_since_s is None:
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -63,9 +63,7 @@
         self._own = own
         self._lease = Lease(source, own.name, own.incarnation, section.lease_s)
         self._table = UsageTable()
-        self._fleet = FleetKeeper(
-            catalog, duties, backends.demand, section.servers_at_first
-        )
+        self._fleet = FleetKeeper(catalog, duties, backends.demand)
         self._sent: set[int] = set()
         self._tasks = TaskGroup()
 
--- a/mallowspindle/effects/service.py
+++ b/mallowspindle/effects/service.py
@@ -28,9 +28,9 @@
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
-from mallowspindle.outcomes import Done, Failed, NotRun, Outcome, Unknown
 from mallowspindle.native.log import LogClient
 from mallowspindle.native.service import NativeService
+from mallowspindle.outcomes import Done, Failed, NotRun, Outcome, Unknown
 from mallowspindle.routing.router import RouterService
 from mallowspindle.utils.identifiers import new_id, rendezvous_order
 from mallowspindle.utils.tasks import TaskGroup, repeat
--- a/mallowspindle/platform/configuration.py
+++ b/mallowspindle/platform/configuration.py
@@ -104,8 +104,8 @@
         return BackendService(
             self.name,
             self.max_connections,
-            self.engine and _decode_engine(self.engine),
-            self.autoscale and _decode_fleet(self.autoscale),
+            _decode_engine(self.engine) if self.engine else None,
+            _decode_fleet(self.autoscale) if self.autoscale else None,
         )
 
 
--- a/mallowspindle/policies/fleet.py
+++ b/mallowspindle/policies/fleet.py
@@ -16,7 +16,6 @@
 
 from mallowspindle.catalog.routes import FleetBounds
 
-
 # Servers for each second of reading that callers ask in a second. Prompts
 # come in clumps and long ones hold up all behind them, so that a server which
 # reads for a quarter of its time is well used.
@@ -26,7 +25,9 @@
 _SCARCE_PER_READING = 2.0
 _SCARCE_SPARE = 1.0
 # Part of a server's slots that running requests should take at most.
-_BUSY_PART = 0.5
+_BUSY_PART = 0.7
+# Time in which all servers of a cold start register: some heartbeats.
+_REGISTERING_S = 3.0
 # A smaller fleet is planned once the demand has been lower for this long.
 _LOWER_AFTER_S = 8.0
 
@@ -58,15 +59,24 @@
 
 
 class FleetSizer:
-    """Follows the demand: up at once, down only after a while."""
+    """Follows the demand: up at once, down only after a while.
+
+    Until it has seen enough it keeps as many servers at least as were there
+    at first, which operators or an earlier holder had ordered.
+    """
 
-    def __init__(
-        self, at_first: int, clock: Callable[[], float] = time.monotonic
-    ) -> None:
-        self._at_first = at_first
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._at_first = 1
         self._clock = clock
+        self._made_at_s = clock()
+        self._seen_since_s: float | None = None
         self._history: deque[tuple[float, Wanted]] = deque()
 
+    def note_present(self, servers: int) -> None:
+        """Take in how many servers there are, while they still register."""
+        if self._clock() - self._made_at_s < _REGISTERING_S:
+            self._at_first = max(self._at_first, servers)
+
     def note(self, demand: Demand) -> None:
         """Take in the present demand; none at all says nothing yet."""
         if not demand.reading and not demand.running:
@@ -75,16 +85,19 @@
             demand.servers(_SERVERS_PER_READING, _SPARE_SERVERS),
             demand.servers(_SCARCE_PER_READING, _SCARCE_SPARE),
         )
-        self._history.append((self._clock(), wanted))
+        now_s = self._clock()
+        if self._seen_since_s is None:
+            self._seen_since_s = now_s
+        self._history.append((now_s, wanted))
 
     def wanted(self) -> Wanted:
         """Return the most that the recent demand called for."""
         horizon_s = self._clock() - _LOWER_AFTER_S
         while len(self._history) > 1 and self._history[0][0] < horizon_s:
             self._history.popleft()
-        if not self._history:
-            return Wanted(self._at_first, self._at_first)
         recent = [wanted for _, wanted in self._history]
+        if self._seen_since_s is None or self._seen_since_s > horizon_s:
+            recent.append(Wanted(self._at_first, self._at_first))
         return Wanted(
             max(wanted.servers for wanted in recent),
             max(wanted.when_scarce for wanted in recent),
--- a/mallowspindle/proxy/connections.py
+++ b/mallowspindle/proxy/connections.py
@@ -77,7 +77,9 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._factory = partial(AnswerProtocol, loop=self._loop)
+        self._factory: partial[ResponseHandler] = partial(
+            AnswerProtocol, loop=self._loop
+        )
 
 
 class MatchedRequest(ClientRequest):
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -97,7 +97,9 @@
         dispatch = Dispatch(
             server_id=view.server.server_id,
             time_left_s=self._time_left_s(),
-            organisation=self._organisation and self._organisation.name,
+            organisation=self._organisation.name
+            if self._organisation
+            else None,
             last_event_id=self._splitter.last_event_id,
         )
         headers = self._context.dialect.encode_dispatch(request, dispatch)
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -8,7 +8,6 @@
 from aiohttp.web import BaseRequest, Response, Server, StreamResponse
 from prometheus_client import generate_latest
 
-from mallowspindle.border import BorderService
 from mallowspindle.config.gateway import GatewaySettings, ListenSection
 from mallowspindle.entry.addresses import addresses_for
 from mallowspindle.kernel.kernel import Kernel
--- a/mallowspindle/settings/service.py
+++ b/mallowspindle/settings/service.py
@@ -11,10 +11,10 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.membership.service import MembershipService
-from mallowspindle.peers.errors import PeerError
 from mallowspindle.native.errors import PlatformError
 from mallowspindle.native.log import LogClient
 from mallowspindle.native.service import NativeService
+from mallowspindle.peers.errors import PeerError
 from mallowspindle.settings.errors import SettingsError
 from mallowspindle.settings.messages import SettingsRequest, SettingsState
 from mallowspindle.settings.reader import catch_up
--- a/mallowspindle/tests/config/test_ini.py
+++ b/mallowspindle/tests/config/test_ini.py
@@ -56,7 +56,9 @@
     with pytest.raises(ConfigError, match='least_loaded'):
         load_settings(path)
     path.write_text(f'{VALID}\n[routing]\npolicy = random\n')
-    assert load_settings(path).routing.policy == 'random'
+    settings = load_settings(path)
+    assert isinstance(settings, DaemonSettings)
+    assert settings.routing.policy == 'random'
 
 
 def test_missing_file_is_a_problem(tmp_path: Path) -> None:
--- a/mallowspindle/tests/effects/fakes.py
+++ b/mallowspindle/tests/effects/fakes.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from mallowspindle.membership.messages import MemberInfo
-from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
 from mallowspindle.native.errors import (
     AppendRefused,
     AppendUncertain,
@@ -15,6 +14,7 @@
     RecordsExpired,
 )
 from mallowspindle.native.log import LogPage, LogRecord
+from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
 from mallowspindle.routing.errors import NoServer
 
 _SERVERS = 2
--- a/mallowspindle/tests/integration/test_gateway.py
+++ b/mallowspindle/tests/integration/test_gateway.py
@@ -49,7 +49,7 @@
         '/orders/a%20b//c?x=1&y=%2F',
         'r1',
         b'a bird',
-        **{'X-Own': 'kept', 'Tenant': 'forged', 'Hold': 'forged'},
+        changes={'X-Own': 'kept', 'Tenant': 'forged', 'Hold': 'forged'},
     )
     assert status == 200
     assert headers['Response-Signature'].endswith('-signature')
@@ -87,7 +87,9 @@
 async def test_refuses_bad_requests(
     venture: GatewayVenture, path: str, changes: dict[str, str], status: int
 ) -> None:
-    found, _, _ = await venture.call('entry-1', 'POST', path, 'r1', **changes)
+    found, _, _ = await venture.call(
+        'entry-1', 'POST', path, 'r1', changes=changes
+    )
     assert found == status
     assert not await _all_runs(venture, 'r1')
 
--- a/mallowspindle/tests/kernel/test_kernel.py
+++ b/mallowspindle/tests/kernel/test_kernel.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from mallowspindle.interfaces import interfaces
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import start_order
 from mallowspindle.kernel.service import Service, registry
-from mallowspindle.interfaces import interfaces
 
 
 def _kind(*requires: str) -> type[Service]:
--- a/mallowspindle/utils/logs.py
+++ b/mallowspindle/utils/logs.py
@@ -59,17 +59,18 @@
 
     def __init__(self, queue: 'Queue[logging.LogRecord]') -> None:
         super().__init__(queue)
+        self._lines = queue
         self._dropped = 0
 
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue a line unless the queue is full."""
-        if self._dropped and not self.queue.full():
-            record.dropped = self._dropped
-            self._dropped = 0
-        if self.queue.full():
+        if self._lines.full():
             self._dropped += 1
             return
-        self.queue.put_nowait(record)
+        if self._dropped:
+            record.dropped = self._dropped
+            self._dropped = 0
+        self._lines.put_nowait(record)
 
 
 def configure_logging(level: str, node_name: str) -> QueueListener:
