Refuse at once what would wait for more than its objective

Ruled out: prompts waiting unread as the main cause of lateness; the fleet is short in the first ten seconds and streams take ten seconds for one.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from functools import partial
 from typing import Self
 
@@ -39,6 +40,14 @@
 _NO_LOAD = ServerLoad('', 0, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """A server, and the time that prompts waiting there take to read."""
+
+    view: BackendView
+    backlog_s: float
+
+
 @service('backends', requires=('catalog', 'sharing'))
 class BackendsService(Service):
     """Chooses a server for each attempt and knows the work at each."""
@@ -94,7 +103,7 @@
         service_name: str,
         request: CallerRequest,
         avoid: Collection[str],
-    ) -> BackendView | None:
+    ) -> Pick | None:
         """Return the server for the next attempt; None if there is none."""
         usable = self.usable(service_name, avoid)
         if not usable:
@@ -109,9 +118,10 @@
             for view in usable
         ]
         chosen = choose_server(candidates, placement)
-        return next(
+        view = next(
             view for view in usable if view.server.server_id == chosen.server_id
         )
+        return Pick(view, chosen.backlog_s)
 
     def note_demand(self, service_name: str, request: CallerRequest) -> None:
         """Count what a caller asks of a service, served or not."""
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -7,9 +7,11 @@
 from aiohttp import ClientError
 from aiohttp.web import BaseRequest, Response, StreamResponse
 
+from mallowspindle.backends.service import Pick
 from mallowspindle.backends.view import BackendView, Work
 from mallowspindle.catalog.routes import Organisation, Route, RouteKind
 from mallowspindle.outcomes import NotRun, Unknown
+from mallowspindle.policies.admission import Turn, refusal_pause_s
 from mallowspindle.policies.splitting import choose_service
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.connections import MatchedResponse
@@ -77,13 +79,16 @@
 
     async def _run_attempts(self, body: bytes) -> StreamResponse:
         for number in count(1):
-            view = self._context.backends.pick(
+            pick = self._context.backends.pick(
                 self._service, self._request, self._tried
             )
-            if view is None:
+            if pick is None:
                 return self._refuse('no server is left to try')
-            outcome = await self._attempt(view, body)
-            self._note(view, outcome, number)
+            pause_s = self._pause_s(pick) if number == 1 else 0
+            if pause_s:
+                return self._refuse('the servers are behind', pause_s)
+            outcome = await self._attempt(pick.view, body)
+            self._note(pick.view, outcome, number)
             if isinstance(outcome, Relayed):
                 break
             if not self._may_repeat(outcome):
@@ -234,12 +239,21 @@
             case _:
                 return self._fail(replies.unknown())
 
-    def _refuse(self, reason: str) -> StreamResponse:
+    def _pause_s(self, pick: Pick) -> float:
+        """Return 0 to send the first attempt, or when to come back."""
+        turn = Turn(
+            pick.backlog_s, self._route.objective_s, self._time_left_s()
+        )
+        return refusal_pause_s(turn)
+
+    def _refuse(
+        self, reason: str, pause_s: float = _FULL_PAUSE_S
+    ) -> StreamResponse:
         """End a request that no server took; say not run only if true."""
         if self._runs:
             return self._fail(replies.unknown())
         self._log_end('refused', reason)
-        return replies.refusal(_FULL_PAUSE_S)
+        return replies.refusal(pause_s)
 
     def _time_out(self) -> StreamResponse:
         if self._tried or self._response is not None:
