--- a/mallowspindle/policies/fleet.py
+++ b/mallowspindle/policies/fleet.py
@@ -26,6 +26,9 @@
 _SCARCE_SPARE = 1.0
 # Part of a server's slots that running requests should take at most.
 _BUSY_PART = 0.7
+# Reclaimable servers of the first fleet for each server that was there: the
+# demand is not known yet, and too few lose the first seconds of a busy day.
+_FIRST_PART = 1.5
 # Time in which all servers of a cold start register: some heartbeats.
 _REGISTERING_S = 3.0
 # A smaller fleet is planned once the demand has been lower for this long.
@@ -97,7 +100,8 @@
             self._history.popleft()
         recent = [wanted for _, wanted in self._history]
         if self._seen_since_s is None or self._seen_since_s > horizon_s:
-            recent.append(Wanted(self._at_first, self._at_first))
+            at_first = math.ceil(self._at_first * _FIRST_PART)
+            recent.append(Wanted(at_first, self._at_first))
         return Wanted(
             max(wanted.servers for wanted in recent),
             max(wanted.when_scarce for wanted in recent),
--- a/mallowspindle/policies/rates.py
+++ b/mallowspindle/policies/rates.py
@@ -4,6 +4,9 @@
 from collections import deque
 from collections.abc import Callable
 
+# A rate is measured over this time at least, also when it has just begun.
+_LEAST_SEEN_S = 1.5
+
 
 class RateMeter:
     """The sum of amounts over a sliding span, as a rate."""
@@ -14,14 +17,23 @@
         self._span_s = span_s
         self._clock = clock
         self._amounts: deque[tuple[float, float]] = deque()
+        self._began_at_s: float | None = None
 
     def note(self, amount: float) -> None:
         """Count an amount now."""
-        self._amounts.append((self._clock(), amount))
+        now_s = self._clock()
+        if self._began_at_s is None:
+            self._began_at_s = now_s
+        self._amounts.append((now_s, amount))
 
     def per_s(self) -> float:
         """Return the rate over the span."""
-        horizon_s = self._clock() - self._span_s
+        now_s = self._clock()
+        horizon_s = now_s - self._span_s
         while self._amounts and self._amounts[0][0] < horizon_s:
             self._amounts.popleft()
-        return sum(amount for _, amount in self._amounts) / self._span_s
+        if self._began_at_s is None:
+            return 0
+        seen_s = max(_LEAST_SEEN_S, now_s - self._began_at_s)
+        total = sum(amount for _, amount in self._amounts)
+        return total / min(self._span_s, seen_s)
