Move streams off reclaimed servers; unit tests of the decisions

Cause: a stream that must not run again dies with its reclaimed server, and a letter that is read again pauses for longer than its objective allows.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -84,6 +84,14 @@
             if server.service == service_name
         ]
 
+    def find(self, service_name: str, server_id: str) -> BackendView | None:
+        """Return the view of one server of a service."""
+        views = self.views(service_name)
+        return next(
+            (view for view in views if view.server.server_id == server_id),
+            None,
+        )
+
     def usable(
         self, service_name: str, avoid: Collection[str]
     ) -> list[BackendView]:
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -1,5 +1,8 @@
 """One backend server as this node sees it."""
 
+from __future__ import annotations
+
+import asyncio
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -8,7 +11,11 @@
 from mallowspindle.backends.prefixes import PartMemory
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.policies.reading_time import reading_time_s
-from mallowspindle.proxy.messages import CallerRequest, ServerReport
+from mallowspindle.proxy.messages import (
+    CallerRequest,
+    MovedRun,
+    ServerReport,
+)
 from mallowspindle.sharing.messages import ServerLoad
 
 # Failures in a row after which a server is left alone for a while.
@@ -19,14 +26,29 @@
 
 @dataclass(slots=True, eq=False)
 class Work:
-    """One request at a server; ``reading_s`` until its first event."""
+    """One request at a server; ``reading_s`` until its first event.
+
+    ``move`` is set while the request moves to another server.
+    """
 
+    request: CallerRequest
     reading_s: float
     sent_at_s: float
+    streaming: bool = False
+    move: asyncio.Future[Relocation] | None = None
 
     def note_first_event(self) -> None:
         """Note that the prompt has been read."""
         self.reading_s = 0
+        self.streaming = True
+
+
+@dataclass(frozen=True, slots=True)
+class Relocation:
+    """Where a moved request goes on, and from which memory."""
+
+    target: BackendView
+    run: MovedRun
 
 
 @dataclass(slots=True, eq=False)
@@ -67,7 +89,8 @@
         """Count a request while it is at the server."""
         tokens = request.prompt_tokens or 0
         cached = self.memory.cached_tokens(request.prompt)
-        work = Work(reading_time_s(tokens, cached), time.monotonic())
+        reading_s = reading_time_s(tokens, cached)
+        work = Work(request, reading_s, time.monotonic())
         self.memory.remember(request.prompt)
         self.work.add(work)
         try:
--- a/mallowspindle/border.py
+++ b/mallowspindle/border.py
@@ -15,6 +15,7 @@
     AnswerHead,
     CallerRequest,
     Dispatch,
+    MovedRun,
     ServerReport,
 )
 
@@ -96,6 +97,24 @@
         """Order servers; ``NoneAvailable`` if the zone has none."""
 
 
+class Moves(ABC):
+    """Moves of running requests between model engines."""
+
+    @abstractmethod
+    async def move(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> MovedRun:
+        """Stop a run and copy its memory to another server.
+
+        Its stream ends without an end. ``MoveError`` if there is nothing to
+        go on from.
+        """
+
+
+class MoveError(Exception):
+    """A run was not moved."""
+
+
 @dataclass(frozen=True, slots=True)
 class FleetOrder:
     """How many servers of one class a service shall have in a zone."""
@@ -136,6 +155,11 @@
         """How requests and answers are spelled."""
         raise NotImplementedError
 
+    @property
+    def moves(self) -> Moves:
+        """Moves of running requests."""
+        raise NotImplementedError
+
     @property
     def duties(self) -> Duties | None:
         """The duties of the platform; None if there are none."""
--- a/mallowspindle/config/gateway.py
+++ b/mallowspindle/config/gateway.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated, Any
 
-from pydantic import AfterValidator, BeforeValidator, Field
+from pydantic import BeforeValidator, Field
 
 from mallowspindle.config.common import CommonSettings, WordList
 from mallowspindle.config.ini import Section
@@ -13,18 +13,11 @@
     return host, int(port)
 
 
-def _check_endpoint(address: str) -> str:
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise ValueError('is no HOST:PORT')
-    return address
-
-
 def _absent_if_empty(text: Any) -> Any:
     return None if text == '' else text  # noqa: PLC1901
 
 
-Endpoint = Annotated[str, AfterValidator(_check_endpoint)]
+Endpoint = Annotated[str, Field(pattern=r'^[^:]+:\d+$')]
 OptionalEndpoint = Annotated[Endpoint | None, BeforeValidator(_absent_if_empty)]
 
 
--- a/mallowspindle/config/reference.py
+++ b/mallowspindle/config/reference.py
@@ -11,6 +11,7 @@
 from pydantic_core import PydanticUndefined
 
 from mallowspindle.config.daemon import DaemonSettings
+from mallowspindle.config.gateway import GatewaySettings
 from mallowspindle.config.operator import OperatorSettings
 from mallowspindle.settings import document
 
@@ -47,8 +48,10 @@
     """Return the page as Markdown."""
     return '\n'.join(
         chain(
-            (_HEAD, '## `mallowspindled`'),
+            (_HEAD, '## `mallowspindled` with `interface = native`'),
             _file_lines(DaemonSettings),
+            ('\n## `mallowspindled` with `interface = platform`',),
+            _file_lines(GatewaySettings),
             ('\n## `mallowspindle`',),
             _file_lines(OperatorSettings),
             (_TREE_HEAD,),
--- a/mallowspindle/interfaces.py
+++ b/mallowspindle/interfaces.py
@@ -69,6 +69,7 @@
             'mallowspindle.sharing.service',
             'mallowspindle.catalog.service',
             'mallowspindle.backends.service',
+            'mallowspindle.backends.evacuation',
             'mallowspindle.proxy.service',
             'mallowspindle.duties.service',
         ),
--- a/mallowspindle/platform/dialect.py
+++ b/mallowspindle/platform/dialect.py
@@ -13,6 +13,7 @@
     AnswerHead,
     CallerRequest,
     Dispatch,
+    MovedRun,
     PromptPart,
     ServerReport,
 )
@@ -122,6 +123,7 @@
         added = (
             ('Tenant', dispatch.organisation),
             ('Last-Event-Id', dispatch.last_event_id),
+            ('Kv-From', _encode_run(dispatch.continues)),
             (
                 'Request-Priority',
                 None if dispatch.urgency is None else str(dispatch.urgency),
@@ -177,6 +179,10 @@
         )
 
 
+def _encode_run(run: MovedRun | None) -> str | None:
+    return f'{run.source_address}/{run.handle}' if run else None
+
+
 def _passed_on(
     headers: Mapping[str, str], dropped: Iterable[str]
 ) -> CIMultiDict[str]:
--- a/mallowspindle/platform/service.py
+++ b/mallowspindle/platform/service.py
@@ -4,7 +4,13 @@
 
 from aiohttp import ClientSession, TCPConnector
 
-from mallowspindle.border import BorderService, Dialect, Duties, LogLayout
+from mallowspindle.border import (
+    BorderService,
+    Dialect,
+    Duties,
+    LogLayout,
+    Moves,
+)
 from mallowspindle.config.gateway import GatewaySettings
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import service
@@ -16,6 +22,7 @@
 from mallowspindle.platform.dialect import PlatformDialect
 from mallowspindle.platform.duties import PlatformDuties
 from mallowspindle.platform.entries import decode_entry
+from mallowspindle.platform.moves import PlatformMoves
 from mallowspindle.platform.store import (
     CONFIGURATION_STREAM,
     SERVERS_STREAM,
@@ -23,6 +30,9 @@
     decode_keyed,
 )
 
+# A server that is taken away leaves a few seconds for moves.
+_MOVE_TIMEOUT_S = 2.0
+
 
 @service('border')
 class PlatformService(BorderService):
@@ -34,6 +44,7 @@
             session, config.store.address, config.store.timeout_s
         )
         self._dialect = PlatformDialect()
+        self._moves = PlatformMoves(session, _MOVE_TIMEOUT_S)
         address = config.duties.address
         self._duties = address and PlatformDuties(
             session, address, config.node.name, config.duties.timeout_s
@@ -67,6 +78,11 @@
         """How requests and answers are spelled."""
         return self._dialect
 
+    @property
+    def moves(self) -> Moves:
+        """Moves of running requests."""
+        return self._moves
+
     @property
     def duties(self) -> Duties | None:
         """The duties' client; None where the platform has none."""
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -8,7 +8,7 @@
 from aiohttp.web import BaseRequest, Response, StreamResponse
 
 from mallowspindle.backends.service import Pick
-from mallowspindle.backends.view import BackendView, Work
+from mallowspindle.backends.view import BackendView, Relocation, Work
 from mallowspindle.catalog.routes import Organisation, Route, RouteKind
 from mallowspindle.outcomes import NotRun, Unknown
 from mallowspindle.policies.admission import Turn, refusal_pause_s
@@ -17,7 +17,12 @@
 from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.events import EventSplitter
-from mallowspindle.proxy.messages import AnswerHead, CallerRequest, Dispatch
+from mallowspindle.proxy.messages import (
+    AnswerHead,
+    CallerRequest,
+    Dispatch,
+    MovedRun,
+)
 from mallowspindle.proxy.outcomes import Answered, AttemptOutcome, Relayed
 from mallowspindle.proxy.upstream import SendMark
 from mallowspindle.utils.telemetry import meter
@@ -66,6 +71,7 @@
         self._runs = 0
         self._counted = False
         self._last_failure: Answered | None = None
+        self._relocation: Relocation | None = None
 
     async def run(self, body: bytes) -> StreamResponse:
         """Return the response for the caller, which may be under way."""
@@ -87,15 +93,29 @@
             pause_s = self._pause_s(pick) if number == 1 else 0
             if pause_s:
                 return self._refuse('the servers are behind', pause_s)
-            outcome = await self._attempt(pick.view, body)
-            self._note(pick.view, outcome, number)
+            outcome = await self._try_server(pick.view, body, number)
             if isinstance(outcome, Relayed):
                 break
             if not self._may_repeat(outcome):
                 return await self._conclude(outcome)
         return self._started()
 
-    async def _attempt(self, view: BackendView, body: bytes) -> AttemptOutcome:
+    async def _try_server(
+        self, view: BackendView, body: bytes, number: int
+    ) -> AttemptOutcome:
+        """Send the request and follow its run to where it is moved."""
+        outcome = await self._attempt(view, body)
+        self._note(view, outcome, number)
+        while self._relocation is not None:
+            moved = self._relocation
+            self._relocation = None
+            outcome = await self._attempt(moved.target, body, moved.run)
+            self._note(moved.target, outcome, number)
+        return outcome
+
+    async def _attempt(
+        self, view: BackendView, body: bytes, continues: MovedRun | None = None
+    ) -> AttemptOutcome:
         self._tried.add(view.server.server_id)
         mark = SendMark()
         request = self._request
@@ -106,19 +126,21 @@
             if self._organisation
             else None,
             last_event_id=self._splitter.last_event_id,
+            continues=continues,
         )
         headers = self._context.dialect.encode_dispatch(request, dispatch)
         url = f'http://{view.server.address}{request.target}'
-        try:
-            with self._context.backends.working(view, request) as work:
+        with self._context.backends.working(view, request) as work:
+            try:
                 async with self._context.upstream.send(
                     request.method, url, headers, body, mark
                 ) as answer:
                     return await self._take(answer, work)
-        except (ClientError, OSError, TimeoutError) as error:
-            if self._is_overdue():
-                raise TimeoutError from error
-            return self._lost(error, mark)
+            except (ClientError, OSError, TimeoutError) as error:
+                if self._is_overdue():
+                    raise TimeoutError from error
+                self._relocation = await _relocated(work)
+                return self._lost(error, mark)
 
     def _lost(self, error: Exception, mark: SendMark) -> AttemptOutcome:
         self._splitter.drop_pending()
@@ -198,6 +220,8 @@
             case NotRun(reason=reason):
                 view.note_full(_FULL_PAUSE_S)
                 log.info('attempt not run', extra={**fields, 'reason': reason})
+            case Unknown() if self._relocation is not None:
+                log.info('stream goes on elsewhere', extra=fields)
             case Unknown(reason=reason):
                 self._runs += 1
                 view.note_failure()
@@ -306,3 +330,15 @@
     def _elapsed_ms(self) -> int:
         now_s = asyncio.get_running_loop().time()
         return int((now_s - self._began_at_s) * 1000)
+
+
+async def _relocated(work: Work) -> Relocation | None:
+    """Return where a stream goes on that was stopped to be moved."""
+    if work.move is None:
+        return None
+    try:
+        return await work.move
+    except asyncio.CancelledError:
+        if not work.move.cancelled():
+            raise
+        return None
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -48,6 +48,14 @@
         return self.prompt_tokens + self.output_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class MovedRun:
+    """The memory of a run that has been moved to another server."""
+
+    source_address: str
+    handle: str
+
+
 @dataclass(frozen=True, slots=True)
 class Dispatch:
     """What the system adds when it sends a request to a server."""
@@ -57,6 +65,7 @@
     organisation: str | None = None
     last_event_id: str | None = None
     urgency: int | None = None
+    continues: MovedRun | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -34,12 +34,14 @@
         self._pause_s = pause_s
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
+        self._moved: set[str] = set()
 
     def app(self) -> Application:
         """Return the HTTP application."""
         app = Application(client_max_size=8_000_000)
         app.router.add_get('/runs', self._list)
         app.router.add_get('/report', self._report)
+        app.router.add_post('/kv-move', self._move)
         add_fault_routes(app, self._faults)
         app.router.add_route('*', '/{path:.*}', self._serve)
         return app
@@ -90,8 +92,12 @@
         await response.prepare(request)
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
         cut = self._faults.take('cuts')
+        request_id = request.headers['Request-Id']
         for number in range(first, self._events + 1):
             await asyncio.sleep(self._pause_s)
+            if request_id in self._moved:
+                drop_connection(request)
+                return response
             if cut and number - first == self._faults.cut_after_tokens:
                 await response.write(f'id: {number}\nda'.encode())
                 drop_connection(request)
@@ -99,6 +105,15 @@
             await response.write(f'id: {number}\ndata: t{number}\n\n'.encode())
         return response
 
+    async def _move(self, request: Request) -> Response:
+        """Stop a run, as if its memory were copied to another server."""
+        asked = await request.json()
+        running = {run['id'] for run in self._runs if not run['ended']}
+        if asked['id'] not in running:
+            return Response(status=404)
+        self._moved.add(asked['id'])
+        return json_response({'handle': 'h1', 'create_rev': 0})
+
     async def _report(self, request: Request) -> Response:
         running = sum(not run['ended'] for run in self._runs)
         return json_response({'running': running, 'waiting': 0})
--- /dev/null
+++ b/mallowspindle/tests/catalog/test_state.py
@@ -0,0 +1,109 @@
+"""Configurations never go back; servers that lapse may return."""
+
+import json
+
+import pytest
+
+from mallowspindle.catalog import state as state_module
+from mallowspindle.catalog.state import ConfigurationState, ServerState
+from mallowspindle.log.records import KeyedRecord
+from mallowspindle.platform.configuration import decode_configuration
+from mallowspindle.platform.entries import decode_entry
+from mallowspindle.tests.clock import FakeClock
+
+ENTRY = {
+    'service': 'models',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'slots': 8,
+    'state': 'ready',
+    'born': 1,
+}
+
+
+def _entry(offset: int, **changes: object) -> KeyedRecord:
+    text = json.dumps({**ENTRY, **changes})
+    return KeyedRecord('one', text.encode(), offset)
+
+
+def _configuration(offset: int, version: int) -> KeyedRecord:
+    text = json.dumps({'version': version})
+    return KeyedRecord('config', text.encode(), offset)
+
+
+@pytest.fixture(name='clock')
+def _clock(monkeypatch: pytest.MonkeyPatch) -> FakeClock:
+    clock = FakeClock()
+    monkeypatch.setattr(state_module.time, 'monotonic', clock)
+    return clock
+
+
+def test_a_lower_version_is_never_taken() -> None:
+    held = ConfigurationState('config', decode_configuration)
+    assert held.fold(_configuration(0, 7))
+    assert not held.fold(_configuration(1, 5))
+    assert held.current is not None
+    assert held.current.version == 7
+
+
+def test_an_unreadable_configuration_leaves_the_old_one() -> None:
+    held = ConfigurationState('config', decode_configuration)
+    held.fold(_configuration(0, 7))
+    assert not held.fold(KeyedRecord('config', b'{"version": "x"', 1))
+    assert held.current is not None
+
+
+def test_a_heartbeat_is_no_news() -> None:
+    servers = ServerState(decode_entry)
+    assert servers.fold(_entry(0))
+    assert not servers.fold(_entry(1, sequence=5, cold_remaining_ms=10))
+    assert servers.fold(_entry(2, state='draining'))
+    assert servers.servers['one'].draining
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'odd'},
+        {'service': 5},
+        {'slots': 'many'},
+        {'address': 'nowhere'},
+    ],
+)
+def test_an_unusable_entry_names_no_server(changes: dict[str, object]) -> None:
+    servers = ServerState(decode_entry)
+    servers.fold(_entry(0))
+    servers.fold(_entry(1, **changes))
+    assert not servers.servers
+
+
+def test_removals_after_an_outage_wait_for_the_server(
+    clock: FakeClock,
+) -> None:
+    servers = ServerState(decode_entry)
+    servers.fold(_entry(0))
+    servers.note_outage()
+    servers.fold(KeyedRecord('one', None, 1))
+    assert servers.servers
+    clock.advance(1)
+    servers.fold(_entry(2))
+    clock.advance(5)
+    servers.expire_lapsed()
+    assert servers.servers
+
+
+def test_servers_that_do_not_return_are_gone(clock: FakeClock) -> None:
+    servers = ServerState(decode_entry)
+    servers.fold(_entry(0))
+    servers.note_outage()
+    servers.fold(KeyedRecord('one', None, 1))
+    clock.advance(2.5)
+    servers.expire_lapsed()
+    assert not servers.servers
+
+
+def test_removals_without_an_outage_count_at_once(clock: FakeClock) -> None:
+    servers = ServerState(decode_entry)
+    servers.fold(_entry(0))
+    servers.fold(KeyedRecord('one', None, 1))
+    assert not servers.servers
--- /dev/null
+++ b/mallowspindle/tests/duties/test_lease.py
@@ -0,0 +1,143 @@
+"""One holder at a time, whatever pauses and lost answers."""
+
+import pytest
+
+from mallowspindle.duties.lease import Lease
+from mallowspindle.duties.records import UsageReport
+from mallowspindle.log.errors import AppendUncertain, LogError
+from mallowspindle.tests.catalog.fakes import FakeLog
+from mallowspindle.tests.clock import FakeClock
+
+LEASE_S = 3.0
+
+
+def _lease(log: FakeLog, name: str, clock: FakeClock) -> Lease:
+    return Lease(log, name, 1, LEASE_S, clock)
+
+
+async def test_the_first_claim_wins() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    assert await one.claim()
+    assert not await two.claim()
+    assert one.held is not None
+    assert two.held is None
+
+
+async def test_a_claim_waits_for_the_lease_to_run_out() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    clock.advance(LEASE_S)
+    assert not two.may_claim(0)
+    clock.advance(0.5)
+    assert two.may_claim(0)
+    assert not two.may_claim(1)
+    assert await two.claim()
+    assert two.held is not None
+
+
+async def test_renewals_that_a_peer_tells_hold_others_back() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    assert one.held is not None
+    number = one.held.fencing_number
+    clock.advance(LEASE_S)
+    two.note_shown(number, 0.2)
+    clock.advance(1)
+    assert not two.may_claim(0)
+
+
+async def test_a_paused_holder_does_not_act() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    clock.advance(10)
+    assert one.held is None
+    assert await two.claim()
+    await one.renew()
+    assert not one.holds
+    assert one.held is None
+
+
+async def test_a_holder_that_nobody_replaced_goes_on() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one = _lease(log, 'one', clock)
+    await one.claim()
+    assert one.held is not None
+    number = one.held.fencing_number
+    clock.advance(10)
+    await one.renew()
+    assert one.held is not None
+    assert one.held.fencing_number == number
+
+
+async def test_fencing_numbers_grow() -> None:
+    log, clock = FakeLog(), FakeClock()
+    numbers: list[int] = []
+    for name in ('one', 'two', 'three'):
+        lease = _lease(log, name, clock)
+        await lease.catch_up()
+        clock.advance(LEASE_S * 2)
+        assert await lease.claim()
+        assert lease.held is not None
+        numbers.append(lease.held.fencing_number)
+    assert numbers == sorted(set(numbers))
+
+
+async def test_a_claim_whose_answer_was_lost_is_not_acted_on() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one = _lease(log, 'one', clock)
+    log.lose_answer = True
+    with pytest.raises(AppendUncertain):
+        await one.claim()
+    assert one.held is None
+    assert not await one.claim()
+
+
+async def test_a_renewal_whose_answer_was_lost_is_found() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one = _lease(log, 'one', clock)
+    await one.claim()
+    clock.advance(LEASE_S / 2)
+    log.lose_answer = True
+    with pytest.raises(LogError):
+        await one.renew()
+    await one.renew()
+    assert one.holds
+    await one.renew()
+    assert one.held is not None
+
+
+async def test_a_successor_knows_the_logged_usage() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    assert one.held is not None
+    counts = {'farm': 4}
+    number = one.held.fencing_number
+    assert await one.append(UsageReport(number, 7, counts))
+    await one.release()
+    await two.catch_up()
+    assert two.may_claim(0)
+    assert await two.claim()
+    assert two.ledger.reports == {7: counts}
+
+
+async def test_counts_of_a_window_are_logged_once() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    assert one.held is not None
+    number = one.held.fencing_number
+    await one.append(UsageReport(number, 7, {'farm': 4}))
+    await two.catch_up()
+    clock.advance(LEASE_S * 2)
+    await two.claim()
+    assert not await one.append(UsageReport(number, 7, {'farm': 5}))
+    await two.catch_up()
+    assert two.ledger.reports[7] == {'farm': 4}
--- /dev/null
+++ b/mallowspindle/tests/duties/test_usage.py
@@ -0,0 +1,33 @@
+"""Usage is added up over nodes and their lives."""
+
+from mallowspindle.duties.usage import UsageTable
+from mallowspindle.sharing.messages import NodeState, WindowCounts
+from mallowspindle.tests.clock import FakeClock
+from mallowspindle.usage import UsageCounter
+
+
+def _state(node: str, incarnation: int, farm: int) -> NodeState:
+    return NodeState(node, incarnation, usage=[WindowCounts(7, {'farm': farm})])
+
+
+def test_newer_counts_replace_older_ones_of_the_same_life() -> None:
+    table = UsageTable()
+    table.learn(_state('one', 1, 3))
+    table.learn(_state('one', 1, 5))
+    table.learn(_state('two', 1, 2))
+    assert table.total(7) == {'farm': 7}
+
+
+def test_counts_of_a_life_that_ended_remain() -> None:
+    table = UsageTable()
+    table.learn(_state('one', 1, 3))
+    table.learn(_state('one', 2, 1))
+    assert table.total(7) == {'farm': 4}
+
+
+def test_a_request_counts_where_it_began() -> None:
+    clock = FakeClock(1002.0)
+    counter = UsageCounter(5, clock)
+    counter.note_begun('farm')
+    counter.note_begun('farm', age_s=3)
+    assert counter.windows() == {200: {'farm': 1}, 199: {'farm': 1}}
--- a/mallowspindle/tests/integration/test_gateway.py
+++ b/mallowspindle/tests/integration/test_gateway.py
@@ -275,6 +275,35 @@
     assert await venture.process('entry-1').wait() == 0
 
 
+async def test_streams_move_off_a_reclaimed_server(
+    venture: GatewayVenture,
+) -> None:
+    """A stream that must not run again survives its server's reclaim."""
+    await venture.register('model-1', 'models', state='draining')
+    await venture.register('model-2', 'models', state='draining')
+    await venture.start_server(
+        'model-3', 'models', '--events=200', '--pause-s=0.05'
+    )
+    await venture.wait_until(lambda: _registered(venture, 'model-3'))
+    stream = asyncio.create_task(
+        venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    )
+    await venture.wait_until(lambda: _has_run(venture, 'r1'))
+    await venture.start_server('model-4', 'models', '--events=200')
+    await venture.wait_until(lambda: _registered(venture, 'model-4'))
+    await venture.register(
+        'model-3', 'models', state='draining', leaves_ms=1000, spot=True
+    )
+    status, _, text = await stream
+    assert status == 200
+    assert text == ''.join(
+        f'id: {number}\ndata: t{number}\n\n' for number in range(1, 201)
+    )
+    (run,) = await venture.runs('model-4')
+    address = venture.process('model-3').address
+    assert run['headers']['Kv-From'] == f'{address}/h1'
+
+
 async def test_leaving_callers_end_the_work(venture: GatewayVenture) -> None:
     await venture.start_server(
         'model-3', 'models', '--events=1000', '--pause-s=0.05'
@@ -417,5 +446,12 @@
     )
 
 
+async def _registered(venture: GatewayVenture, server: str) -> bool:
+    return any(
+        line['server'] == server
+        for line in venture.log_lines('entry-1', 'backend server registered')
+    )
+
+
 async def _has_run(venture: GatewayVenture, request_id: str) -> bool:
     return any(run['id'] == request_id for run in await venture.runs('model-3'))
--- /dev/null
+++ b/mallowspindle/tests/platform/test_dialect.py
@@ -0,0 +1,107 @@
+"""Headers of the users' platform."""
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mallowspindle.platform.dialect import PlatformDialect
+from mallowspindle.proxy.errors import BadRequest
+from mallowspindle.proxy.messages import Dispatch, PromptPart
+
+DIALECT = PlatformDialect()
+PLAIN = {'Host': 'shop.example', 'Request-Id': 'r1'}
+
+
+def _headers(**changes: str) -> CIMultiDictProxy[str]:
+    named = {name.replace('_', '-'): text for name, text in changes.items()}
+    return CIMultiDictProxy(CIMultiDict({**PLAIN, **named}))
+
+
+def test_a_request_is_decoded() -> None:
+    request = DIALECT.decode_request(
+        'POST',
+        '/a/b?c=1',
+        _headers(
+            Authorization='Token secret',
+            Deadline_Ms='1500',
+            Token_Count='1460,80',
+            Prompt_Prefix='5c:800,91:410',
+            Last_Event_Id='12',
+            Length_Hint='70',
+        ),
+    )
+    assert request.path == '/a/b'
+    assert request.key == 'secret'
+    assert request.patience_s == pytest.approx(1.5)
+    assert request.tokens == 1540
+    assert request.prompt == (PromptPart('5c', 800), PromptPart('91', 410))
+    assert request.last_event_id == '12'
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'Deadline_Ms': 'x'},
+        {'Token_Count': '5'},
+        {'Token_Count': 'a,b'},
+        {'Prompt_Prefix': '5c'},
+        {'Request_Id': ''},
+    ],
+)
+def test_malformed_requests_are_refused(changes: dict[str, str]) -> None:
+    with pytest.raises(BadRequest):
+        DIALECT.decode_request('GET', '/', _headers(**changes))
+
+
+def test_a_server_gets_what_the_system_sets_and_nothing_forged() -> None:
+    request = DIALECT.decode_request(
+        'POST',
+        '/',
+        _headers(
+            Authorization='Token secret',
+            Tenant='forged',
+            Kv_Backup='10.0.0.9:80',
+            Kv_From='10.0.0.9:80/1',
+            Pin_Ms='100',
+            Hold='h',
+            Request_Priority='0',
+            Connection='close, X-Hop',
+            X_Hop='1',
+            X_Own='kept',
+        ),
+    )
+    sent = DIALECT.encode_dispatch(
+        request, Dispatch('i-1', 1.25, organisation='farm')
+    )
+    assert dict(sent) == {
+        'Host': 'shop.example',
+        'Request-Id': 'r1',
+        'X-Own': 'kept',
+        'Expect-Instance': 'i-1',
+        'Deadline-Ms': '1250',
+        'Tenant': 'farm',
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'changes', 'not_run'),
+    [
+        (503, {'Not_Executed': '1'}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (500, {}, False),
+        (200, {}, False),
+    ],
+)
+def test_not_run_is_only_what_a_server_states(
+    status: int, changes: dict[str, str], *, not_run: bool
+) -> None:
+    head = DIALECT.decode_answer(status, _headers(**changes))
+    assert head.not_run == not_run
+
+
+def test_the_load_in_an_answer_is_read() -> None:
+    head = DIALECT.decode_answer(200, _headers(Server_Load='3,1,8'))
+    assert (head.running, head.waiting) == (3, 1)
+    assert 'Server-Load' not in head.headers
+    odd = DIALECT.decode_answer(200, _headers(Server_Load='many'))
+    assert odd.running is None
--- /dev/null
+++ b/mallowspindle/tests/policies/test_quota.py
@@ -0,0 +1,94 @@
+"""Quotas under an organisation that sends many times its usual."""
+
+import pytest
+
+from mallowspindle.policies.quota import (
+    AdmittedWork,
+    PeerUse,
+    QuotaTerms,
+    is_within,
+)
+from mallowspindle.tests.clock import FakeClock
+
+# The proportions of the sites: a burst of half a second to a second, and
+# tokens beyond the quota for 1.65 seconds of its rate.
+TERMS = QuotaTerms(rate_per_s=1000, burst=500, window_s=8)
+# What the platform grants beyond the quota: a part of it, and some tokens.
+GRANTED_PART = 0.1
+GRANTED = 1650
+LONG_UPTIME_S = 100.0
+TELL_INTERVAL_S = 0.35
+
+
+def test_one_letter_may_take_the_whole_burst() -> None:
+    assert is_within(TERMS, 8500, [], heard_part=1, uptime_s=LONG_UPTIME_S)
+    assert not is_within(TERMS, 8501, [], heard_part=1, uptime_s=LONG_UPTIME_S)
+
+
+def test_peers_count_and_go_on_as_before() -> None:
+    peers = [PeerUse(used=4000, rate_per_s=1000, age_s=1)]
+    assert is_within(TERMS, 3500, peers, heard_part=1, uptime_s=LONG_UPTIME_S)
+    assert not is_within(
+        TERMS, 3501, peers, heard_part=1, uptime_s=LONG_UPTIME_S
+    )
+
+
+def test_a_node_that_hears_few_keeps_to_their_part() -> None:
+    assert is_within(TERMS, 4250, [], heard_part=0.5, uptime_s=LONG_UPTIME_S)
+    assert not is_within(
+        TERMS, 4251, [], heard_part=0.5, uptime_s=LONG_UPTIME_S
+    )
+
+
+def test_a_node_that_has_just_started_is_careful() -> None:
+    assert is_within(TERMS, 500, [], heard_part=1, uptime_s=0)
+    assert not is_within(TERMS, 501, [], heard_part=1, uptime_s=0)
+    assert is_within(TERMS, 2500, [], heard_part=1, uptime_s=2)
+
+
+@pytest.mark.parametrize('nodes', [2, 6, 8])
+def test_a_flood_over_all_nodes_stays_near_the_quota(nodes: int) -> None:
+    """Replays eight times the rate, evenly over nodes that tell each other."""
+    clock = FakeClock()
+    work = [AdmittedWork(8, clock) for _ in range(nodes)]
+    told = [PeerUse(0, 0, 0) for _ in range(nodes)]
+    told_at_s = clock()
+    admitted: list[tuple[float, float]] = []
+    for _ in range(2000):
+        clock.advance(0.01)
+        if clock() - told_at_s >= TELL_INTERVAL_S:
+            told_at_s = clock()
+            told = [PeerUse(each.used(), each.rate_per_s(), 0) for each in work]
+        age_s = clock() - told_at_s
+        for number, own in enumerate(work):
+            cost = 0.08 * TERMS.rate_per_s / nodes
+            peers = [
+                PeerUse(use.used, use.rate_per_s, age_s)
+                for other, use in enumerate(told)
+                if other != number
+            ]
+            if is_within(
+                TERMS,
+                own.used() + cost,
+                peers,
+                heard_part=1,
+                uptime_s=LONG_UPTIME_S,
+            ):
+                own.note(cost)
+                admitted.append((clock(), cost))
+    for end_s, _ in admitted[::50]:
+        in_window = sum(
+            cost for at_s, cost in admitted if end_s - 8 < at_s <= end_s
+        )
+        assert in_window <= TERMS.most * (1 + GRANTED_PART) + GRANTED
+    assert sum(cost for _, cost in admitted) >= TERMS.most
+
+
+def test_work_leaves_the_window() -> None:
+    clock = FakeClock()
+    work = AdmittedWork(8, clock)
+    work.note(100)
+    assert work.used() == 100
+    assert work.frees_in_s(100) == pytest.approx(8)
+    clock.advance(8.5)
+    assert not work.used()
