--- a/mallowspindle/backends/evacuation.py
+++ b/mallowspindle/backends/evacuation.py
@@ -51,7 +51,7 @@
 
     def _look(self) -> None:
         for server in self._catalog.servers.values():
-            if server.leaves_in_s is None or not server.draining:
+            if not (server.reclaimable and server.draining):
                 continue
             if server.server_id not in self._leaving:
                 self._leaving.add(server.server_id)
@@ -62,11 +62,21 @@
         self._leaving.intersection_update(self._catalog.servers)
 
     async def _evacuate(self, service_name: str, server_id: str) -> None:
-        server = self._catalog.servers[server_id]
-        await asyncio.sleep(max(0, (server.leaves_in_s or 0) - _LEAD_S))
         view = self._backends.find(service_name, server_id)
-        if view is None:
+        if view is None or not view.work:
             return
+        try:
+            left_s = await self._moves.time_left_s(view.server.address)
+        except MoveError as error:
+            log.info('reclaim not confirmed', extra={'error': str(error)})
+            return
+        if left_s is None:
+            return
+        log.info(
+            'backend server is reclaimed',
+            extra={'server': server_id, 'left_s': left_s},
+        )
+        await asyncio.sleep(max(0, left_s - _LEAD_S))
         streams = [work for work in view.work if work.streaming]
         # Short memories first: they hold up the others least.
         streams.sort(key=lambda work: work.request.prompt_tokens or 0)
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -14,7 +14,6 @@
 from mallowspindle.proxy.messages import (
     CallerRequest,
     MovedRun,
-    ServerReport,
 )
 from mallowspindle.sharing.messages import ServerLoad
 
@@ -58,8 +57,6 @@
     server: BackendServer
     memory: PartMemory
     work: set[Work] = field(default_factory=set)
-    report: ServerReport | None = None
-    reported_at_s: float = 0
     failures: int = 0
     ejected_until_s: float = 0
     refused_until_s: float = 0
--- a/mallowspindle/border.py
+++ b/mallowspindle/border.py
@@ -16,7 +16,6 @@
     CallerRequest,
     Dispatch,
     MovedRun,
-    ServerReport,
 )
 
 
@@ -66,20 +65,11 @@
     ) -> bytes:
         """Return the answer to a caller that asks for addresses."""
 
-    @abstractmethod
-    def decode_report(self, body: bytes) -> ServerReport:
-        """Return a server's report of itself."""
-
     @property
     @abstractmethod
     def id_header(self) -> str:
         """The header in which servers return the id of a request."""
 
-    @property
-    @abstractmethod
-    def report_path(self) -> str:
-        """Where a model engine gives its report."""
-
 
 class Duties(ABC):
     """Calls to the platform that one node makes at a time."""
@@ -100,6 +90,13 @@
 class Moves(ABC):
     """Moves of running requests between model engines."""
 
+    @abstractmethod
+    async def time_left_s(self, address: str) -> float | None:
+        """Return when a server will be taken away; None if it won't.
+
+        ``MoveError`` if it does not answer.
+        """
+
     @abstractmethod
     async def move(
         self, source_address: str, request_id: str, target_address: str
--- a/mallowspindle/catalog/servers.py
+++ b/mallowspindle/catalog/servers.py
@@ -9,7 +9,6 @@
 
     ``started_at_ms`` is the Unix time of its start: a server that starts
     again under its old id holds nothing of what it held before.
-    ``leaves_in_s`` is known after a reclaim notice.
     """
 
     server_id: str
@@ -21,5 +20,4 @@
     started_at_ms: int = 0
     cold_s: float = 0
     reclaimable: bool = False
-    leaves_in_s: float | None = None
     model_version: int | None = None
--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -113,6 +113,7 @@
                 'service': found.service,
                 'zone': found.zone,
                 'draining': found.draining,
+                'reclaimable': found.reclaimable,
                 'offset': record.offset,
             },
         )
--- a/mallowspindle/platform/dialect.py
+++ b/mallowspindle/platform/dialect.py
@@ -4,10 +4,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mallowspindle.border import Dialect
-from mallowspindle.platform.errors import DecodeError
 from mallowspindle.proxy.errors import BadRequest
 from mallowspindle.proxy.messages import (
     AnswerHead,
@@ -15,7 +13,6 @@
     Dispatch,
     MovedRun,
     PromptPart,
-    ServerReport,
 )
 
 _MS = 1000
@@ -64,18 +61,6 @@
 )
 
 
-class _Report(BaseModel):
-    model_config = ConfigDict(extra='ignore')
-
-    running: int = Field(0, ge=0)
-    waiting: int = Field(0, ge=0)
-    # Memory in tokens that can't be given up for other requests.
-    kv_used: int = 0
-    kv_total: int = 0
-    leaves_ms: float | None = None
-    state: str = 'ready'
-
-
 class PlatformDialect(Dialect):
     """The headers of the users' platform."""
 
@@ -84,11 +69,6 @@
         """The header in which servers return the id of a request."""
         return 'Request-Id'
 
-    @property
-    def report_path(self) -> str:
-        """Where a model engine gives its report."""
-        return '/report'
-
     def decode_request(
         self, method: str, target: str, headers: CIMultiDictProxy[str]
     ) -> CallerRequest:
@@ -162,22 +142,6 @@
         }
         return json.dumps(answer).encode()
 
-    def decode_report(self, body: bytes) -> ServerReport:
-        """Return a server's report of itself."""
-        try:
-            found = _Report.model_validate_json(body)
-        except ValidationError as error:
-            raise DecodeError(f'unusable report: {error}') from error
-        left_ms = found.leaves_ms
-        return ServerReport(
-            running=found.running,
-            waiting=found.waiting,
-            cache_used=found.kv_used,
-            cache_total=found.kv_total,
-            leaves_in_s=None if left_ms is None else left_ms / _MS,
-            draining=found.state == 'draining',
-        )
-
 
 def _encode_run(run: MovedRun | None) -> str | None:
     return f'{run.source_address}/{run.handle}' if run else None
--- a/mallowspindle/platform/entries.py
+++ b/mallowspindle/platform/entries.py
@@ -28,8 +28,6 @@
     # Unix milliseconds of the server's start.
     born: int = 0
     spot: bool = False
-    # Time left after a reclaim notice.
-    leaves_ms: float | None = None
     models: list[_LoadedModel] = Field(default_factory=list)
 
 
@@ -45,7 +43,6 @@
         raise DecodeError(
             f'server {server_id} is in the unknown state {entry.state!r}'
         )
-    left_ms = entry.leaves_ms
     return BackendServer(
         server_id=server_id,
         service=entry.service,
@@ -56,6 +53,5 @@
         started_at_ms=entry.born,
         cold_s=entry.cold_remaining_ms / _MS,
         reclaimable=entry.spot,
-        leaves_in_s=None if left_ms is None else left_ms / _MS,
         model_version=entry.models[0].version if entry.models else None,
     )
--- a/mallowspindle/platform/moves.py
+++ b/mallowspindle/platform/moves.py
@@ -7,6 +7,7 @@
 from mallowspindle.proxy.messages import MovedRun
 
 _OK = 200
+_MS = 1000
 
 
 class _Moved(BaseModel):
@@ -16,6 +17,13 @@
     handle: str
 
 
+class _Report(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+
+    # Time left after a reclaim notice; absent for other ends.
+    leaves_ms: float | None = None
+
+
 class PlatformMoves(Moves):
     """Client of the model servers' interface for moves."""
 
@@ -23,6 +31,18 @@
         self._session = session
         self._timeout = ClientTimeout(total=timeout_s)
 
+    async def time_left_s(self, address: str) -> float | None:
+        """Return when a server will be taken away; see ``Moves``."""
+        try:
+            async with self._session.get(
+                f'http://{address}/report', timeout=self._timeout
+            ) as response:
+                report = _Report.model_validate_json(await response.read())
+        except (ClientError, TimeoutError, ValidationError) as error:
+            raise MoveError(f'no report of {address}: {error!r}') from error
+        left_ms = report.leaves_ms
+        return None if left_ms is None else left_ms / _MS
+
     async def move(
         self, source_address: str, request_id: str, target_address: str
     ) -> MovedRun:
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -83,15 +83,3 @@
     headers: CIMultiDict[str]
     running: int | None = None
     waiting: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class ServerReport:
-    """What a model engine reports of itself, some hundred ms late."""
-
-    running: int
-    waiting: int
-    cache_used: int = 0
-    cache_total: int = 0
-    leaves_in_s: float | None = None
-    draining: bool = False
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -116,7 +116,10 @@
 
     async def _report(self, request: Request) -> Response:
         running = sum(not run['ended'] for run in self._runs)
-        return json_response({'running': running, 'waiting': 0})
+        report = {'running': running, 'waiting': 0}
+        if self._faults.leaving:
+            report['leaves_ms'] = 1000
+        return json_response(report)
 
     async def _list(self, request: Request) -> Response:
         return json_response(self._runs)
--- a/mallowspindle/tests/integration/test_gateway.py
+++ b/mallowspindle/tests/integration/test_gateway.py
@@ -291,9 +291,8 @@
     await venture.wait_until(lambda: _has_run(venture, 'r1'))
     await venture.start_server('model-4', 'models', '--events=200')
     await venture.wait_until(lambda: _registered(venture, 'model-4'))
-    await venture.register(
-        'model-3', 'models', state='draining', leaves_ms=1000, spot=True
-    )
+    await venture.set_faults('model-3', leaving=True)
+    await venture.register('model-3', 'models', state='draining', spot=True)
     status, _, text = await stream
     assert status == 200
     assert text == ''.join(
