Show the daemon before the platform's stand-ins: make platform-demo

Cause: a newcomer had no way to see the platform's interface without the kit. Ruled out: a second demo harness; the tests' venture serves both. Before: none.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format bench slopes mesh reclaims proofs
+.PHONY: setup demo platform-demo test lint format bench slopes mesh reclaims proofs
 
 $(BIN)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: setup
 	$(BIN)/python -m mallowspindle.bench.demo
 
+platform-demo: setup
+	$(BIN)/python -m mallowspindle.bench.platform_demo
+
 test: setup
 	$(BIN)/python -m pytest -q
 
