--- a/mallowspindle/proxy/connections.py
+++ b/mallowspindle/proxy/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import re
 from functools import partial
 from typing import Any
 
@@ -11,6 +12,12 @@
 
 log = logging.getLogger(__name__)
 
+# Idle connections are given up before most servers close them, so that a
+# request seldom meets a connection that is being closed; those that a server
+# keeps for less time are not used again.
+IDLE_S = 4.0
+_STATED_TIMEOUT = re.compile(r'timeout=(\d+)')
+
 
 class AnswerProtocol(ResponseHandler):
     """Reads answers of the request at hand and drops all others.
@@ -39,8 +46,11 @@
         self._answered = False
 
     def data_received(self, data: bytes) -> None:
-        """Take in bytes; outside a request they end the connection."""
-        if self._answered and self._is_idle():
+        """Take in bytes; outside a request they end the connection.
+
+        The client calls this without bytes when it resumes reading.
+        """
+        if data and self._answered and self._is_idle():
             log.info('stray bytes on an idle connection: closed')
             self.force_close()
             if self.transport is not None:
@@ -60,6 +70,9 @@
             )
             self.force_close()
             return
+        stated = _STATED_TIMEOUT.search(message.headers.get('Keep-Alive', ''))
+        if stated and int(stated.group(1)) <= IDLE_S:
+            self.force_close()
         self._answered = message.code >= 200
         super().feed_data(data, size)
 
--- a/mallowspindle/proxy/upstream.py
+++ b/mallowspindle/proxy/upstream.py
@@ -16,14 +16,12 @@
 from yarl import URL
 
 from mallowspindle.proxy.connections import (
+    IDLE_S,
     AnswerConnector,
     MatchedRequest,
     MatchedResponse,
 )
 
-# Idle connections are given up before most servers close them, so that a
-# request seldom meets a connection that is being closed.
-_IDLE_S = 4.0
 _ADDED_BY_CLIENT = frozenset(
     ('accept', 'accept-encoding', 'content-type', 'user-agent')
 )
@@ -50,7 +48,7 @@
         tracing.on_request_headers_sent.append(_mark_sent)
         self._session = ClientSession(
             connector=AnswerConnector(
-                limit=0, keepalive_timeout=_IDLE_S, use_dns_cache=False
+                limit=0, keepalive_timeout=IDLE_S, use_dns_cache=False
             ),
             request_class=type(
                 'IdentifiedRequest', (MatchedRequest,), {'id_header': id_header}
