--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -92,12 +92,18 @@
             zone: self._zone_fleet(spec.name, zone, bounds)
             for zone in bounds.zone_prices
         }
-        surplus = self._surplus(spec.name, wanted.servers)
+        if self._is_settled(spec.name, wanted.when_scarce):
+            serving = len(self._present_of(spec.name))
+        else:
+            serving = 0
         targets = plan_fleet(bounds, zones, wanted)
         for slot, desired in _slots(spec.name, targets):
             present = self._present(slot)
-            goal = max(desired, present - surplus)
-            surplus -= max(0, present - goal)
+            # Dear servers go as soon as those that serve besides carry the
+            # load; cheap ones stay while any server is missing.
+            least = wanted.servers if slot[-1] else wanted.when_scarce
+            goal = max(desired, present - max(0, serving - least))
+            serving -= max(0, present - goal)
             if goal != present:
                 await self._order(fencing_number, slot, goal)
 
@@ -207,20 +213,18 @@
     def _to_be_had(self, slot: Slot) -> bool:
         return self._clock() >= self._refused_until_s.get(slot, 0)
 
-    def _surplus(self, service: str, wanted: int) -> int:
-        """Return how many servers may be given back.
+    def _is_settled(self, service: str, least: int) -> bool:
+        """Tell whether more than ``least`` servers have served for a while.
 
         Only servers that serve count: those that are ordered may come late.
         """
-        surplus = len(self._present_of(service)) - wanted
         now_s = self._clock()
-        if surplus <= 0:
+        if len(self._present_of(service)) <= least:
             self._complete_since_s = None
-            return 0
+            return False
         if self._complete_since_s is None:
             self._complete_since_s = now_s
-        settled = now_s - self._complete_since_s >= _SETTLED_AFTER_S
-        return surplus if settled else 0
+        return now_s - self._complete_since_s >= _SETTLED_AFTER_S
 
 
 def _slots(
