--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -101,11 +101,15 @@
         except UnusableRecord as error:
             log.warning('server entry ignored', extra={'error': str(error)})
             return self._remove(record.key)
-        self._lapsed.pop(record.key, None)
+        returned = self._lapsed.pop(record.key, None) is not None
         known = self._servers.get(record.key)
         self._servers[record.key] = found
-        if known is not None and replace(known, cold_s=found.cold_s) == found:
-            return False
+        unchanged = (
+            known is not None and replace(known, cold_s=found.cold_s) == found
+        )
+        if unchanged:
+            # Peers that hold the removal back must hear of the return.
+            return returned
         log.info(
             'backend server registered',
             extra={
--- a/mallowspindle/tests/catalog/test_state.py
+++ b/mallowspindle/tests/catalog/test_state.py
@@ -86,7 +86,8 @@
     servers.fold(KeyedRecord('one', None, 1))
     assert servers.servers
     clock.advance(1)
-    servers.fold(_entry(2))
+    # The return is news: the peers hold the removal back as well.
+    assert servers.fold(_entry(2))
     clock.advance(5)
     servers.expire_lapsed()
     assert servers.servers
