Let only the holder tell when it renewed the lease

Each VM that a rolling restart brought back had read the old records, taken them for signs of life and told them on with an age of zero. Ruled out: the delay of states between peers (some ms a hop).

--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -20,6 +20,7 @@
 )
 from mallowspindle.log.interface import Log
 from mallowspindle.log.records import LogPage
+from mallowspindle.sharing.messages import LeaseNews
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
@@ -93,6 +94,17 @@
             return
         self._shown_at_s = max(self._shown_at_s, self._clock() - age_s)
 
+    def news(self) -> LeaseNews | None:
+        """Return what peers may rely on: the holder's own last renewal.
+
+        A node that has read old records knows who holds the lease, but not
+        since when; told on, that would put off the takeover.
+        """
+        if self._held is None:
+            return None
+        age_s = self._clock() - self._renewed_at_s
+        return LeaseNews(self._node, self._held.fencing_number, age_s)
+
     def may_claim(self, lead_s: float) -> bool:
         """Tell whether the lease has run out, for ``lead_s`` at least."""
         tenure = self._ledger.tenure
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -186,12 +186,7 @@
         ]
 
     def _lease_news(self) -> LeaseNews | None:
-        tenure = self._lease.ledger.tenure
-        if tenure is None or tenure.released:
-            return None
-        return LeaseNews(
-            tenure.holder, tenure.fencing_number, self._lease.shown_age_s
-        )
+        return self._lease.news()
 
 
 class NoDuties(Service):
--- a/mallowspindle/tests/duties/test_lease.py
+++ b/mallowspindle/tests/duties/test_lease.py
@@ -51,6 +51,24 @@
     assert not two.may_claim(0)
 
 
+async def test_only_the_holder_tells_when_it_renewed() -> None:
+    """Replays a holder that freezes while other nodes are restarted."""
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    clock.advance(LEASE_S - 1)
+    restarted = _lease(log, 'three', clock)
+    await restarted.catch_up()
+    assert restarted.news() is None
+    news = one.news()
+    assert news is not None
+    assert news.age_s == pytest.approx(LEASE_S - 1)
+    two.note_shown(news.fencing_number, news.age_s)
+    clock.advance(1.5)
+    assert two.may_claim(0)
+
+
 async def test_a_paused_holder_does_not_act() -> None:
     log, clock = FakeLog(), FakeClock()
     one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
