Let a caller that leaves during a move end its exchange

Cause, found by reading: waiting for the move itself, the exchange cancelled the move in place of itself when its caller left or its time was up, and went on. It now waits beside the move. Besides, a cut stream closes its connection in place of aborting it, so that events already written still arrive. Test without the bench: the cancelled exchange ended without an error before. Ruled out: shielding the whole attempt (the server's work must end).

--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -139,7 +139,7 @@
             except (ClientError, OSError, TimeoutError) as error:
                 if self._is_overdue():
                     raise TimeoutError from error
-                self._relocation = await _relocated(work)
+                self._relocation = await relocated(work)
                 return self._lost(error, mark)
 
     def _lost(self, error: Exception, mark: SendMark) -> AttemptOutcome:
@@ -299,7 +299,9 @@
         self._log_end('cut', 'the stream can not go on')
         transport = self._web_request.transport
         if transport is not None:
-            transport.abort()
+            # Events that are written still reach the caller; the end of the
+            # stream is missing, so that it can't look whole.
+            transport.close()
         return self._response
 
     def _started(self) -> StreamResponse:
@@ -332,13 +334,10 @@
         return int((now_s - self._began_at_s) * 1000)
 
 
-async def _relocated(work: Work) -> Relocation | None:
+async def relocated(work: Work) -> Relocation | None:
     """Return where a stream goes on that was stopped to be moved."""
     if work.move is None:
         return None
-    try:
-        return await work.move
-    except asyncio.CancelledError:
-        if not work.move.cancelled():
-            raise
-        return None
+    # Waits beside the move: a caller that leaves must not cancel it.
+    await asyncio.wait([work.move])
+    return None if work.move.cancelled() else work.move.result()
