Let gateways in tests listen on any free port and announce it

Cause: the tests chose ports that were free a moment before; two runs of the tests beside each other could take the same one. Ruled out: a lock on ports; the daemon can announce what it opened.

--- a/mallowspindle/bench/gateway.py
+++ b/mallowspindle/bench/gateway.py
@@ -3,9 +3,7 @@
 import asyncio
 import json
 import signal
-import socket
 from collections.abc import Awaitable, Callable, Mapping
-from contextlib import ExitStack
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Self
@@ -20,7 +18,7 @@
 _SHARED_KEY = 'a-shared-key-for-loopback'
 _WAIT_S = 30.0
 _POLL_S = 0.05
-_PORTS_OF_A_NODE = 4
+_ANY = '127.0.0.1:0'
 
 CONFIGURATION: Mapping[str, Any] = MappingProxyType(
     {
@@ -85,7 +83,6 @@
         self._folder = folder
         self._processes: dict[str, ManagedProcess] = {}
         self._seeds: list[str] = []
-        self._listen: dict[str, list[str]] = {}
         self._session = ClientSession(timeout=ClientTimeout(total=30))
 
     @property
@@ -142,8 +139,6 @@
         self, name: str, zone: str = 'a', *, wait: bool = True, **proxy: Any
     ) -> ManagedProcess:
         """Start a gateway; wait until it serves unless told otherwise."""
-        self._listen[name] = _free_endpoints(_PORTS_OF_A_NODE)
-        self._seeds.append(self._listen[name][3])
         path = self.write_settings(name, zone, **proxy)
         started = await ManagedProcess.start(
             name,
@@ -152,19 +147,19 @@
             self._folder / f'{name}.log',
         )
         self._processes[name] = started
+        self._seeds.append(started.endpoint('peers'))
         if wait:
             await self.wait_until(lambda: self.is_ready(name))
         return started
 
     def write_settings(self, name: str, zone: str, **proxy: Any) -> Path:
         """Write the INI file of a gateway."""
-        callers, readiness, addresses, peers = self._listen[name]
         options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
         path = self._folder / f'{name}.ini'
         path.write_text(
             f'[node]\ninterface = platform\nname = {name}\nzone = {zone}\n'
-            f'[listen]\ncallers = {callers}\nreadiness = {readiness}\n'
-            f'addresses = {addresses}\npeers = {peers}\n'
+            f'[listen]\ncallers = {_ANY}\nreadiness = {_ANY}\n'
+            f'addresses = {_ANY}\npeers = {_ANY}\n'
             f'[peers]\nshared_key = {_SHARED_KEY}\n'
             f'seeds = {" ".join(self._seeds)}\n'
             f'[store]\naddress = {self.process("store").address}\n'
@@ -196,7 +191,9 @@
 
     def url(self, gateway: str, path: str) -> URL:
         """Return a URL for callers, spelled as it is given."""
-        return URL(f'http://{self._listen[gateway][0]}{path}', encoded=True)
+        return URL(
+            f'http://{self._endpoint(gateway, "callers")}{path}', encoded=True
+        )
 
     async def call(
         self,
@@ -220,13 +217,14 @@
 
     async def is_ready(self, name: str) -> bool:
         """Tell whether a gateway says that it is ready."""
-        url = f'http://{self._listen[name][1]}/ready'
+        url = f'http://{self._endpoint(name, "readiness")}/ready'
         async with self._session.get(url) as response:
             return response.status == 200
 
     async def addresses(self, name: str, zone: str = 'a') -> list[str]:
         """Return the addresses that a gateway names to callers."""
-        url = f'http://{self._listen[name][2]}/resolve?name={HOST}&zone={zone}'
+        endpoint = self._endpoint(name, 'addresses')
+        url = f'http://{endpoint}/resolve?name={HOST}&zone={zone}'
         async with self._session.get(url) as response:
             answer = await response.json()
             return list(answer['addresses'])
@@ -273,6 +271,9 @@
         )
         await self._session.close()
 
+    def _endpoint(self, name: str, listener: str) -> str:
+        return self.process(name).endpoint(listener)
+
     async def _start(
         self, name: str, module: str, *arguments: str
     ) -> ManagedProcess:
@@ -284,16 +285,3 @@
         )
         self._processes[name] = started
         return started
-
-
-def _free_endpoints(number: int) -> list[str]:
-    """Return loopback endpoints that were free a moment ago.
-
-    The sockets are held together, so that no port comes twice.
-    """
-    with ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
-            for _ in range(number)
-        ]
-        return [f'127.0.0.1:{opened.getsockname()[1]}' for opened in sockets]
--- a/mallowspindle/bench/processes.py
+++ b/mallowspindle/bench/processes.py
@@ -80,10 +80,9 @@
         """Whether the process has not ended."""
         return self._process.returncode is None
 
-    @property
-    def callers_address(self) -> str:
-        """The ``host:port`` for callers, of gateways only."""
-        return str(self._ports['callers'])
+    def endpoint(self, name: str) -> str:
+        """The ``host:port`` of a listener, of gateways only."""
+        return str(self._ports[name])
 
     def keep_log(self, output: asyncio.StreamReader, log_path: Path) -> None:
         """Copy the output to a file, so that the process never waits."""
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -56,6 +56,7 @@
         self._membership = membership
         self._gate = Gate(context)
         self._servers: list[asyncio.Server] = []
+        self._opened: dict[str, str | int] = {}
         self._callers: Server | None = None
         self._open_requests = 0
         self._draining = False
@@ -85,7 +86,8 @@
 
     def announcements(self) -> dict[str, str | int]:
         """Return the addresses in use."""
-        return {'callers': self._membership.own.http_address}
+        peers = self._membership.own.peer_address
+        return {**self._opened, 'peers': peers}
 
     async def start(self) -> None:
         """Listen on all addresses of the settings."""
@@ -99,12 +101,14 @@
             max_line_size=_MAX_LINE_BYTES,
             max_field_size=_MAX_LINE_BYTES,
         )
-        callers = await self._open(self._callers, listen.callers)
-        await self._open(_plain_server(self._readiness), listen.readiness)
-        await self._open(_plain_server(self._addresses), listen.addresses)
+        readiness = _plain_server(self._readiness)
+        addresses = _plain_server(self._addresses)
+        await self._open('callers', self._callers, listen.callers)
+        await self._open('readiness', readiness, listen.readiness)
+        await self._open('addresses', addresses, listen.addresses)
         if listen.metrics is not None:
-            await self._open(_plain_server(_metrics), listen.metrics)
-        self._membership.update(http_address=callers)
+            await self._open('metrics', _plain_server(_metrics), listen.metrics)
+        self._membership.update(http_address=self._opened['callers'])
 
     async def prepare_drain(self) -> None:
         """Stop being ready; the members hear it too."""
@@ -132,13 +136,14 @@
             await self._callers.shutdown(_CLOSING_S)
         await self._context.upstream.close()
 
-    async def _open(self, server: Server, endpoint: str) -> str:
+    async def _open(self, name: str, server: Server, endpoint: str) -> None:
         host, _, port = endpoint.rpartition(':')
         opened = await asyncio.get_running_loop().create_server(
             server, host, int(port), backlog=_BACKLOG
         )
         self._servers.append(opened)
-        return f'{host}:{opened.sockets[0].getsockname()[1]}'
+        bound_port = opened.sockets[0].getsockname()[1]
+        self._opened[name] = f'{host}:{bound_port}'
 
     async def _serve(self, web_request: BaseRequest) -> StreamResponse:
         loop = asyncio.get_running_loop()
--- a/mallowspindle/tests/integration/test_gateway.py
+++ b/mallowspindle/tests/integration/test_gateway.py
@@ -265,7 +265,7 @@
     venture.process('entry-1').send_signal(signal.SIGTERM)
 
     async def left() -> bool:
-        callers = venture.process('entry-1').callers_address
+        callers = venture.process('entry-1').endpoint('callers')
         return callers not in await venture.addresses('entry-2')
 
     await venture.wait_until(left)
