Split the tests of gateways by what they look at

Cause: one module of 456 lines held requests, streams, store, duties and settings. It becomes three with their fixture and what they observe beside them. Ruled out: any change of an assertion; 27 tests were there, 27 are collected.

--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,5 @@
 	$(BIN)/python -m mallowspindle.bench.reclaims
 
 proofs: setup
-	$(BIN)/python -m pytest -v mallowspindle/tests/integration mallowspindle/tests/effects
+	$(BIN)/python -m pytest -v mallowspindle/tests/integration mallowspindle/tests/gateway mallowspindle/tests/effects
 	$(BIN)/python -m mallowspindle.bench.reclaims
--- /dev/null
+++ b/mallowspindle/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon before stand-ins of the users' platform."""
--- /dev/null
+++ b/mallowspindle/tests/gateway/test_requests.py
@@ -0,0 +1,152 @@
+"""What callers send, and what reaches the servers."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from mallowspindle.standins.gateways import GatewayVenture
+from mallowspindle.tests.gateway.observations import (
+    all_runs,
+    has_version,
+)
+
+
+async def test_passes_requests_and_answers_through(
+    venture: GatewayVenture,
+) -> None:
+    status, headers, text = await venture.call(
+        'entry-1',
+        'POST',
+        '/orders/a%20b//c?x=1&y=%2F',
+        'r1',
+        b'a bird',
+        changes={'X-Own': 'kept', 'Tenant': 'forged', 'Hold': 'forged'},
+    )
+    assert status == 200
+    assert headers['Response-Signature'].endswith('-signature')
+    assert text.startswith('answer of shop-')
+    (run,) = await all_runs(venture, 'r1')
+    assert run['target'] == '/orders/a%20b//c?x=1&y=%2F'
+    assert run['method'] == 'POST'
+    assert run['body'] == 'a bird'
+    sent = run['headers']
+    assert isinstance(sent, dict)
+    assert sent['Tenant'] == 'farm'
+    assert sent['X-Own'] == 'kept'
+    assert sent['Host'] == 'shop.example'
+    assert 'Authorization' not in sent
+    assert 'Hold' not in sent
+    assert 0 < int(sent['Deadline-Ms']) <= 2000
+
+
+@pytest.mark.parametrize(
+    ('path', 'changes', 'status'),
+    [
+        ('/nothing/x', {}, 404),
+        ('/orders/x', {'Authorization': 'Token other'}, 401),
+        ('/orders/x', {'Deadline-Ms': 'soon'}, 400),
+        ('/orders/x', {'Prompt-Prefix': 'ab:many'}, 400),
+        ('/orders/x', {'X-Large': 'x' * 20_000}, 431),
+    ],
+)
+async def test_refuses_bad_requests(
+    venture: GatewayVenture, path: str, changes: dict[str, str], status: int
+) -> None:
+    found, _, _ = await venture.call(
+        'entry-1', 'POST', path, 'r1', changes=changes
+    )
+    assert found == status
+    assert not await all_runs(venture, 'r1')
+
+
+async def test_refuses_large_bodies(venture: GatewayVenture) -> None:
+    await venture.configure(version=8, limits={'max_body_bytes': 1000})
+    await venture.wait_until(lambda: has_version(venture, 8))
+    status, _, _ = await venture.call(
+        'entry-1', 'POST', '/orders/x', 'r1', b'x' * 2000
+    )
+    assert status == 413
+    assert not await all_runs(venture, 'r1')
+
+
+async def test_refuses_both_framings(venture: GatewayVenture) -> None:
+    url = venture.url('entry-1', '/')
+    reader, writer = await asyncio.open_connection(url.host, url.port)
+    head = ''.join(
+        f'{name}: {text}\r\n'
+        for name, text in venture.request_headers('r1').items()
+    )
+    writer.write(
+        f'POST /orders/x HTTP/1.1\r\n{head}Content-Length: 5\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /orders/y'.encode()
+    )
+    answer = await reader.read()
+    writer.close()
+    # One answer only: what follows the bad framing is no second request.
+    assert answer.split()[1] == b'400'
+    assert answer.count(b'HTTP/1.') == 1
+    assert not await all_runs(venture, 'r1')
+
+
+async def test_repeats_what_was_not_run(venture: GatewayVenture) -> None:
+    await venture.set_faults('shop-1', refuse=1)
+    await venture.set_faults('shop-2', refuse=1)
+    status, headers, _ = await venture.call(
+        'entry-1', 'POST', '/orders/x', 'r1'
+    )
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+    assert not await all_runs(venture, 'r1')
+    await venture.set_faults('shop-1', refuse=1)
+    statuses = [
+        (await venture.call('entry-1', 'POST', '/orders/x', f's{number}'))[0]
+        for number in range(6)
+    ]
+    assert set(statuses) == {200}
+
+
+async def test_never_repeats_an_order_of_unknown_fate(
+    venture: GatewayVenture,
+) -> None:
+    await venture.set_faults('shop-1', lose_answers=1)
+    await venture.set_faults('shop-2', lose_answers=1)
+    status, _, _ = await venture.call('entry-1', 'POST', '/orders/x', 'r1')
+    assert status == 502
+    assert len(await all_runs(venture, 'r1')) == 1
+
+
+@pytest.mark.parametrize('fault', ['truncate', 'lose_answers'])
+async def test_repeats_failed_status_requests(
+    venture: GatewayVenture, fault: str
+) -> None:
+    await venture.set_faults('shop-1', **{fault: 1})
+    statuses = [
+        (await venture.call('entry-1', 'GET', '/status/x', f'r{number}'))[0]
+        for number in range(8)
+    ]
+    assert set(statuses) == {200}
+    runs = await venture.runs('shop-1') + await venture.runs('shop-2')
+    assert len(runs) == 9
+
+
+async def test_passes_a_failure_on_rather_than_its_own(
+    venture: GatewayVenture,
+) -> None:
+    await venture.set_faults('shop-1', truncate=1)
+    await venture.set_faults('shop-2', truncate=1)
+    status, headers, _ = await venture.call('entry-1', 'GET', '/status/x', 'r1')
+    assert status == 500
+    assert headers['Response-Signature'].endswith('-signature')
+
+
+async def test_without_configuration_nothing_is_lost(tmp_path: Path) -> None:
+    async with GatewayVenture(tmp_path) as venture:
+        await venture.start_platform()
+        await venture.start_gateway('entry-1', wait=False)
+        status, headers, _ = await venture.call(
+            'entry-1', 'POST', '/orders/x', 'r1', b'a bird'
+        )
+        assert status == 503
+        assert float(headers['Retry-After']) > 0
+        assert not await venture.is_ready('entry-1')
