Keep one set of the log's errors; drop settings and fields without a use

Cause: the errors of the log stood in log/ and native/, and two settings, three properties and a field of the new packages were never read. The native client raises the log's errors; the cloud's client has its own. Ruled out: sharing the page types as well; the native log's records carry a time and its pages a first offset.

--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -55,7 +55,6 @@
         self._records: dict[str, KeyedRecord] = {}
         self._through: int | None = None
         self._fresh_at_s = 0.0
-        self._read_at_s = 0.0
         self._gap = True
 
     @property
@@ -73,11 +72,6 @@
         """Seconds since the state was that of the store."""
         return time.monotonic() - self._fresh_at_s
 
-    @property
-    def unread_s(self) -> float:
-        """Seconds since this node itself read the stream."""
-        return time.monotonic() - self._read_at_s
-
     @property
     def has_gap(self) -> bool:
         """Whether records are missing, so that only a read can help."""
@@ -95,7 +89,6 @@
             news = self._replace(await self._log.newest(self._stream))
         self._gap = False
         self._fresh_at_s = asked_at_s
-        self._read_at_s = asked_at_s
         through = self._through or 0
         age_s = time.monotonic() - asked_at_s
         return StreamNews(self._stream, base, through, age_s, news)
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -87,11 +87,6 @@
         """The registered servers by id."""
         return self._servers.servers
 
-    @property
-    def age_s(self) -> float:
-        """Seconds since all that is known was that of the store."""
-        return max(each.age_s for each in self._followers.values())
-
     def watch(self, watcher: Callable[[], None]) -> None:
         """Call ``watcher`` after each change."""
         self._watchers.append(watcher)
--- a/mallowspindle/commands/client.py
+++ b/mallowspindle/commands/client.py
@@ -11,7 +11,7 @@
 from mallowspindle.config.errors import ConfigError
 from mallowspindle.config.ini import load_model
 from mallowspindle.config.operator import OperatorSection, OperatorSettings
-from mallowspindle.native.errors import PlatformError
+from mallowspindle.log.errors import LogError
 from mallowspindle.native.log import LogClient
 from mallowspindle.settings.errors import SettingsError
 from mallowspindle.settings.reader import catch_up
@@ -47,7 +47,7 @@
     tree = SettingsTree()
     try:
         await catch_up(tree, log_client)
-    except (PlatformError, SettingsError) as error:
+    except (LogError, SettingsError) as error:
         raise CommandError(ExitCode.UNREACHABLE, str(error)) from error
     return tree
 
--- a/mallowspindle/commands/settings.py
+++ b/mallowspindle/commands/settings.py
@@ -15,7 +15,7 @@
 )
 from mallowspindle.config.operator import OperatorSection
 from mallowspindle.ledger.report import first_offset
-from mallowspindle.native.errors import PlatformError
+from mallowspindle.log.errors import LogError
 from mallowspindle.settings.document import parse_document
 from mallowspindle.settings.errors import (
     ChangeUncertain,
@@ -88,7 +88,7 @@
             tree = await read_settings(log_client)
             first = await first_offset(log_client, SETTINGS_STREAM)
             page = await log_client.read_to_end(SETTINGS_STREAM, first)
-        except PlatformError as error:
+        except LogError as error:
             raise CommandError(ExitCode.UNREACHABLE, str(error)) from error
     decoded = (
         (record.offset, decode_record(record)) for record in page.records
--- a/mallowspindle/config/gateway.py
+++ b/mallowspindle/config/gateway.py
@@ -47,7 +47,6 @@
     timeout_s: float = Field(2.0, gt=0)
     lease_s: float = Field(3.0, gt=0)
     usage_window_s: float = Field(5.0, gt=0)
-    usage_late_s: float = Field(10.0, gt=0)
 
 
 class ProxySection(Section):
@@ -60,7 +59,6 @@
     retry_window_s: float = Field(10.0, gt=0)
     retry_slack: float = Field(10.0, ge=0)
     quota_window_s: float = Field(8.0, gt=0)
-    buffered_answer_bytes: int = Field(8_000_000, ge=1024)
 
 
 class GatewaySettings(CommonSettings):
--- a/mallowspindle/effects/stream.py
+++ b/mallowspindle/effects/stream.py
@@ -8,9 +8,9 @@
 from mallowspindle.effects.errors import ClaimRefused, ClaimUncertain
 from mallowspindle.effects.records import EffectsRecord, effects_codec
 from mallowspindle.effects.table import KeyTable
-from mallowspindle.native.errors import (
+from mallowspindle.log.errors import (
     AppendRefused,
-    PlatformError,
+    LogError,
     RecordsExpired,
 )
 from mallowspindle.native.log import LogClient, LogPage
@@ -91,14 +91,14 @@
         try:
             while self._next_offset <= offset:
                 await self._read(0)
-        except PlatformError as error:
+        except LogError as error:
             raise ClaimUncertain(str(error)) from error
 
     async def read_forward(self) -> None:
         """Fold what the log has now; ``ClaimUncertain`` if it can't be read."""
         try:
             await self._read(0)
-        except PlatformError as error:
+        except LogError as error:
             raise ClaimUncertain(str(error)) from error
 
     async def wait_for(self, condition: Callable[[], bool]) -> None:
@@ -110,7 +110,7 @@
         while True:
             try:
                 await self._read(_LONG_POLL_S if self._ready else 0)
-            except PlatformError as error:
+            except LogError as error:
                 log.warning('%s not read: %s', self._name, error)
                 await asyncio.sleep(_RETRY_PAUSE_S)
 
@@ -158,7 +158,7 @@
             offset = await self._log.append(self._name, payload)
         except AppendRefused as error:
             _fail(batch, ClaimRefused(str(error)))
-        except PlatformError as error:
+        except LogError as error:
             _fail(batch, ClaimUncertain(str(error)))
         else:
             for entry in _waiting(batch):
--- a/mallowspindle/ledger/report.py
+++ b/mallowspindle/ledger/report.py
@@ -11,7 +11,7 @@
     LedgerEntry,
     ledger_codec,
 )
-from mallowspindle.native.errors import PlatformError, RecordsExpired
+from mallowspindle.log.errors import LogError, RecordsExpired
 from mallowspindle.native.log import LogClient
 from mallowspindle.utils.codec import CodecError
 
@@ -74,7 +74,7 @@
         for index in range(effects_streams):
             for payload in await _payloads(log_client, f'effects-{index}'):
                 report.add(_decode_outcomes(payload))
-    except PlatformError as error:
+    except LogError as error:
         raise LedgerError(f'the ledger was not read: {error}') from error
     return report
 
--- a/mallowspindle/ledger/service.py
+++ b/mallowspindle/ledger/service.py
@@ -13,7 +13,7 @@
     LedgerEntry,
     ledger_codec,
 )
-from mallowspindle.native.errors import PlatformError
+from mallowspindle.log.errors import LogError
 from mallowspindle.native.log import LogClient
 from mallowspindle.native.service import NativeService
 from mallowspindle.settings.service import SettingsService
@@ -93,7 +93,7 @@
             payload = ledger_codec.encode_all(batch)
             try:
                 await self._log.append(LEDGER_STREAM, payload)
-            except PlatformError as error:
+            except LogError as error:
                 log.warning('%s ledger entries wait: %s', self.unsent, error)
                 return
             for entry in batch:
--- a/mallowspindle/native/cloud.py
+++ b/mallowspindle/native/cloud.py
@@ -6,7 +6,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
-from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.errors import CloudError
 
 _OK = 200
 
@@ -62,7 +62,7 @@
         try:
             return _vm_list.validate_python(await self._get('/vms'))
         except ValidationError as error:
-            raise PlatformError(f'malformed VM list: {error}') from error
+            raise CloudError(f'malformed VM list: {error}') from error
 
     async def notice(self, vm_id: str) -> Notice | None:
         """Return the reclaim notice of a VM, if there is one."""
@@ -70,7 +70,7 @@
         try:
             return Notice.model_validate(answer) if answer else None
         except ValidationError as error:
-            raise PlatformError(f'malformed notice: {error}') from error
+            raise CloudError(f'malformed notice: {error}') from error
 
     async def _get(self, path: str) -> Any:
         try:
@@ -78,7 +78,7 @@
                 f'{self._url}{path}', timeout=self._timeout
             ) as response:
                 if response.status != _OK:
-                    raise PlatformError(f'cloud answered {response.status}')
+                    raise CloudError(f'cloud answered {response.status}')
                 return await response.json()
         except (ClientError, TimeoutError, ValueError) as error:
-            raise PlatformError(f'cloud unreachable: {error}') from error
+            raise CloudError(f'cloud unreachable: {error}') from error
--- a/mallowspindle/native/log.py
+++ b/mallowspindle/native/log.py
@@ -12,10 +12,10 @@
 )
 from opentelemetry.trace import SpanKind
 
-from mallowspindle.native.errors import (
+from mallowspindle.log.errors import (
     AppendRefused,
     AppendUncertain,
-    PlatformError,
+    LogError,
     RecordsExpired,
 )
 from mallowspindle.utils.codec import CodecError, unpack
@@ -94,7 +94,7 @@
             ) as response:
                 return await self._page(stream, response)
         except (ClientError, TimeoutError, CodecError) as error:
-            raise PlatformError(f'log read failed: {error}') from error
+            raise LogError(f'log read failed: {error}') from error
 
     async def read_to_end(self, stream: str, offset: int) -> LogPage:
         """Read all records from ``offset`` up to the stream's present end."""
@@ -120,7 +120,7 @@
 
     async def _page(self, stream: str, response: ClientResponse) -> LogPage:
         if response.status not in {_OK, _GONE}:
-            raise PlatformError(f'log answered {response.status}')
+            raise LogError(f'log answered {response.status}')
         page: dict[str, Any] = unpack(await response.read())
         if response.status == _GONE:
             raise RecordsExpired(stream, int(page['first']))
--- a/mallowspindle/native/service.py
+++ b/mallowspindle/native/service.py
@@ -10,7 +10,7 @@
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.native.cloud import CloudClient
-from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.errors import CloudError
 from mallowspindle.native.log import LogClient
 
 log = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
                 continue
             try:
                 notice = await self._cloud.notice(self._vm_id)
-            except PlatformError as error:
+            except CloudError as error:
                 log.debug('notice not read: %s', error)
                 continue
             if notice is not None:
--- a/mallowspindle/platform/dialect.py
+++ b/mallowspindle/platform/dialect.py
@@ -104,10 +104,6 @@
             ('Tenant', dispatch.organisation),
             ('Last-Event-Id', dispatch.last_event_id),
             ('Kv-From', _encode_run(dispatch.continues)),
-            (
-                'Request-Priority',
-                None if dispatch.urgency is None else str(dispatch.urgency),
-            ),
         )
         headers.update({name: text for name, text in added if text is not None})
         return headers
--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -97,12 +97,6 @@
         self._session = session
         self._url = f'http://{address}'
         self._timeout_s = timeout_s
-        self._calls = 0
-
-    @property
-    def calls(self) -> int:
-        """Calls made so far; each one is priced."""
-        return self._calls
 
     async def append(
         self,
@@ -177,7 +171,6 @@
         body: bytes | None = None,
         wait_s: float = 0,
     ) -> tuple[int, bytes]:
-        self._calls += 1
         async with self._session.request(
             method,
             f'{self._url}{path}',
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -64,7 +64,6 @@
     time_left_s: float
     organisation: str | None = None
     last_event_id: str | None = None
-    urgency: int | None = None
     continues: MovedRun | None = None
 
 
--- a/mallowspindle/routing/directory.py
+++ b/mallowspindle/routing/directory.py
@@ -12,7 +12,7 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.native.cloud import CloudClient, Role, Vm
-from mallowspindle.native.errors import PlatformError
+from mallowspindle.native.errors import CloudError
 from mallowspindle.native.service import NativeService
 from mallowspindle.routing.servers import LoadReport, ServerView
 from mallowspindle.utils.identifiers import rendezvous_order
@@ -110,7 +110,7 @@
     async def _refresh_list(self) -> None:
         try:
             vms = await self._cloud.list_vms()
-        except PlatformError as error:
+        except CloudError as error:
             log.warning('VM list not read: %s', error)
             return
         backends = watched_subset(
--- a/mallowspindle/settings/publisher.py
+++ b/mallowspindle/settings/publisher.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from mallowspindle.native.errors import AppendRefused, PlatformError
+from mallowspindle.log.errors import AppendRefused, LogError
 from mallowspindle.native.log import LogClient
 from mallowspindle.settings.errors import ChangeUncertain, SettingsError
 from mallowspindle.settings.reader import catch_up
@@ -50,11 +50,11 @@
 
 async def _append_once(
     log_client: LogClient, change: Change
-) -> PlatformError | None:
+) -> LogError | None:
     payload = settings_codec.encode(change)
     try:
         await log_client.append(SETTINGS_STREAM, payload)
-    except PlatformError as error:
+    except LogError as error:
         return error
     return None
 
@@ -64,6 +64,6 @@
 ) -> Verdict | None:
     try:
         await catch_up(tree, log_client)
-    except PlatformError:
+    except LogError:
         return None
     return tree.verdict(change_id)
--- a/mallowspindle/settings/reader.py
+++ b/mallowspindle/settings/reader.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from mallowspindle.native.errors import RecordsExpired
+from mallowspindle.log.errors import RecordsExpired
 from mallowspindle.native.log import LogClient, LogRecord
 from mallowspindle.settings.errors import SettingsUnavailable
 from mallowspindle.settings.records import (
--- a/mallowspindle/settings/service.py
+++ b/mallowspindle/settings/service.py
@@ -9,9 +9,9 @@
 from mallowspindle.config.daemon import DaemonSettings
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
+from mallowspindle.log.errors import LogError
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.membership.service import MembershipService
-from mallowspindle.native.errors import PlatformError
 from mallowspindle.native.log import LogClient
 from mallowspindle.native.service import NativeService
 from mallowspindle.peers.errors import PeerError
@@ -105,7 +105,7 @@
             before = self._tree.through
             try:
                 await catch_up(self._tree, self._log, self._wait_s())
-            except (PlatformError, SettingsError) as error:
+            except (LogError, SettingsError) as error:
                 log.warning('settings not read from the log: %s', error)
                 await asyncio.sleep(_RETRY_PAUSE_S)
             else:
@@ -160,7 +160,7 @@
         payload = settings_codec.encode(self._tree.snapshot())
         try:
             await self._log.append(SETTINGS_STREAM, payload)
-        except PlatformError as error:
+        except LogError as error:
             log.warning('settings snapshot not appended: %s', error)
 
     def _writes_snapshots(self) -> bool:
--- a/mallowspindle/tests/effects/fakes.py
+++ b/mallowspindle/tests/effects/fakes.py
@@ -6,13 +6,13 @@
 from types import SimpleNamespace
 from typing import Any
 
-from mallowspindle.membership.messages import MemberInfo
-from mallowspindle.native.errors import (
+from mallowspindle.log.errors import (
     AppendRefused,
     AppendUncertain,
-    PlatformError,
+    LogError,
     RecordsExpired,
 )
+from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.native.log import LogPage, LogRecord
 from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
 from mallowspindle.routing.errors import NoServer
@@ -115,7 +115,7 @@
     ) -> LogPage:
         await self._world.while_frozen(self._node)
         if self._world.log_down:
-            raise PlatformError('down')
+            raise LogError('down')
         first = self._world.expired[stream]
         if offset < first:
             raise RecordsExpired(stream, first)
--- a/mallowspindle/tests/native/test_log.py
+++ b/mallowspindle/tests/native/test_log.py
@@ -8,10 +8,10 @@
 from aiohttp.test_utils import TestServer
 
 from mallowspindle.bench.proxy import FaultProxy, Mode
-from mallowspindle.native.errors import (
+from mallowspindle.log.errors import (
     AppendRefused,
     AppendUncertain,
-    PlatformError,
+    LogError,
     RecordsExpired,
 )
 from mallowspindle.native.log import LogClient
@@ -91,7 +91,7 @@
 @pytest.mark.parametrize(
     ('mode', 'error'),
     [
-        (Mode.CUT, PlatformError),
+        (Mode.CUT, LogError),
         (Mode.FREEZE, AppendUncertain),
         (Mode.DROP_ANSWERS, AppendUncertain),
     ],
@@ -104,7 +104,7 @@
     proxy.show(mode)
     with pytest.raises(error):
         await client.append(STREAM, b'x')
-    with pytest.raises(PlatformError):
+    with pytest.raises(LogError):
         await client.read(STREAM, 0)
     await client.close()
     await proxy.stop()
