--- a/mallowspindle/policies/quota.py
+++ b/mallowspindle/policies/quota.py
@@ -4,22 +4,29 @@
 get uneven parts of it. All nodes tell what they admitted in the last window,
 so each admits as long as the sum stays below the quota, whoever gets the
 callers. A node that hears only part of the others keeps to that part.
+
+A flood uses up its window at once, and nodes that are all killed then forget
+it. So a shorter span holds the same rate: little is left for them to forget.
 """
 
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import partial
 
 # Length of the steps in which admitted work leaves the window.
 _STEP_S = 0.25
 # Span over which the present rate of a node is measured.
 _RATE_SPAN_S = 1.0
+# Part of the window that the shorter span takes: its rate and burst, with what
+# restarted nodes admit in the rest of the window, stay within what is granted.
+_SHORT_PART = 0.375
 
 
 @dataclass(frozen=True, slots=True)
 class PeerUse:
-    """What a peer admitted in the last window, as told ``age_s`` ago."""
+    """What a peer admitted in the last span, as told ``age_s`` ago."""
 
     used: float
     rate_per_s: float
@@ -44,6 +51,11 @@
         """The most that any window may hold."""
         return self.rate_per_s * self.window_s + self.burst
 
+    @property
+    def short(self) -> 'QuotaTerms':
+        """The terms of the shorter span."""
+        return replace(self, window_s=self.window_s * _SHORT_PART)
+
 
 class AdmittedWork:
     """What this node admitted for one organisation in the last window."""
@@ -68,6 +80,10 @@
         """Return what was admitted in the last window."""
         return self._since(self._window_s + _STEP_S)
 
+    def lately_used(self) -> float:
+        """Return what was admitted in the shorter span."""
+        return self._since(self._window_s * _SHORT_PART + _STEP_S)
+
     def rate_per_s(self) -> float:
         """Return the present rate."""
         return self._since(_RATE_SPAN_S) / _RATE_SPAN_S
@@ -113,3 +129,35 @@
     used = own_used + sum(peer.estimate for peer in peers)
     allowed = terms.most * min(heard_part, 1 - forgotten_part)
     return used <= allowed
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSpans:
+    """What a peer admitted in the window and in the shorter span."""
+
+    window: PeerUse
+    short: PeerUse
+
+
+def has_room(
+    terms: QuotaTerms,
+    own: AdmittedWork,
+    cost: float,
+    peers: Sequence[PeerSpans],
+    *,
+    heard_part: float,
+    uptimes_s: Sequence[float],
+) -> bool:
+    """Tell whether the window and the shorter span have room for ``cost``.
+
+    A request that the window has room for passes the shorter span if that
+    holds nothing else: it may be larger than the whole span allows.
+    """
+    lately_used = own.lately_used()
+    short_uses = [peer.short for peer in peers]
+    within = partial(is_within, heard_part=heard_part, uptimes_s=uptimes_s)
+    if not within(terms, own.used() + cost, [peer.window for peer in peers]):
+        return False
+    if not lately_used + sum(use.used for use in short_uses):
+        return True
+    return within(terms.short, lately_used + cost, short_uses)
--- a/mallowspindle/proxy/quotas.py
+++ b/mallowspindle/proxy/quotas.py
@@ -7,9 +7,10 @@
 from mallowspindle.catalog.routes import Organisation, Quota
 from mallowspindle.policies.quota import (
     AdmittedWork,
+    PeerSpans,
     PeerUse,
     QuotaTerms,
-    is_within,
+    has_room,
 )
 from mallowspindle.sharing.messages import QuotaUse
 from mallowspindle.sharing.service import SharingService
@@ -39,9 +40,10 @@
             return 0
         cost = quota.cost_of(tokens)
         admitted = self._admitted[organisation.name]
-        within = is_within(
+        within = has_room(
             QuotaTerms(quota.rate_per_s, quota.burst, self._window_s),
-            admitted.used() + cost,
+            admitted,
+            cost,
             self._peer_use(organisation.name),
             heard_part=self._sharing.heard_part(),
             uptimes_s=self._uptimes_s(),
@@ -66,9 +68,12 @@
         ]
         return [time.monotonic() - self._started_at_s, *peers]
 
-    def _peer_use(self, organisation: str) -> list[PeerUse]:
+    def _peer_use(self, organisation: str) -> list[PeerSpans]:
         return [
-            PeerUse(use.used, use.rate_per_s, heard.age_s)
+            PeerSpans(
+                PeerUse(use.used, use.rate_per_s, heard.age_s),
+                PeerUse(use.lately_used, use.rate_per_s, heard.age_s),
+            )
             for heard in self._sharing.heard()
             for use in heard.state.quota_use
             if use.organisation == organisation
@@ -76,6 +81,11 @@
 
     def _own_use(self) -> list[QuotaUse]:
         return [
-            QuotaUse(name, admitted.used(), admitted.rate_per_s())
+            QuotaUse(
+                name,
+                admitted.used(),
+                admitted.lately_used(),
+                admitted.rate_per_s(),
+            )
             for name, admitted in self._admitted.items()
         ]
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -31,10 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaUse:
-    """What one node admitted for an organisation in the last window."""
+    """What one node admitted for an organisation lately.
+
+    ``used`` counts the last window, ``lately_used`` its shorter span.
+    """
 
     organisation: str
     used: float
+    lately_used: float
     rate_per_s: float
 
 
--- a/mallowspindle/tests/policies/test_quota.py
+++ b/mallowspindle/tests/policies/test_quota.py
@@ -4,8 +4,10 @@
 
 from mallowspindle.policies.quota import (
     AdmittedWork,
+    PeerSpans,
     PeerUse,
     QuotaTerms,
+    has_room,
     is_within,
 )
 from mallowspindle.tests.clock import FakeClock
@@ -48,10 +50,37 @@
     assert not is_within(TERMS, 6376, [], heard_part=1, uptimes_s=uptimes_s)
 
 
+def test_a_request_larger_than_the_shorter_span_passes() -> None:
+    work = AdmittedWork(8, FakeClock())
+    assert has_room(
+        TERMS, work, 8500, [], heard_part=1, uptimes_s=LONG_UPTIMES_S
+    )
+    work.note(1)
+    assert not has_room(
+        TERMS, work, 8499, [], heard_part=1, uptimes_s=LONG_UPTIMES_S
+    )
+
+
+@pytest.mark.parametrize('flood', [2, 8])
+@pytest.mark.parametrize('killed_at_s', [0.5, 1.1, 2, 3.5, 6.2])
+def test_nodes_killed_at_any_time_forget_no_quota(
+    flood: int, killed_at_s: float
+) -> None:
+    """Replays the flood with the kill at other times."""
+    total = _admitted_around_kill(flood, killed_at_s)
+    assert total <= TERMS.most * (1 + GRANTED_PART) + GRANTED
+
+
 @pytest.mark.parametrize('flood', [2, 8])
 def test_nodes_that_restart_together_forget_no_quota(flood: int) -> None:
     """Replays a flood in which all nodes are killed after four seconds."""
-    nodes, killed_at_s, back_at_s = 8, 4, 5.3
+    total = _admitted_around_kill(flood, killed_at_s=4)
+    assert total <= TERMS.most * (1 + GRANTED_PART) + GRANTED
+
+
+def _admitted_around_kill(flood: int, killed_at_s: float) -> float:
+    """Return what eight nodes admit in the eight seconds of a flood."""
+    nodes, back_at_s = 8, killed_at_s + 1.3
     admitted: list[tuple[float, float]] = []
     for began_at_s, ends_at_s in ((-100.0, killed_at_s), (back_at_s, 8)):
         clock = FakeClock(max(0, began_at_s))
@@ -62,21 +91,24 @@
             for number, own in enumerate(work):
                 cost = 0.02 * flood * TERMS.rate_per_s / nodes
                 peers = [
-                    PeerUse(other.used(), 0, 0)
+                    PeerSpans(
+                        PeerUse(other.used(), 0, 0),
+                        PeerUse(other.lately_used(), 0, 0),
+                    )
                     for rank, other in enumerate(work)
                     if rank != number
                 ]
-                if is_within(
+                if has_room(
                     TERMS,
-                    own.used() + cost,
+                    own,
+                    cost,
                     peers,
                     heard_part=1,
                     uptimes_s=uptimes_s,
                 ):
                     own.note(cost)
                     admitted.append((clock(), cost))
-    total = sum(cost for _, cost in admitted)
-    assert total <= TERMS.most * (1 + GRANTED_PART) + GRANTED
+    return sum(cost for _, cost in admitted)
 
 
 @pytest.mark.parametrize('nodes', [2, 6, 8])
@@ -84,25 +116,32 @@
     """Replays eight times the rate, evenly over nodes that tell each other."""
     clock = FakeClock()
     work = [AdmittedWork(8, clock) for _ in range(nodes)]
-    told = [PeerUse(0, 0, 0) for _ in range(nodes)]
+    told = [(0.0, 0.0, 0.0) for _ in range(nodes)]
     told_at_s = clock()
     admitted: list[tuple[float, float]] = []
     for _ in range(2000):
         clock.advance(0.01)
         if clock() - told_at_s >= TELL_INTERVAL_S:
             told_at_s = clock()
-            told = [PeerUse(each.used(), each.rate_per_s(), 0) for each in work]
+            told = [
+                (each.used(), each.lately_used(), each.rate_per_s())
+                for each in work
+            ]
         age_s = clock() - told_at_s
         for number, own in enumerate(work):
             cost = 0.08 * TERMS.rate_per_s / nodes
             peers = [
-                PeerUse(use.used, use.rate_per_s, age_s)
-                for other, use in enumerate(told)
+                PeerSpans(
+                    PeerUse(used, rate_per_s, age_s),
+                    PeerUse(lately_used, rate_per_s, age_s),
+                )
+                for other, (used, lately_used, rate_per_s) in enumerate(told)
                 if other != number
             ]
-            if is_within(
+            if has_room(
                 TERMS,
-                own.used() + cost,
+                own,
+                cost,
                 peers,
                 heard_part=1,
                 uptimes_s=LONG_UPTIMES_S,
