--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -3,7 +3,7 @@
 import logging
 import time
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mallowspindle.border import (
     Duties,
@@ -28,7 +28,8 @@
 
 # Time beyond the boot in which an ordered server should have registered.
 _REGISTERS_WITHIN_S = 2.5
-# Pause after a refusal until servers of that class are asked for again.
+# Pause after a refusal until servers of that class are asked for again. They
+# count as not to be had until they are granted.
 _REFUSED_PAUSE_S = 2.5
 # Surplus servers are given back after the fleet has been complete this long.
 _SETTLED_AFTER_S = 1.5
@@ -62,14 +63,14 @@
         self._sizers: dict[str, FleetSizer] = {}
         self._planned: dict[str, Wanted] = {}
         self._ordered: dict[Slot, _Ordered] = {}
-        self._refused_until_s: dict[Slot, float] = {}
+        self._refused_at_s: dict[Slot, float] = {}
         self._complete_since_s: float | None = None
 
     def forget(self) -> None:
         """Forget all orders: this node holds the duty anew."""
         self._sizers.clear()
         self._ordered.clear()
-        self._refused_until_s.clear()
+        self._refused_at_s.clear()
         self._complete_since_s = None
 
     async def step(self, fencing_number: int) -> None:
@@ -88,10 +89,7 @@
             # At a cold start the servers have yet to register.
             return
         wanted = self._wanted(spec.name)
-        zones = {
-            zone: self._zone_fleet(spec.name, zone, bounds)
-            for zone in bounds.zone_prices
-        }
+        zones = self._zone_fleets(spec.name, bounds)
         if self._is_settled(spec.name, wanted.when_scarce):
             serving = len(self._present_of(spec.name))
         else:
@@ -106,6 +104,35 @@
             serving -= max(0, present - goal)
             if goal != present:
                 await self._order(fencing_number, slot, goal)
+        await self._ask_again(fencing_number, spec, bounds, wanted)
+
+    async def _ask_again(
+        self,
+        fencing_number: int,
+        spec: BackendService,
+        bounds: FleetBounds,
+        wanted: Wanted,
+    ) -> None:
+        """Order servers that were refused a while ago.
+
+        Nothing is planned on them before they are granted: a fleet that
+        counts on them would give back those that stand in for them.
+        """
+        zones = self._zone_fleets(spec.name, bounds)
+        for slot in self._refused_long_ago(spec.name):
+            hoped = _with_granted(zones, slot)
+            targets = dict(_slots(spec.name, plan_fleet(bounds, hoped, wanted)))
+            if targets[slot] > self._present(slot):
+                await self._order(fencing_number, slot, targets[slot])
+
+    def _refused_long_ago(self, service: str) -> list[Slot]:
+        """Return what may be asked for again."""
+        horizon_s = self._clock() - _REFUSED_PAUSE_S
+        return [
+            slot
+            for slot, refused_at_s in self._refused_at_s.items()
+            if slot[0] == service and refused_at_s <= horizon_s
+        ]
 
     def _wanted(self, service: str) -> Wanted:
         """Return what the demand calls for, and log when that changes."""
@@ -154,8 +181,7 @@
         try:
             await self._duties.order_servers(fencing_number, order)
         except NoneAvailable as error:
-            until_s = self._clock() + _REFUSED_PAUSE_S
-            self._refused_until_s[slot] = until_s
+            self._refused_at_s[slot] = self._clock()
             log.info(
                 'no servers to be had', extra={**fields, 'error': str(error)}
             )
@@ -164,9 +190,18 @@
         except DutyError as error:
             log.warning('order failed', extra={**fields, 'error': str(error)})
         else:
+            self._refused_at_s.pop(slot, None)
             self._ordered[slot] = _Ordered(desired, self._clock())
             log.info('servers ordered', extra=fields)
 
+    def _zone_fleets(
+        self, service: str, bounds: FleetBounds
+    ) -> dict[str, ZoneFleet]:
+        return {
+            zone: self._zone_fleet(service, zone, bounds)
+            for zone in bounds.zone_prices
+        }
+
     def _zone_fleet(
         self, service: str, zone: str, bounds: FleetBounds
     ) -> ZoneFleet:
@@ -177,8 +212,8 @@
         return ZoneFleet(
             reclaimable=self._coming(reclaimable),
             on_demand=self._coming(on_demand),
-            reclaimable_to_be_had=self._to_be_had(reclaimable),
-            on_demand_to_be_had=self._to_be_had(on_demand),
+            reclaimable_to_be_had=reclaimable not in self._refused_at_s,
+            on_demand_to_be_had=on_demand not in self._refused_at_s,
         )
 
     def _expire_order(self, slot: Slot, bounds: FleetBounds) -> None:
@@ -210,9 +245,6 @@
             and not server.draining
         ]
 
-    def _to_be_had(self, slot: Slot) -> bool:
-        return self._clock() >= self._refused_until_s.get(slot, 0)
-
     def _is_settled(self, service: str, least: int) -> bool:
         """Tell whether more than ``least`` servers have served for a while.
 
@@ -234,3 +266,16 @@
     for zone, target in targets.items():
         yield (service, zone, True), target.reclaimable
         yield (service, zone, False), target.on_demand
+
+
+def _with_granted(
+    zones: Mapping[str, ZoneFleet], slot: Slot
+) -> dict[str, ZoneFleet]:
+    """Return the zones as if a refused slot's servers were to be had."""
+    _, zone, reclaimable = slot
+    fleet = zones[zone]
+    if reclaimable:
+        granted = replace(fleet, reclaimable_to_be_had=True)
+    else:
+        granted = replace(fleet, on_demand_to_be_had=True)
+    return {**zones, zone: granted}
--- a/mallowspindle/policies/fleet.py
+++ b/mallowspindle/policies/fleet.py
@@ -2,9 +2,8 @@
 
 Load pattern: reclaimable servers cost a fifth of the others, but a zone's are
 all taken away at once, and then none may be had for a while. Servers are
-spread over the zones, reclaimable ones wherever they are to be had; what the
-reclaimable ones lack is made up by on-demand servers in the cheapest zones
-until reclaimable ones are back.
+spread over the zones that have reclaimable ones; what these lack is made up by
+on-demand servers in the cheapest zones until reclaimable ones are back.
 """
 
 import math
@@ -130,14 +129,12 @@
     bounds: FleetBounds, zones: Mapping[str, ZoneFleet], wanted: Wanted
 ) -> dict[str, ZoneTarget]:
     """Return the target of each zone for the servers wanted in all."""
-    spread = _spread(bounds, zones, wanted.servers)
-    reclaimable = {
-        zone: _reclaimable_target(bounds, fleet, spread[zone])
-        for zone, fleet in zones.items()
-    }
-    missing = wanted.when_scarce - sum(reclaimable.values())
     if bounds.reclaimable_price is None:
+        reclaimable = dict.fromkeys(zones, 0)
         missing = wanted.servers
+    else:
+        reclaimable = _spread(bounds, zones, wanted.servers)
+        missing = wanted.when_scarce - sum(reclaimable.values())
     on_demand = dict.fromkeys(zones, 0)
     for cheap in _cheapest_first(bounds, zones):
         room = bounds.most - reclaimable[cheap]
@@ -149,27 +146,25 @@
     }
 
 
-def _reclaimable_target(
-    bounds: FleetBounds, fleet: ZoneFleet, share: int
-) -> int:
-    if bounds.reclaimable_price is None:
-        return 0
-    if fleet.reclaimable_to_be_had:
-        return share
-    return min(share, fleet.reclaimable)
-
-
 def _spread(
     bounds: FleetBounds, zones: Mapping[str, ZoneFleet], wanted: int
 ) -> dict[str, int]:
-    """Spread servers evenly, the cheapest zones first."""
-    spread = dict.fromkeys(zones, bounds.least)
-    most = bounds.most * len(spread)
-    left = min(wanted, most) - sum(spread.values())
+    """Spread reclaimable servers evenly, the cheapest zones first.
+
+    A zone in which none are to be had keeps those that it has.
+    """
+    most = {
+        zone: bounds.most
+        if fleet.reclaimable_to_be_had
+        else min(bounds.most, fleet.reclaimable)
+        for zone, fleet in zones.items()
+    }
+    spread = {zone: min(bounds.least, most[zone]) for zone in zones}
+    left = min(wanted, sum(most.values())) - sum(spread.values())
     turns: Iterator[str] = cycle(_cheapest_first(bounds, zones))
     while left > 0:
         zone = next(turns)
-        if spread[zone] < bounds.most:
+        if spread[zone] < most[zone]:
             spread[zone] += 1
             left -= 1
     return spread
--- a/mallowspindle/tests/duties/test_fleet.py
+++ b/mallowspindle/tests/duties/test_fleet.py
@@ -1,6 +1,6 @@
 """Orders of the fleet's keeper."""
 
-from mallowspindle.border import Duties, FleetOrder
+from mallowspindle.border import Duties, FleetOrder, NoneAvailable
 from mallowspindle.catalog.routes import (
     BackendService,
     Configuration,
@@ -46,6 +46,22 @@
         self.orders.append(order)
 
 
+class DryDuties(FakeDuties):
+    """Refuses reclaimable servers while the zones are dry."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.dry = True
+
+    async def order_servers(
+        self, fencing_number: int, order: FleetOrder
+    ) -> None:
+        """Keep an order, or refuse it."""
+        if self.dry and order.reclaimable:
+            raise NoneAvailable('none of that kind')
+        await super().order_servers(fencing_number, order)
+
+
 async def test_servers_are_kept_until_their_replacements_serve() -> None:
     """Replays the end of a dry spell: reclaimable servers come late."""
     clock = FakeClock()
@@ -69,6 +85,24 @@
     assert min(_on_demand_orders(duties)) == 0
 
 
+async def test_stand_ins_stay_while_reclaimable_servers_are_refused() -> None:
+    """Replays a dry spell: each refusal comes after a pause."""
+    clock = FakeClock()
+    catalog, duties = FakeCatalog(), DryDuties()
+    catalog.put('dear-0', 'b', reclaimable=False)
+    keeper = FleetKeeper(
+        catalog,  # type: ignore[arg-type]
+        duties,
+        lambda service: Demand(reading=0.8, running=5, slots=64),
+        clock,
+    )
+    await _run(keeper, clock)
+    assert set(_on_demand_orders(duties)) == {3}
+    duties.dry = False
+    await _run(keeper, clock)
+    assert any(order.reclaimable for order in duties.orders)
+
+
 async def _run(keeper: FleetKeeper, clock: FakeClock) -> None:
     for _ in range(100):
         clock.advance(0.2)
--- a/mallowspindle/tests/policies/test_fleet.py
+++ b/mallowspindle/tests/policies/test_fleet.py
@@ -37,6 +37,14 @@
     assert on_demand == {'a': 0, 'b': 2, 'c': 0, 'd': 0}
 
 
+def test_zones_that_have_reclaimable_servers_make_up_for_a_dry_one() -> None:
+    zones = {**ALL_FREE, 'b': ZoneFleet(0, 0, reclaimable_to_be_had=False)}
+    targets = plan_fleet(BOUNDS, zones, Wanted(6, 5))
+    reclaimable = {zone: each.reclaimable for zone, each in targets.items()}
+    assert reclaimable == {'a': 2, 'b': 0, 'c': 2, 'd': 2}
+    assert not any(each.on_demand for each in targets.values())
+
+
 def test_no_zone_gets_more_than_its_bound() -> None:
     targets = plan_fleet(BOUNDS, ALL_FREE, Wanted(40, 40))
     assert all(
