Never start a moved stream anew; find room before a run is stopped

A stream of a route that must not run twice was moved off a reclaimed server; its target answered 421, as its address had passed to another server. The exchange took that for a request that never ran and sent it to the next server. Ruled out: the cut itself (resumed runs carry their last event and are allowed only on resumable routes); the refusal is true of the target, not of the run. Now a refused continuation goes on at the source, which keeps the memory, or ends as a cut stream. Copies are made while the run goes on, at up to three servers; only then is it stopped. Any server that names its end is evacuated, not the reclaimable ones alone.

--- a/mallowspindle/backends/evacuation.py
+++ b/mallowspindle/backends/evacuation.py
@@ -6,7 +6,7 @@
 
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.backends.view import BackendView, Relocation, Work
-from mallowspindle.border import BorderService, MoveError, Moves
+from mallowspindle.border import BorderService, MoveError, Moves, NoRoom
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
@@ -17,6 +17,10 @@
 # Time before the server's end at which moves begin: streams that end by then
 # need none, and the memory of the others still passes the server's link.
 _LEAD_S = 1.6
+# Servers that are asked to take a stream; each answers within a transfer.
+_MOST_TARGETS = 3
+# Pause before the streams that are still there are looked at again.
+_ROUND_S = 0.2
 
 
 @service('evacuation', requires=('border', 'backends', 'catalog'))
@@ -51,7 +55,7 @@
 
     def _look(self) -> None:
         for server in self._catalog.servers.values():
-            if not (server.reclaimable and server.draining):
+            if not server.draining:
                 continue
             if server.server_id not in self._leaving:
                 self._leaving.add(server.server_id)
@@ -76,36 +80,86 @@
             'backend server is reclaimed',
             extra={'server': server_id, 'left_s': left_s},
         )
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + left_s
         await asyncio.sleep(max(0, left_s - _LEAD_S))
+        while loop.time() < ends_at_s:
+            await self._move_all(view)
+            await asyncio.sleep(_ROUND_S)
+
+    async def _move_all(self, view: BackendView) -> None:
         streams = [work for work in view.work if work.streaming]
         # Short memories first: they hold up the others least.
         streams.sort(key=lambda work: work.request.prompt_tokens or 0)
         for work in streams:
-            if work in view.work:
+            if work in view.work and work.move is None:
                 await self._move(view, work)
 
     async def _move(self, view: BackendView, work: Work) -> None:
-        request = work.request
-        pick = self._backends.pick(
-            view.server.service, request, {view.server.server_id}
+        """Move a stream to the first server that has room for a copy."""
+        avoid = {view.server.server_id}
+        for _ in range(_MOST_TARGETS):
+            pick = self._backends.pick(view.server.service, work.request, avoid)
+            if pick is None:
+                return
+            try:
+                await self._move_to(pick.view, view, work)
+            except NoRoom as error:
+                _log_not_moved(view, pick.view, work, error)
+                avoid.add(pick.view.server.server_id)
+            except MoveError as error:
+                _log_not_moved(view, pick.view, work, error)
+                return
+            else:
+                return
+
+    async def _move_to(
+        self, target: BackendView, source: BackendView, work: Work
+    ) -> None:
+        """Copy while the stream runs, then stop it and copy the rest."""
+        address = source.server.address
+        request_id = work.request.request_id
+        copy = await self._moves.copy(
+            address, request_id, target.server.address
         )
-        if pick is None:
-            return
         work.move = asyncio.get_running_loop().create_future()
-        target = pick.view.server
-        fields = {
-            'request': request.request_id,
-            'source': view.server.server_id,
-            'target': target.server_id,
-        }
         try:
             run = await self._moves.move(
-                view.server.address, request.request_id, target.address
+                address, request_id, target.server.address
             )
-        except MoveError as error:
-            log.info('stream not moved', extra={**fields, 'error': str(error)})
+        except NoRoom as error:
+            if error.kept is None:
+                work.move.cancel()
+                raise
+            _settle(work, Relocation(source, error.kept))
+            _log_not_moved(source, target, work, error)
+        except MoveError:
             work.move.cancel()
-            return
-        log.info('stream moved', extra=fields)
-        if not work.move.done():
-            work.move.set_result(Relocation(pick.view, run))
+            await self._moves.drop(copy)
+            raise
+        else:
+            _settle(work, Relocation(target, run, Relocation(source, run)))
+            log.info('stream moved', extra=_fields(source, target, work))
+
+
+def _settle(work: Work, relocation: Relocation) -> None:
+    """Tell the exchange where its stream goes on."""
+    if work.move is not None and not work.move.done():
+        work.move.set_result(relocation)
+
+
+def _log_not_moved(
+    source: BackendView, target: BackendView, work: Work, error: MoveError
+) -> None:
+    fields = _fields(source, target, work)
+    log.info('stream not moved', extra={**fields, 'error': str(error)})
+
+
+def _fields(
+    source: BackendView, target: BackendView, work: Work
+) -> dict[str, str]:
+    return {
+        'request': work.request.request_id,
+        'source': source.server.server_id,
+        'target': target.server.server_id,
+    }
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -44,10 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Relocation:
-    """Where a moved request goes on, and from which memory."""
+    """Where a moved request goes on, and from which memory.
+
+    ``otherwise`` is where it goes on if the target does not take it.
+    """
 
     target: BackendView
     run: MovedRun
+    otherwise: Relocation | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/mallowspindle/border.py
+++ b/mallowspindle/border.py
@@ -97,21 +97,46 @@
         ``MoveError`` if it does not answer.
         """
 
+    @abstractmethod
+    async def copy(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> MovedRun:
+        """Copy a run's memory to another server while the run goes on.
+
+        ``NoRoom`` if that server can't take it; ``MoveError`` if the run
+        has ended or can't be moved at all.
+        """
+
     @abstractmethod
     async def move(
         self, source_address: str, request_id: str, target_address: str
     ) -> MovedRun:
-        """Stop a run and copy its memory to another server.
+        """Stop a run and copy what another server still lacks of its memory.
 
-        Its stream ends without an end. ``MoveError`` if there is nothing to
-        go on from.
+        Its stream ends without an end. ``NoRoom`` if it can only go on where
+        it was; ``MoveError`` if there is nothing to go on from.
         """
 
+    @abstractmethod
+    async def drop(self, run: MovedRun) -> None:
+        """Free a copy that is of no use any longer."""
+
 
 class MoveError(Exception):
     """A run was not moved."""
 
 
+class NoRoom(MoveError):
+    """The other server can't take a run.
+
+    ``kept`` is the memory at the source if the run was stopped.
+    """
+
+    def __init__(self, reason: str, kept: MovedRun | None = None) -> None:
+        super().__init__(reason)
+        self.kept = kept
+
+
 @dataclass(frozen=True, slots=True)
 class FleetOrder:
     """How many servers of one class a service shall have in a zone."""
--- a/mallowspindle/platform/moves.py
+++ b/mallowspindle/platform/moves.py
@@ -1,20 +1,24 @@
 """Moves of running requests between model servers."""
 
+from collections.abc import Mapping
+
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from mallowspindle.border import MoveError, Moves
+from mallowspindle.border import MoveError, Moves, NoRoom
 from mallowspindle.proxy.messages import MovedRun
 
 _OK = 200
+_UNAVAILABLE = 503
 _MS = 1000
 
 
 class _Moved(BaseModel):
     model_config = ConfigDict(extra='ignore')
 
-    # Names the copy, at the source and at the target.
-    handle: str
+    # Names the copy, at the source and at the target; absent if there is no
+    # copy and the run was not stopped.
+    handle: str | None = None
 
 
 class _Report(BaseModel):
@@ -43,11 +47,37 @@
         left_ms = report.leaves_ms
         return None if left_ms is None else left_ms / _MS
 
+    async def copy(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> MovedRun:
+        """Copy a run; see ``Moves.copy``."""
+        return await self._call(
+            source_address, {'id': request_id, 'to': target_address}
+        )
+
     async def move(
         self, source_address: str, request_id: str, target_address: str
     ) -> MovedRun:
         """Move a run; see ``Moves.move``."""
-        body = {'id': request_id, 'to': target_address, 'last': True}
+        return await self._call(
+            source_address,
+            {'id': request_id, 'to': target_address, 'last': True},
+        )
+
+    async def drop(self, run: MovedRun) -> None:
+        """Free a copy at both ends; see ``Moves.drop``."""
+        url = f'http://{run.source_address}/kv-handle/{run.handle}'
+        try:
+            async with self._session.delete(
+                url, timeout=self._timeout
+            ) as response:
+                await response.read()
+        except (ClientError, TimeoutError) as error:
+            raise MoveError(f'a copy was not freed: {error!r}') from error
+
+    async def _call(
+        self, source_address: str, body: Mapping[str, str | bool]
+    ) -> MovedRun:
         try:
             async with self._session.post(
                 f'http://{source_address}/kv-move',
@@ -58,11 +88,24 @@
                 answer = await response.read()
         except (ClientError, TimeoutError) as error:
             raise MoveError(f'no answer to a move: {error!r}') from error
-        if status != _OK:
-            raise MoveError(f'the server answered {status} to a move')
-        try:
-            return MovedRun(
-                source_address, _Moved.model_validate_json(answer).handle
-            )
-        except ValidationError as error:
-            raise MoveError(f'unusable answer to a move: {error}') from error
+        return _decode_run(source_address, status, answer)
+
+
+def _decode_run(source_address: str, status: int, answer: bytes) -> MovedRun:
+    """Return the copied run; ``MoveError`` if there is none."""
+    if status not in {_OK, _UNAVAILABLE}:
+        raise MoveError(f'the server answered {status} to a move')
+    handle = _decode_handle(answer)
+    run = None if handle is None else MovedRun(source_address, handle)
+    if status == _UNAVAILABLE:
+        raise NoRoom('the other server has no room', run)
+    if run is None:
+        raise MoveError('an answer to a move names no copy')
+    return run
+
+
+def _decode_handle(answer: bytes) -> str | None:
+    try:
+        return _Moved.model_validate_json(answer).handle
+    except ValidationError as error:
+        raise MoveError(f'unusable answer to a move: {error}') from error
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -105,12 +105,18 @@
     ) -> AttemptOutcome:
         """Send the request and follow its run to where it is moved."""
         outcome = await self._attempt(view, body)
+        if not isinstance(outcome, NotRun):
+            self._runs += 1
         self._note(view, outcome, number)
         while self._relocation is not None:
             moved = self._relocation
             self._relocation = None
             outcome = await self._attempt(moved.target, body, moved.run)
             self._note(moved.target, outcome, number)
+            if isinstance(outcome, NotRun):
+                # The run that was to go on there has run before.
+                self._relocation = moved.otherwise
+                outcome = Unknown(f'a moved run found no place: {outcome}')
         return outcome
 
     async def _attempt(
@@ -223,18 +229,15 @@
             case Unknown() if self._relocation is not None:
                 log.info('stream goes on elsewhere', extra=fields)
             case Unknown(reason=reason):
-                self._runs += 1
                 view.note_failure()
                 log.info('attempt lost', extra={**fields, 'reason': reason})
             case Answered(head=head) if head.status >= _SERVER_ERROR:
-                self._runs += 1
                 self._last_failure = outcome
                 view.note_failure()
                 log.info(
                     'server failed', extra={**fields, 'status': head.status}
                 )
             case _:
-                self._runs += 1
                 view.note_success()
 
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -9,7 +9,8 @@
 
     ``down`` refuses everything, ``slow_s`` delays answers, ``lose_answers``
     drops answers after the effect, ``late_s`` delays the effect itself,
-    ``refuse`` answers 503 without any effect.
+    ``refuse`` answers 503 without any effect, ``no_room`` refuses copies of
+    runs and ``no_room_at_last`` those of runs that have just been stopped.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -24,6 +25,8 @@
     cut_after_tokens: int = 0
     cuts: int = 0
     leaving: bool = False
+    no_room: int = 0
+    no_room_at_last: int = 0
 
     def take(self, name: str) -> bool:
         """Use one of the counted faults; False if none is left."""
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -42,6 +42,7 @@
         app.router.add_get('/runs', self._list)
         app.router.add_get('/report', self._report)
         app.router.add_post('/kv-move', self._move)
+        app.router.add_delete('/kv-handle/{handle}', self._drop)
         add_fault_routes(app, self._faults)
         app.router.add_route('*', '/{path:.*}', self._serve)
         return app
@@ -95,7 +96,7 @@
         request_id = request.headers['Request-Id']
         for number in range(first, self._events + 1):
             await asyncio.sleep(self._pause_s)
-            if request_id in self._moved:
+            if request_id in self._moved and 'Kv-From' not in request.headers:
                 drop_connection(request)
                 return response
             if cut and number - first == self._faults.cut_after_tokens:
@@ -106,14 +107,22 @@
         return response
 
     async def _move(self, request: Request) -> Response:
-        """Stop a run, as if its memory were copied to another server."""
+        """Copy a run's memory to another server; ``last`` stops the run."""
         asked = await request.json()
         running = {run['id'] for run in self._runs if not run['ended']}
         if asked['id'] not in running:
             return Response(status=404)
-        self._moved.add(asked['id'])
+        if self._faults.take('no_room'):
+            return json_response({}, status=503)
+        if asked.get('last'):
+            self._moved.add(asked['id'])
+            if self._faults.take('no_room_at_last'):
+                return json_response({'handle': 'h1'}, status=503)
         return json_response({'handle': 'h1', 'create_rev': 0})
 
+    async def _drop(self, request: Request) -> Response:
+        return Response()
+
     async def _report(self, request: Request) -> Response:
         running = sum(not run['ended'] for run in self._runs)
         report = {'running': running, 'waiting': 0}
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+from functools import partial
+from typing import Any
 
 import pytest
 from aiohttp import ClientError
@@ -14,6 +16,14 @@
     registered,
 )
 
+_MANY = 70
+
+
+def _events(count: int) -> str:
+    return ''.join(
+        f'id: {number}\ndata: t{number}\n\n' for number in range(1, count + 1)
+    )
+
 
 async def test_streams_events(venture: GatewayVenture) -> None:
     status, _, text = await venture.call('entry-1', 'POST', '/letters/x', 'r1')
@@ -99,14 +109,77 @@
     await venture.register('model-3', 'models', state='draining', spot=True)
     status, _, text = await stream
     assert status == 200
-    assert text == ''.join(
-        f'id: {number}\ndata: t{number}\n\n' for number in range(1, 201)
-    )
+    assert text == _events(200)
     (run,) = await venture.runs('model-4')
     address = venture.process('model-3').address
     assert run['headers']['Kv-From'] == f'{address}/h1'
 
 
+async def _stream_off_a_reclaimed_server(
+    venture: GatewayVenture,
+) -> tuple[str, list[dict[str, Any]]]:
+    """Return the text of such a stream, and the runs of its request."""
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+    await venture.wait_until(lambda: registered(venture, 'model-3'))
+    stream = asyncio.create_task(
+        venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    )
+    await venture.wait_until(lambda: has_run(venture, 'r1'))
+    for name in ('model-4', 'model-5'):
+        await venture.start_server(name, 'models', f'--events={_MANY}')
+        await venture.set_faults(name, refuse=100)
+        await venture.wait_until(partial(registered, venture, name))
+    await venture.register('model-3', 'models', state='draining', spot=True)
+    status, _, text = await stream
+    assert status == 200
+    runs = await asyncio.gather(
+        *(venture.runs(f'model-{number}') for number in (3, 4, 5))
+    )
+    return text, [run for part in runs for run in part]
+
+
+async def test_a_moved_stream_that_is_refused_goes_on_where_it_was(
+    venture: GatewayVenture,
+) -> None:
+    """It has run: a server that refuses it must not start it anew."""
+    await venture.start_server(
+        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
+    )
+    await venture.set_faults('model-3', leaving=True)
+    text, runs = await _stream_off_a_reclaimed_server(venture)
+    assert text == _events(_MANY)
+    address = venture.process('model-3').address
+    handles = [run['headers'].get('Kv-From') for run in runs]
+    assert handles[0] is None
+    assert set(handles[1:]) == {f'{address}/h1'}
+
+
+async def test_a_stream_without_room_elsewhere_stays(
+    venture: GatewayVenture,
+) -> None:
+    """Replays a full fleet: copies are refused before a run is stopped."""
+    await venture.start_server(
+        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
+    )
+    await venture.set_faults('model-3', leaving=True, no_room=1000)
+    text, runs = await _stream_off_a_reclaimed_server(venture)
+    assert text == _events(_MANY)
+    assert len(runs) == 1
+
+
+async def test_a_stopped_stream_without_room_goes_on_at_its_source(
+    venture: GatewayVenture,
+) -> None:
+    await venture.start_server(
+        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
+    )
+    await venture.set_faults('model-3', leaving=True, no_room_at_last=1)
+    text, runs = await _stream_off_a_reclaimed_server(venture)
+    assert text == _events(_MANY)
+    assert {run['id'] for run in runs} == {'r1'}
+
+
 async def test_leaving_callers_end_the_work(venture: GatewayVenture) -> None:
     await venture.start_server(
         'model-3', 'models', '--events=1000', '--pause-s=0.05'
