Keep a copy of streams that must not run twice at a second server

Ruled out: resuming (not allowed on these routes), copies of streams that may run again (a prompt of 12,000 tokens to transfer for each). Each such stream names a server in another zone that keeps a copy of its run as it grows; a stream that is lost after its first event goes on there. Only answers that are long for their prompt are copied.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -114,22 +114,21 @@
     ) -> Pick | None:
         """Return the server for the next attempt; None if there is none."""
         usable = self.usable(service_name, avoid)
-        if not usable:
+        return self._pick_of(usable, request, self._zone, 'predicted')
+
+    def pick_copy_keeper(
+        self, running: BackendView, request: CallerRequest
+    ) -> BackendView | None:
+        """Return the server that keeps a copy of a run; None if none can."""
+        service_name = running.server.service
+        configuration = self._catalog.configuration
+        spec = configuration and configuration.services.get(service_name)
+        if not (spec and spec.engine and spec.engine.can_back_up):
             return None
-        peer_loads = self._peer_loads()
-        owners = self._owners(usable, request)
-        placement = Placement(
-            self._zone, request.prompt_tokens or 0, self._cache_worth(request)
-        )
-        candidates = [
-            self._candidate(view, request, peer_loads, owners)
-            for view in usable
-        ]
-        chosen = choose_server(candidates, placement)
-        view = next(
-            view for view in usable if view.server.server_id == chosen.server_id
-        )
-        return Pick(view, chosen.backlog_s)
+        usable = self.usable(service_name, {running.server.server_id})
+        zone = running.server.zone
+        pick = self._pick_of(usable, request, zone, 'copy_keeper')
+        return pick.view if pick else None
 
     def note_demand(self, service_name: str, request: CallerRequest) -> None:
         """Count what a caller asks of a service, served or not."""
@@ -171,6 +170,30 @@
                 self._sharing.hurry()
             yield work
 
+    def _pick_of(
+        self,
+        usable: list[BackendView],
+        request: CallerRequest,
+        zone: str,
+        policy: str,
+    ) -> Pick | None:
+        if not usable:
+            return None
+        peer_loads = self._peer_loads()
+        owners = self._owners(usable, request)
+        placement = Placement(
+            zone, request.prompt_tokens or 0, self._cache_worth(request)
+        )
+        candidates = [
+            self._candidate(view, request, peer_loads, owners)
+            for view in usable
+        ]
+        chosen = choose_server(candidates, placement, policy)
+        view = next(
+            view for view in usable if view.server.server_id == chosen.server_id
+        )
+        return Pick(view, chosen.backlog_s)
+
     def _candidate(
         self,
         view: BackendView,
--- a/mallowspindle/platform/dialect.py
+++ b/mallowspindle/platform/dialect.py
@@ -104,6 +104,7 @@
             ('Tenant', dispatch.organisation),
             ('Last-Event-Id', dispatch.last_event_id),
             ('Kv-From', _encode_run(dispatch.continues)),
+            ('Kv-Backup', dispatch.copy_keeper),
         )
         headers.update({name: text for name, text in added if text is not None})
         return headers
--- a/mallowspindle/policies/placement.py
+++ b/mallowspindle/policies/placement.py
@@ -95,6 +95,16 @@
     )
 
 
+@policy('copy_keeper')
+def copy_keeper_cost(candidate: Candidate, placement: Placement) -> float:
+    """Return the cost of keeping a copy of a run at ``placement.zone``.
+
+    A zone's servers may be lost together, so another zone goes first.
+    """
+    same_zone = candidate.zone == placement.zone
+    return same_zone + candidate.full + candidate.running / candidate.slots
+
+
 def choose_server(
     candidates: Sequence[Candidate],
     placement: Placement,
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -6,12 +6,14 @@
 
 from aiohttp import ClientError
 from aiohttp.web import BaseRequest, Response, StreamResponse
+from multidict import CIMultiDict
 
 from mallowspindle.backends.service import Pick
 from mallowspindle.backends.view import BackendView, Relocation, Work
 from mallowspindle.catalog.routes import Organisation, Route, RouteKind
 from mallowspindle.outcomes import NotRun, Unknown
 from mallowspindle.policies.admission import Turn, refusal_pause_s
+from mallowspindle.policies.copies import is_worth_copying
 from mallowspindle.policies.splitting import choose_service
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.connections import MatchedResponse
@@ -125,28 +127,61 @@
         self._tried.add(view.server.server_id)
         mark = SendMark()
         request = self._request
-        dispatch = Dispatch(
-            server_id=view.server.server_id,
-            time_left_s=self._time_left_s(),
-            organisation=self._organisation.name
-            if self._organisation
-            else None,
-            last_event_id=self._splitter.last_event_id,
-            continues=continues,
-        )
-        headers = self._context.dialect.encode_dispatch(request, dispatch)
+        keeper = self._copy_keeper(view)
+        headers = self._dispatch_headers(view, continues, keeper)
         url = f'http://{view.server.address}{request.target}'
         with self._context.backends.working(view, request) as work:
             try:
                 async with self._context.upstream.send(
                     request.method, url, headers, body, mark
                 ) as answer:
-                    return await self._take(answer, work)
+                    outcome = await self._take(answer, work)
             except (ClientError, OSError, TimeoutError) as error:
                 if self._is_overdue():
                     raise TimeoutError from error
-                self._relocation = await relocated(work)
-                return self._lost(error, mark)
+                outcome = self._lost(error, mark)
+            if isinstance(outcome, Unknown):
+                moved = await relocated(work)
+                self._relocation = moved or self._copied_run(keeper)
+        return outcome
+
+    def _dispatch_headers(
+        self,
+        view: BackendView,
+        continues: MovedRun | None,
+        keeper: BackendView | None,
+    ) -> CIMultiDict[str]:
+        organisation = self._organisation
+        dispatch = Dispatch(
+            server_id=view.server.server_id,
+            time_left_s=self._time_left_s(),
+            organisation=organisation.name if organisation else None,
+            last_event_id=self._splitter.last_event_id,
+            continues=continues,
+            copy_keeper=keeper.server.address if keeper else None,
+        )
+        return self._context.dialect.encode_dispatch(self._request, dispatch)
+
+    def _copy_keeper(self, view: BackendView) -> BackendView | None:
+        """Return who keeps a copy of the run that is about to begin.
+
+        Streams that may run again need none: their prompt is read anew.
+        """
+        if self._route.kind is not RouteKind.STREAM or self._route.repeatable:
+            return None
+        request = self._request
+        if not is_worth_copying(
+            request.prompt_tokens or 0, request.likely_output_tokens
+        ):
+            return None
+        return self._context.backends.pick_copy_keeper(view, request)
+
+    def _copied_run(self, keeper: BackendView | None) -> Relocation | None:
+        """Return where a lost stream goes on, if a copy may be there."""
+        if keeper is None or self._response is None:
+            return None
+        run = MovedRun(keeper.server.address, self._request.request_id)
+        return Relocation(keeper, run)
 
     def _lost(self, error: Exception, mark: SendMark) -> AttemptOutcome:
         self._splitter.drop_pending()
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -47,10 +47,20 @@
             return None
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def likely_output_tokens(self) -> int:
+        """The tokens that the answer probably has."""
+        if self.expected_output_tokens is None:
+            return self.output_tokens
+        return self.expected_output_tokens
+
 
 @dataclass(frozen=True, slots=True)
 class MovedRun:
-    """The memory of a run that has been moved to another server."""
+    """The memory of a run that may go on at another server.
+
+    A copy that a server keeps while the run is elsewhere bears the run's id.
+    """
 
     source_address: str
     handle: str
@@ -58,13 +68,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """What the system adds when it sends a request to a server."""
+    """What the system adds when it sends a request to a server.
+
+    ``copy_keeper`` is the address of a server that keeps a copy of the run.
+    """
 
     server_id: str
     time_left_s: float
     organisation: str | None = None
     last_event_id: str | None = None
     continues: MovedRun | None = None
+    copy_keeper: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/tests/gateway/observations.py
+++ b/mallowspindle/tests/gateway/observations.py
@@ -1,6 +1,7 @@
 """What tests of gateways look at."""
 
 import asyncio
+from typing import Any
 
 from mallowspindle.standins.gateways import GatewayVenture
 
@@ -12,7 +13,7 @@
 
 async def all_runs(
     venture: GatewayVenture, request_id: str
-) -> list[dict[str, object]]:
+) -> list[dict[str, Any]]:
     """Return the runs of a request at all servers."""
     names = ('model-1', 'model-2', 'shop-1', 'shop-2')
     runs = await asyncio.gather(*(venture.runs(name) for name in names))
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -7,12 +7,14 @@
 
 import pytest
 from aiohttp import ClientError
+from multidict import CIMultiDict
 
 from mallowspindle.standins.gateways import GatewayVenture
 from mallowspindle.tests.gateway.observations import (
     WHOLE_STREAM,
     all_runs,
     has_run,
+    has_version,
     registered,
 )
 
@@ -58,6 +60,59 @@
     assert len(await all_runs(venture, 'r1')) == 1
 
 
+async def test_goes_on_from_the_copy_of_a_lost_server(
+    venture: GatewayVenture,
+) -> None:
+    """Replays a crash: a stream that must not run again is cut."""
+    engine = {'slots': 8, 'kv_capacity_tokens': 10_000, 'backups': True}
+    services = [
+        {'name': 'models', 'max_connections': 100, 'engine': engine},
+        {'name': 'shop', 'max_connections': 100},
+    ]
+    await venture.configure(version=8, services=services)
+    await venture.wait_until(lambda: has_version(venture, 8))
+    for name in ('model-1', 'model-2'):
+        await venture.set_faults(name, cuts=1, cut_after_tokens=2)
+    _, _, text = await venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    assert text == WHOLE_STREAM
+    runs = [
+        CIMultiDict(run['headers']) for run in await all_runs(venture, 'r1')
+    ]
+    runs.sort(key=lambda headers: headers.get('Last-Event-Id', '0'))
+    first, second, third = runs
+    assert (second['Last-Event-Id'], third['Last-Event-Id']) == ('2', '4')
+    assert second['Kv-From'] == f'{first["Kv-Backup"]}/r1'
+    assert third['Kv-From'] == f'{second["Kv-Backup"]}/r1'
+
+
+async def test_a_lost_stream_without_a_copy_is_cut(
+    venture: GatewayVenture,
+) -> None:
+    engine = {'slots': 8, 'kv_capacity_tokens': 10_000, 'backups': True}
+    services = [{'name': 'models', 'max_connections': 100, 'engine': engine}]
+    await venture.configure(version=8, services=services)
+    await venture.wait_until(lambda: has_version(venture, 8))
+    await venture.start_server('model-3', 'models', f'--events={_MANY}')
+    await venture.wait_until(lambda: registered(venture, 'model-3'))
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+    await venture.set_faults('model-3', cuts=1, cut_after_tokens=20)
+    await venture.wait_until(lambda: _is_draining(venture, 'model-2'))
+    stream = asyncio.create_task(
+        venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    )
+    with pytest.raises(ClientError):
+        await stream
+    assert len(await venture.runs('model-3')) == 1
+
+
+async def _is_draining(venture: GatewayVenture, server: str) -> bool:
+    return any(
+        line['server'] == server and line['draining']
+        for line in venture.log_lines('entry-1', 'backend server registered')
+    )
+
+
 async def test_sigterm_finishes_streams(venture: GatewayVenture) -> None:
     await venture.start_server(
         'model-3', 'models', '--events=20', '--pause-s=0.1'
