Keep lease, usage and fleet in separate tasks; tell peers of a release

A holder that stops at SIGTERM appends a release that nobody reads for three seconds. Ruled out: a shorter time-out (orders that are only slow would be sent twice).

--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -1,5 +1,6 @@
 """Orders backend servers as the fleet policy plans them."""
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -94,8 +95,10 @@
             serving = len(self._present_of(spec.name))
         else:
             serving = 0
-        targets = plan_fleet(bounds, zones, wanted)
-        for slot, desired in _slots(spec.name, targets):
+        goals: dict[Slot, int] = {}
+        for slot, desired in _slots(
+            spec.name, plan_fleet(bounds, zones, wanted)
+        ):
             present = self._present(slot)
             # Dear servers go as soon as those that serve besides carry the
             # load; cheap ones stay while any server is missing.
@@ -103,27 +106,41 @@
             goal = max(desired, present - max(0, serving - least))
             serving -= max(0, present - goal)
             if goal != present:
-                await self._order(fencing_number, slot, goal)
-        await self._ask_again(fencing_number, spec, bounds, wanted)
+                goals[slot] = goal
+        goals.update(self._asked_again(spec.name, bounds, wanted))
+        await self._order_all(fencing_number, goals)
 
-    async def _ask_again(
-        self,
-        fencing_number: int,
-        spec: BackendService,
-        bounds: FleetBounds,
-        wanted: Wanted,
-    ) -> None:
-        """Order servers that were refused a while ago.
+    def _asked_again(
+        self, service: str, bounds: FleetBounds, wanted: Wanted
+    ) -> dict[Slot, int]:
+        """Return what to order of what was refused a while ago.
 
-        Nothing is planned on them before they are granted: a fleet that
-        counts on them would give back those that stand in for them.
+        Nothing is planned on these servers before they are granted: a fleet
+        that counts on them would give back those that stand in for them.
         """
-        zones = self._zone_fleets(spec.name, bounds)
-        for slot in self._refused_long_ago(spec.name):
+        zones = self._zone_fleets(service, bounds)
+        goals: dict[Slot, int] = {}
+        for slot in self._refused_long_ago(service):
             hoped = _with_granted(zones, slot)
-            targets = dict(_slots(spec.name, plan_fleet(bounds, hoped, wanted)))
+            targets = dict(_slots(service, plan_fleet(bounds, hoped, wanted)))
             if targets[slot] > self._present(slot):
-                await self._order(fencing_number, slot, targets[slot])
+                goals[slot] = targets[slot]
+        return goals
+
+    async def _order_all(
+        self, fencing_number: int, goals: Mapping[Slot, int]
+    ) -> None:
+        """Order side by side: an order without an answer holds up no other."""
+        endings = await asyncio.gather(
+            *(
+                self._order(fencing_number, slot, desired)
+                for slot, desired in goals.items()
+            ),
+            return_exceptions=True,
+        )
+        failure = next(filter(None, endings), None)
+        if failure is not None:
+            raise failure
 
     def _refused_long_ago(self, service: str) -> list[Slot]:
         """Return what may be asked for again."""
--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -63,6 +63,8 @@
         self._shown_at_s = clock()
         self._renewed_at_s = 0.0
         self._held: Tenure | None = None
+        self._own_released: int | None = None
+        self._heard_released = -1
 
     @property
     def ledger(self) -> DutyLedger:
@@ -94,12 +96,18 @@
             return
         self._shown_at_s = max(self._shown_at_s, self._clock() - age_s)
 
+    def note_released(self, fencing_number: int) -> None:
+        """Take over from a peer that it has released the lease."""
+        self._heard_released = max(self._heard_released, fencing_number)
+
     def news(self) -> LeaseNews | None:
         """Return what peers may rely on: the holder's own last renewal.
 
         A node that has read old records knows who holds the lease, but not
         since when; told on, that would put off the takeover.
         """
+        if self._own_released is not None:
+            return LeaseNews(self._node, self._own_released, 0, released=True)
         if self._held is None:
             return None
         age_s = self._clock() - self._renewed_at_s
@@ -110,7 +118,7 @@
         tenure = self._ledger.tenure
         if self._held is not None:
             return False
-        if tenure is None or tenure.released:
+        if tenure is None or self._is_released(tenure):
             return self.shown_age_s >= lead_s
         return self.shown_age_s >= self._lease_s + _MARGIN_S + lead_s
 
@@ -144,17 +152,22 @@
         """Let another node claim at once."""
         if self._held is None:
             return
+        number = self._held.fencing_number
         try:
-            await self._append(Release(self._held.fencing_number))
+            await self._append(Release(number))
         except LogError as error:
             log.warning('duties not released', extra={'error': str(error)})
+        else:
+            self._own_released = number
         self.give_up('released')
 
-    def give_up(self, reason: str) -> None:
-        """Act no longer."""
-        if self._held is not None:
+    def give_up(self, reason: str, fencing_number: int | None = None) -> None:
+        """Act no longer, if this is still the tenure that is meant."""
+        if self._held is None:
+            return
+        if fencing_number in {None, self._held.fencing_number}:
             log.info('duties given up', extra={'reason': reason})
-        self._held = None
+            self._held = None
 
     async def catch_up(self) -> bool:
         """Read on; tell whether a holder has shown itself meanwhile."""
@@ -216,6 +229,10 @@
         if self._held is not None and tenure != self._held:
             self.give_up('another node has claimed')
 
+    def _is_released(self, tenure: Tenure) -> bool:
+        heard = tenure.fencing_number <= self._heard_released
+        return tenure.released or heard
+
     def _is_trusted(self) -> bool:
         age_s = self._clock() - self._renewed_at_s
         return age_s < self._lease_s * _TRUSTED_FOR
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Awaitable, Callable
 from typing import Self
 
 from mallowspindle.backends.service import BackendsService
@@ -64,6 +65,7 @@
         self._lease = Lease(source, own.name, own.incarnation, section.lease_s)
         self._table = UsageTable()
         self._fleet = FleetKeeper(catalog, duties, backends.demand)
+        self._fleet_number: int | None = None
         self._sent: set[int] = set()
         self._tasks = TaskGroup()
 
@@ -88,53 +90,61 @@
         self._sharing.provide('usage', self._own_usage)
         self._sharing.provide('lease', self._lease_news)
         self._sharing.watch(self._learn)
-        self._tasks.spawn(self._run(), 'duties')
+        # Separate tasks, since the platform may leave calls unanswered for
+        # longer than the lease lasts without being renewed.
+        self._tasks.spawn(self._repeat(self._keep_lease), 'lease')
+        self._tasks.spawn(self._repeat(self._send_usage), 'usage reports')
+        if 'autoscale' in self._section.kinds:
+            self._tasks.spawn(self._repeat(self._keep_fleet), 'fleet')
 
     async def prepare_drain(self) -> None:
         """Let another node take over at once."""
         await self._tasks.cancel()
         await self._lease.release()
+        self._sharing.hurry()
 
     async def stop(self) -> None:
         """Stop."""
         await self._tasks.cancel()
 
-    async def _run(self) -> None:
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
-                await self._step()
+                await step()
             except LogError as error:
                 log.info('lease not renewed', extra={'error': str(error)})
                 await asyncio.sleep(_FAILURE_PAUSE_S)
             except DutyError as error:
-                self._note_failure(error)
+                log.warning('duty failed', extra={'error': str(error)})
             except Exception:
                 log.exception('duties failed')
                 await asyncio.sleep(_FAILURE_PAUSE_S)
             await asyncio.sleep(_TICK_S)
 
-    def _note_failure(self, error: DutyError) -> None:
-        if isinstance(error, FencedOff):
-            self._lease.give_up(str(error))
-        else:
-            log.warning('duty failed', extra={'error': str(error)})
-
-    async def _step(self) -> None:
+    async def _keep_lease(self) -> None:
         if not self._lease.holds:
             if not self._lease.may_claim(self._rank() * _CLAIM_STEP_S):
                 return
             if not await self._lease.claim():
                 return
-            self._fleet.forget()
             self._sent = set(
                 sorted(self._lease.ledger.reports)[:-_REPEATED_WINDOWS]
             )
         await self._lease.renew()
         await self._log_usage()
-        await self._send_usage()
+
+    async def _keep_fleet(self) -> None:
         tenure = self._lease.held
-        if tenure is not None and 'autoscale' in self._section.kinds:
-            await self._fleet.step(tenure.fencing_number)
+        if tenure is None:
+            return
+        number = tenure.fencing_number
+        if number != self._fleet_number:
+            self._fleet_number = number
+            self._fleet.forget()
+        try:
+            await self._fleet.step(number)
+        except FencedOff as error:
+            self._lease.give_up(str(error), number)
 
     async def _log_usage(self) -> None:
         """Log the counts of windows that are over, before they are sent."""
@@ -162,9 +172,12 @@
             tenure = self._lease.held
             if window in self._sent or tenure is None:
                 continue
-            await self._duties.report_usage(
-                tenure.fencing_number, window, counts
-            )
+            number = tenure.fencing_number
+            try:
+                await self._duties.report_usage(number, window, counts)
+            except FencedOff as error:
+                self._lease.give_up(str(error), number)
+                return
             self._sent.add(window)
             log.info('usage reported', extra={'window': window})
 
@@ -176,7 +189,11 @@
     def _learn(self, state: NodeState) -> None:
         self._table.learn(state)
         news = state.lease
-        if news is not None and news.holder != self._own.name:
+        if news is None or news.holder == self._own.name:
+            return
+        if news.released:
+            self._lease.note_released(news.fencing_number)
+        else:
             self._lease.note_shown(news.fencing_number, news.age_s)
 
     def _own_usage(self) -> list[WindowCounts]:
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -52,11 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseNews:
-    """Who held the duties ``age_s`` ago, under which fencing number."""
+    """Who held the duties ``age_s`` ago, under which fencing number.
+
+    ``released`` tells that the holder has let them go since.
+    """
 
     holder: str
     fencing_number: int
     age_s: float
+    released: bool = False
 
 
 @peer_codec.register('node-state')
--- a/mallowspindle/tests/duties/test_fleet.py
+++ b/mallowspindle/tests/duties/test_fleet.py
@@ -1,5 +1,7 @@
 """Orders of the fleet's keeper."""
 
+import asyncio
+
 from mallowspindle.border import Duties, FleetOrder, NoneAvailable
 from mallowspindle.catalog.routes import (
     BackendService,
@@ -62,6 +64,23 @@
         await super().order_servers(fencing_number, order)
 
 
+class SilentDuties(FakeDuties):
+    """Never answers an order for the first zone."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answered = asyncio.Event()
+
+    async def order_servers(
+        self, fencing_number: int, order: FleetOrder
+    ) -> None:
+        """Keep an order, or leave it unanswered."""
+        if order.zone == 'a':
+            await asyncio.Event().wait()
+        await super().order_servers(fencing_number, order)
+        self.answered.set()
+
+
 async def test_servers_are_kept_until_their_replacements_serve() -> None:
     """Replays the end of a dry spell: reclaimable servers come late."""
     clock = FakeClock()
@@ -103,6 +122,23 @@
     assert any(order.reclaimable for order in duties.orders)
 
 
+async def test_an_order_without_an_answer_holds_up_no_other() -> None:
+    """Replays a platform that leaves orders of one zone unanswered."""
+    clock = FakeClock()
+    catalog, duties = FakeCatalog(), SilentDuties()
+    catalog.put('dear-0', 'a', reclaimable=False)
+    keeper = FleetKeeper(
+        catalog,  # type: ignore[arg-type]
+        duties,
+        lambda service: Demand(reading=0.8, running=5, slots=64),
+        clock,
+    )
+    step = asyncio.create_task(keeper.step(1))
+    await asyncio.wait_for(duties.answered.wait(), timeout=10)
+    assert {order.zone for order in duties.orders} == {'b'}
+    step.cancel()
+
+
 async def _run(keeper: FleetKeeper, clock: FakeClock) -> None:
     for _ in range(100):
         clock.advance(0.2)
--- a/mallowspindle/tests/duties/test_lease.py
+++ b/mallowspindle/tests/duties/test_lease.py
@@ -69,6 +69,51 @@
     assert two.may_claim(0)
 
 
+async def test_a_release_that_a_peer_tells_frees_the_lease() -> None:
+    """Replays the planned stop of the holder: nobody has read its record."""
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    await one.release()
+    clock.advance(0.5)
+    assert not two.may_claim(0)
+    news = one.news()
+    assert news is not None
+    assert news.released
+    two.note_released(news.fencing_number)
+    assert two.may_claim(0)
+    assert await two.claim()
+
+
+async def test_a_later_claim_is_not_freed_by_an_earlier_release() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await one.release()
+    news = one.news()
+    assert news is not None
+    await two.catch_up()
+    assert await two.claim()
+    three = _lease(log, 'three', clock)
+    await three.catch_up()
+    three.note_released(news.fencing_number)
+    clock.advance(1)
+    assert not three.may_claim(0)
+
+
+async def test_a_fence_for_an_earlier_tenure_leaves_the_present_one() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one = _lease(log, 'one', clock)
+    await one.claim()
+    assert one.held is not None
+    number = one.held.fencing_number
+    one.give_up('fenced off', number - 1)
+    assert one.holds
+    one.give_up('fenced off', number)
+    assert not one.holds
+
+
 async def test_a_paused_holder_does_not_act() -> None:
     log, clock = FakeLog(), FakeClock()
     one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
