Leave unreachable servers alone; end heads and connections that are too slow

Ruled out: dropping the entry (it is the store's to say who is gone). Now a refused connection or a 421 leaves the server alone for three seconds, the time in which its entry lapses; the operators' limits end slow heads with 408, idle connections and slow bodies, with a test each.

--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -21,6 +21,9 @@
 _FAILURES_UNTIL_EJECTED = 3
 _EJECTED_S = 1.0
 _MOST_EJECTED_S = 8.0
+# Time for which a server that takes no connections is left alone: its entry
+# lapses after three heartbeats of somewhat over a second.
+UNREACHABLE_S = 3.0
 
 
 @dataclass(slots=True, eq=False)
@@ -112,6 +115,10 @@
             pause_s = min(_MOST_EJECTED_S, _EJECTED_S * 2**extra)
             self.ejected_until_s = time.monotonic() + pause_s
 
+    def note_unreachable(self) -> None:
+        """Eject a server that takes no connections, or is another one."""
+        self.ejected_until_s = time.monotonic() + UNREACHABLE_S
+
     def note_full(self, pause_s: float) -> None:
         """Send no further work for a moment."""
         self.refused_until_s = time.monotonic() + pause_s
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -25,7 +25,12 @@
     Dispatch,
     MovedRun,
 )
-from mallowspindle.proxy.outcomes import Answered, AttemptOutcome, Relayed
+from mallowspindle.proxy.outcomes import (
+    Answered,
+    AttemptOutcome,
+    Relayed,
+    Unreachable,
+)
 from mallowspindle.proxy.upstream import SendMark
 from mallowspindle.utils.telemetry import meter
 
@@ -188,7 +193,7 @@
         reason = f'{type(error).__name__}: {error}'
         if mark.sent:
             return Unknown(reason)
-        return NotRun(reason, _FULL_PAUSE_S)
+        return Unreachable(reason, _FULL_PAUSE_S)
 
     async def _take(
         self, answer: MatchedResponse, work: Work
@@ -201,7 +206,8 @@
             return Unknown(f'answer to another request: {head.request_id}')
         if head.not_run:
             await answer.read()
-            return NotRun(f'server answered {head.status}', _FULL_PAUSE_S)
+            kind = Unreachable if head.misdirected else NotRun
+            return kind(f'server answered {head.status}', _FULL_PAUSE_S)
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
             return await self._relay(answer, head, work)
         self._count_usage()
@@ -259,7 +265,10 @@
         }
         match outcome:
             case NotRun(reason=reason):
-                view.note_full(_FULL_PAUSE_S)
+                if isinstance(outcome, Unreachable):
+                    view.note_unreachable()
+                else:
+                    view.note_full(_FULL_PAUSE_S)
                 log.info('attempt not run', extra={**fields, 'reason': reason})
             case Unknown() if self._relocation is not None:
                 log.info('stream goes on elsewhere', extra=fields)
--- a/mallowspindle/proxy/outcomes.py
+++ b/mallowspindle/proxy/outcomes.py
@@ -19,4 +19,9 @@
     """The whole answer has been passed on to the caller."""
 
 
+@dataclass(frozen=True, slots=True)
+class Unreachable(NotRun):
+    """The server takes no connections, or another one has its address."""
+
+
 AttemptOutcome = Answered | Relayed | NotRun | Unknown
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
-from typing import Self
+from typing import Self, cast
 
 from aiohttp.web import BaseRequest, Response, Server, StreamResponse
 from prometheus_client import generate_latest
@@ -14,8 +13,14 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.proxy import replies
+from mallowspindle.proxy.callers import (
+    CallerConnection,
+    CallerServer,
+    Handler,
+)
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.gate import Gate
+from mallowspindle.utils.tasks import TaskGroup, repeat
 from mallowspindle.utils.telemetry import meter
 
 log = logging.getLogger(__name__)
@@ -28,6 +33,9 @@
 # caller reads the answer before the connection ends.
 _LINGERING_S = 1.0
 _KEEPALIVE_S = 60.0
+# Pause between two looks at callers that take too long: small beside the
+# operators' limits of some seconds.
+_SWEEP_S = 0.5
 # Callers keep an address for a few seconds after it is no longer named.
 _SERVES_ON_S = 3.0
 _DRAIN_TICK_S = 0.05
@@ -36,7 +44,6 @@
 _BACKLOG = 1024
 _REFUSED_PAUSE_S = 0.1
 
-Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 requests_total = meter.create_counter('caller_requests')
 request_duration = meter.create_histogram('caller_request_duration', 's')
 
@@ -57,7 +64,8 @@
         self._gate = Gate(context)
         self._servers: list[asyncio.Server] = []
         self._opened: dict[str, str | int] = {}
-        self._callers: Server | None = None
+        self._callers: CallerServer | None = None
+        self._tasks = TaskGroup()
         self._open_requests = 0
         self._draining = False
         self._refusing = False
@@ -92,9 +100,8 @@
     async def start(self) -> None:
         """Listen on all addresses of the settings."""
         listen = self._listen
-        self._callers = Server(
+        self._callers = CallerServer(
             self._serve,
-            handler_cancellation=True,
             access_log=None,
             keepalive_timeout=_KEEPALIVE_S,
             lingering_time=_LINGERING_S,
@@ -109,6 +116,7 @@
         if listen.metrics is not None:
             await self._open('metrics', _plain_server(_metrics), listen.metrics)
         self._membership.update(http_address=self._opened['callers'])
+        self._tasks.spawn(repeat(self._end_slow, _SWEEP_S), 'slow callers')
 
     async def prepare_drain(self) -> None:
         """Stop being ready; the members hear it too."""
@@ -130,6 +138,7 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        await self._tasks.cancel()
         for server in self._servers:
             server.close()
         if self._callers is not None:
@@ -148,11 +157,14 @@
     async def _serve(self, web_request: BaseRequest) -> StreamResponse:
         loop = asyncio.get_running_loop()
         began_at_s = loop.time()
+        connection = cast(CallerConnection, web_request.protocol)
+        connection.note_begun()
         self._open_requests += 1
         try:
             response = await self._answer(web_request)
         finally:
             self._open_requests -= 1
+            connection.note_ended()
         requests_total.add(1, {'status': response.status})
         request_duration.record(loop.time() - began_at_s)
         if self._draining:
@@ -164,6 +176,11 @@
             return replies.refusal(_REFUSED_PAUSE_S)
         return await self._gate.handle(web_request)
 
+    async def _end_slow(self) -> None:
+        configuration = self._context.catalog.configuration
+        if self._callers is not None and configuration is not None:
+            self._callers.end_slow(configuration.limits)
+
     async def _readiness(self, web_request: BaseRequest) -> Response:
         return Response(status=200 if self.ready else _UNAVAILABLE)
 
--- a/mallowspindle/tests/gateway/test_requests.py
+++ b/mallowspindle/tests/gateway/test_requests.py
@@ -1,10 +1,12 @@
 """What callers send, and what reaches the servers."""
 
 import asyncio
+from itertools import count
 from pathlib import Path
 
 import pytest
 
+from mallowspindle.backends.view import UNREACHABLE_S
 from mallowspindle.standins.gateways import GatewayVenture
 from mallowspindle.tests.gateway.observations import (
     all_runs,
@@ -70,6 +72,60 @@
     assert not await all_runs(venture, 'r1')
 
 
+async def test_ends_slow_heads(venture: GatewayVenture) -> None:
+    await venture.configure(version=8, limits={'header_timeout_ms': 300})
+    await venture.wait_until(lambda: has_version(venture, 8))
+    url = venture.url('entry-1', '/')
+    reader, writer = await asyncio.open_connection(url.host, url.port)
+    writer.write(b'GET /status/x HTTP/1.1\r\nHost: shop')
+    answer = await reader.read()
+    writer.close()
+    assert answer.split()[1] == b'408'
+
+
+async def test_ends_idle_connections(venture: GatewayVenture) -> None:
+    await venture.configure(version=8, limits={'idle_timeout_ms': 300})
+    await venture.wait_until(lambda: has_version(venture, 8))
+    url = venture.url('entry-1', '/')
+    reader, writer = await asyncio.open_connection(url.host, url.port)
+    assert not await reader.read()
+    writer.close()
+
+
+async def test_refuses_slow_bodies(venture: GatewayVenture) -> None:
+    await venture.configure(version=8, limits={'idle_timeout_ms': 300})
+    await venture.wait_until(lambda: has_version(venture, 8))
+    url = venture.url('entry-1', '/')
+    reader, writer = await asyncio.open_connection(url.host, url.port)
+    head = ''.join(
+        f'{name}: {text}\r\n'
+        for name, text in venture.request_headers('r1').items()
+    )
+    writer.write(
+        f'POST /orders/x HTTP/1.1\r\n{head}Content-Length: 50\r\n\r\n'.encode()
+    )
+    line = await reader.readline()
+    writer.close()
+    assert line.split()[1] == b'408'
+    assert not await all_runs(venture, 'r1')
+
+
+async def test_leaves_a_dead_server_alone(venture: GatewayVenture) -> None:
+    """Replays a crash: the entry of a dead server stays for a while."""
+    loop = asyncio.get_running_loop()
+    await venture.process('shop-1').kill()
+    began_at_s = loop.time()
+    numbers = count()
+    # Longer than the pause after a server says that it is full.
+    while loop.time() - began_at_s < 1.2:
+        status, _, _ = await venture.call(
+            'entry-1', 'POST', '/orders/x', f'r{next(numbers)}'
+        )
+        assert status == 200
+    tried = venture.log_lines('entry-1', 'attempt not run')
+    assert len(tried) <= 1 + (loop.time() - began_at_s) / UNREACHABLE_S
+
+
 async def test_refuses_both_framings(venture: GatewayVenture) -> None:
     url = venture.url('entry-1', '/')
     reader, writer = await asyncio.open_connection(url.host, url.port)
