Take the duties over at once after a restart, with its usage and its fleet

A holder that was restarted itself had forgotten what it had counted and heard (usage off by 44 of 283 requests). A successor ordered half as many servers again as it found, whatever class they were. A node whose name holds the lease under an earlier start claims at once, peers that hear the new start take the lease as released; peers tell the counts of lives that have ended; reclaimable servers that are there count once.

--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -154,7 +154,9 @@
     def _wanted(self, service: str) -> Wanted:
         """Return what the demand calls for, and log when that changes."""
         sizer = self._sizers.setdefault(service, FleetSizer(self._clock))
-        sizer.note_present(len(self._present_of(service)))
+        present = self._present_of(service)
+        reclaimable = sum(server.reclaimable for server in present)
+        sizer.note_present(reclaimable, len(present) - reclaimable)
         demand = self._demands(service)
         sizer.note(demand)
         wanted = sizer.wanted()
--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -100,6 +100,14 @@
         """Take over from a peer that it has released the lease."""
         self._heard_released = max(self._heard_released, fencing_number)
 
+    def note_alive(self, node: str, incarnation: int) -> None:
+        """Take in that a peer runs; a restarted holder has let go."""
+        tenure = self._ledger.tenure
+        if tenure is None or tenure.holder != node:
+            return
+        if tenure.incarnation < incarnation:
+            self.note_released(tenure.fencing_number)
+
     def news(self) -> LeaseNews | None:
         """Return what peers may rely on: the holder's own last renewal.
 
@@ -118,6 +126,8 @@
         tenure = self._ledger.tenure
         if self._held is not None:
             return False
+        if tenure is not None and self._is_own_past(tenure):
+            return True
         if tenure is None or self._is_released(tenure):
             return self.shown_age_s >= lead_s
         return self.shown_age_s >= self._lease_s + _MARGIN_S + lead_s
@@ -229,6 +239,13 @@
         if self._held is not None and tenure != self._held:
             self.give_up('another node has claimed')
 
+    def _is_own_past(self, tenure: Tenure) -> bool:
+        """Tell whether this node held the lease before it was restarted."""
+        return (
+            tenure.holder == self._node
+            and tenure.incarnation < self._incarnation
+        )
+
     def _is_released(self, tenure: Tenure) -> bool:
         heard = tenure.fencing_number <= self._heard_released
         return tenure.released or heard
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -33,7 +33,8 @@
 log = logging.getLogger(__name__)
 
 _TICK_S = 0.2
-# Time after a window's end in which the counts of all nodes arrive.
+# Time in which the counts of all nodes arrive: after a window's end, and at a
+# node that has just started.
 _COUNTS_ARRIVE_S = 1.2
 # Lead that each node in the order has over the next when the lease is free.
 _CLAIM_STEP_S = 0.4
@@ -66,6 +67,7 @@
         self._table = UsageTable()
         self._fleet = FleetKeeper(catalog, duties, backends.demand)
         self._fleet_number: int | None = None
+        self._started_at_s = 0.0
         self._sent: set[int] = set()
         self._tasks = TaskGroup()
 
@@ -87,7 +89,9 @@
 
     async def start(self) -> None:
         """Begin to tell usage and to look at the lease."""
+        self._started_at_s = time.monotonic()
         self._sharing.provide('usage', self._own_usage)
+        self._sharing.provide('ended_usage', self._table.ended)
         self._sharing.provide('lease', self._lease_news)
         self._sharing.watch(self._learn)
         # Separate tasks, since the platform may leave calls unanswered for
@@ -149,7 +153,8 @@
     async def _log_usage(self) -> None:
         """Log the counts of windows that are over, before they are sent."""
         tenure = self._lease.held
-        if tenure is None:
+        uptime_s = time.monotonic() - self._started_at_s
+        if tenure is None or uptime_s < _COUNTS_ARRIVE_S:
             return
         self._table.put(
             self._own.name, self._own.incarnation, self._own_usage()
@@ -188,6 +193,7 @@
 
     def _learn(self, state: NodeState) -> None:
         self._table.learn(state)
+        self._lease.note_alive(state.node, state.incarnation)
         news = state.lease
         if news is None or news.holder == self._own.name:
             return
--- a/mallowspindle/policies/fleet.py
+++ b/mallowspindle/policies/fleet.py
@@ -25,8 +25,8 @@
 _SCARCE_SPARE = 1.0
 # Part of a server's slots that running requests should take at most.
 _BUSY_PART = 0.7
-# Reclaimable servers of the first fleet for each server that was there: the
-# demand is not known yet, and too few lose the first seconds of a busy day.
+# Reclaimable servers of the first fleet for each on-demand one that was there:
+# the demand is not known yet, and too few lose the first seconds of a busy day.
 _FIRST_PART = 1.5
 # Time in which all servers of a cold start register: some heartbeats.
 _REGISTERING_S = 3.0
@@ -63,21 +63,27 @@
 class FleetSizer:
     """Follows the demand: up at once, down only after a while.
 
-    Until it has seen enough it keeps as many servers at least as were there
-    at first, which operators or an earlier holder had ordered.
+    Until it has seen enough it keeps the servers that were there at first:
+    reclaimable ones were ordered for the demand by an earlier holder, on-demand
+    ones by the operators.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        self._at_first = 1
+        self._at_first = Wanted(1, 1)
         self._clock = clock
         self._made_at_s = clock()
         self._seen_since_s: float | None = None
         self._history: deque[tuple[float, Wanted]] = deque()
 
-    def note_present(self, servers: int) -> None:
+    def note_present(self, reclaimable: int, on_demand: int) -> None:
         """Take in how many servers there are, while they still register."""
-        if self._clock() - self._made_at_s < _REGISTERING_S:
-            self._at_first = max(self._at_first, servers)
+        if self._clock() - self._made_at_s >= _REGISTERING_S:
+            return
+        servers = reclaimable + math.ceil(on_demand * _FIRST_PART)
+        self._at_first = Wanted(
+            max(self._at_first.servers, servers),
+            max(self._at_first.when_scarce, on_demand),
+        )
 
     def note(self, demand: Demand) -> None:
         """Take in the present demand; none at all says nothing yet."""
@@ -99,8 +105,7 @@
             self._history.popleft()
         recent = [wanted for _, wanted in self._history]
         if self._seen_since_s is None or self._seen_since_s > horizon_s:
-            at_first = math.ceil(self._at_first * _FIRST_PART)
-            recent.append(Wanted(at_first, self._at_first))
+            recent.append(self._at_first)
         return Wanted(
             max(wanted.servers for wanted in recent),
             max(wanted.when_scarce for wanted in recent),
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -29,6 +29,15 @@
     counts: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class EndedUsage:
+    """What a node counted before it was restarted, as a peer heard it."""
+
+    node: str
+    incarnation: int
+    usage: list[WindowCounts]
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaUse:
     """What one node admitted for an organisation lately.
@@ -72,6 +81,7 @@
     incarnation: int
     loads: list[ServerLoad] = field(default_factory=list)
     usage: list[WindowCounts] = field(default_factory=list)
+    ended_usage: list[EndedUsage] = field(default_factory=list)
     demands: list[ServiceDemand] = field(default_factory=list)
     quota_use: list[QuotaUse] = field(default_factory=list)
     lease: LeaseNews | None = None
--- a/mallowspindle/tests/duties/test_lease.py
+++ b/mallowspindle/tests/duties/test_lease.py
@@ -86,6 +86,29 @@
     assert await two.claim()
 
 
+async def test_a_restarted_holder_claims_at_once() -> None:
+    """Replays the kill of all nodes: nobody else can hold the lease."""
+    log, clock = FakeLog(), FakeClock()
+    one = _lease(log, 'one', clock)
+    await one.claim()
+    again = Lease(log, 'one', 2, LEASE_S, clock)
+    await again.catch_up()
+    assert again.may_claim(0)
+    assert await again.claim()
+
+
+async def test_peers_take_over_from_a_holder_that_was_restarted() -> None:
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    clock.advance(0.5)
+    two.note_alive('one', 1)
+    assert not two.may_claim(0)
+    two.note_alive('one', 2)
+    assert two.may_claim(0)
+
+
 async def test_a_later_claim_is_not_freed_by_an_earlier_release() -> None:
     log, clock = FakeLog(), FakeClock()
     one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
--- a/mallowspindle/tests/duties/test_usage.py
+++ b/mallowspindle/tests/duties/test_usage.py
@@ -25,6 +25,24 @@
     assert table.total(7) == {'farm': 4}
 
 
+def test_peers_tell_a_restarted_node_what_it_had_counted() -> None:
+    """Replays the planned restart of the holder of the duties."""
+    peer, restarted = UsageTable(), UsageTable()
+    peer.learn(_state('one', 1, 3))
+    peer.learn(_state('one', 2, 1))
+    told = NodeState('two', 1, ended_usage=peer.ended())
+    restarted.learn(told)
+    restarted.put('one', 2, [WindowCounts(7, {'farm': 2})])
+    assert restarted.total(7) == {'farm': 5}
+
+
+def test_counts_that_come_late_do_not_shrink() -> None:
+    table = UsageTable()
+    table.learn(_state('one', 1, 5))
+    table.learn(_state('one', 1, 3))
+    assert table.total(7) == {'farm': 5}
+
+
 def test_a_request_counts_where_it_began() -> None:
     clock = FakeClock(1002.0)
     counter = UsageCounter(5, clock)
--- a/mallowspindle/tests/gateway/test_requests.py
+++ b/mallowspindle/tests/gateway/test_requests.py
@@ -117,7 +117,8 @@
     began_at_s = loop.time()
     numbers = count()
     # Longer than the pause after a server says that it is full.
-    while loop.time() - began_at_s < 1.2:
+    ends_at_s = began_at_s + 1.2
+    while loop.time() < ends_at_s:
         status, _, _ = await venture.call(
             'entry-1', 'POST', '/orders/x', f'r{next(numbers)}'
         )
--- a/mallowspindle/tests/policies/test_fleet.py
+++ b/mallowspindle/tests/policies/test_fleet.py
@@ -81,15 +81,24 @@
 def test_the_first_fleet_counts_all_servers_that_register() -> None:
     clock = FakeClock()
     sizer = FleetSizer(clock)
-    sizer.note_present(1)
+    sizer.note_present(0, 1)
     clock.advance(2)
-    sizer.note_present(6)
+    sizer.note_present(0, 6)
     assert sizer.wanted().servers >= 6
     clock.advance(2)
-    sizer.note_present(12)
+    sizer.note_present(0, 12)
     assert sizer.wanted().servers < 12
 
 
+def test_a_successor_keeps_the_fleet_of_the_holder_before() -> None:
+    """Replays the kill of all nodes: the demand is not known yet."""
+    sizer = FleetSizer(FakeClock())
+    sizer.note_present(10, 0)
+    assert sizer.wanted().servers == 10
+    # Nor does it replace them at the full price if a zone is reclaimed now.
+    assert sizer.wanted().when_scarce == 1
+
+
 def test_many_running_requests_need_servers_too() -> None:
     sizer = FleetSizer(FakeClock())
     sizer.note(Demand(reading=0.1, running=640, slots=64))
