Add a lab that replays load patterns against the policies

The lab emulates engines (batches, chunked reading, caches of prefixes), callers in clumps and nodes that know each other's work late; the policies themselves are the product's.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,11 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo platform-demo test lint format bench slopes mesh reclaims proofs
+.PHONY: setup demo platform-demo test lint format bench lab slopes mesh reclaims proofs
 
 $(BIN)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --editable '.[dev,lab]'
 	touch $@
 
 setup: $(BIN)/.installed
@@ -33,6 +33,9 @@
 bench: setup
 	$(BIN)/python -m mallowspindle.bench.routing
 
+lab: setup
+	$(BIN)/python -m mallowspindle.lab compare
+
 slopes: setup
 	$(BIN)/python -m mallowspindle.bench.slopes
 
--- /dev/null
+++ b/mallowspindle/lab/callers.py
@@ -0,0 +1,105 @@
+"""Emulated callers: clumps of requests, and one return after a refusal."""
+
+import numpy as np
+from simpy import Environment
+
+from mallowspindle.lab.engine import Engine, Run, Steps
+from mallowspindle.lab.nodes import Nodes
+from mallowspindle.lab.results import Ending, Results
+from mallowspindle.lab.scenario import Kind, Scenario, Trouble
+from mallowspindle.proxy.messages import PromptPart
+
+# Spread of the logarithm of lengths, as of prompts that people write.
+_SPREAD = 1.0
+# Popularity of shared prompts falls with the power of their rank.
+_SKEW = 0.3
+
+
+class Callers:
+    """Sends requests of all kinds at their rates."""
+
+    def __init__(
+        self,
+        env: Environment,
+        scenario: Scenario,
+        nodes: Nodes,
+        results: Results,
+        seed: int,
+    ) -> None:
+        self._env = env
+        self._scenario = scenario
+        self._nodes = nodes
+        self._results = results
+        self._random = np.random.default_rng(seed)
+        # Apart from the load, so that this is the same for all policies.
+        self._returning = np.random.default_rng((seed, 1))
+        self._rate = 1.0
+        self._hot_part = 0.0
+        for kind in scenario.kinds:
+            env.process(self._send(kind))
+
+    def suffer(self, trouble: Trouble) -> Steps:
+        """Let a trouble of the load happen."""
+        if trouble.kind == 'burst':
+            self._rate = trouble.times
+            yield self._env.timeout(trouble.for_s)
+            self._rate = 1
+        elif trouble.kind == 'hot-prefix':
+            self._hot_part = trouble.times
+            yield self._env.timeout(trouble.for_s)
+            self._hot_part = 0
+
+    def _send(self, kind: Kind) -> Steps:
+        clump = self._scenario.clump
+        while self._env.now < self._scenario.length_s:
+            per_s = kind.per_s * self._rate / clump
+            yield self._env.timeout(self._random.exponential(1 / per_s))
+            node = int(self._random.integers(self._scenario.nodes))
+            for _ in range(self._random.geometric(1 / clump)):
+                self._env.process(self._ask(kind, node))
+
+    def _ask(self, kind: Kind, node: int) -> Steps:
+        began_at_s = self._env.now
+        run = self._make_run(kind)
+        self._nodes.note_demand(node, run.prompt)
+        found = self._nodes.admit(node, kind, run.prompt, kind.deadline_s)
+        if isinstance(found, float):
+            yield self._env.timeout(found)
+            left_s = kind.deadline_s - found
+            node = int(self._returning.integers(self._scenario.nodes))
+            found = self._nodes.admit(node, kind, run.prompt, left_s)
+        if isinstance(found, Engine):
+            yield from self._nodes.follow(node, found, run)
+        self._results.add(
+            Ending(
+                kind,
+                began_at_s,
+                run.first_at_s - began_at_s,
+                run.longest_gap_s,
+                whole=not run.lost and isinstance(found, Engine),
+                refused=isinstance(found, float),
+            )
+        )
+
+    def _make_run(self, kind: Kind) -> Run:
+        own = self._length(kind.prompt)
+        shared = PromptPart(f'{kind.name}-{self._key(kind)}', kind.shared)
+        number = int(self._random.integers(1 << 62))
+        prompt = (shared, PromptPart(f'own-{number}', own))
+        return Run(
+            prompt,
+            kind.shared + own,
+            self._length(kind.output),
+            self._env.event(),
+        )
+
+    def _key(self, kind: Kind) -> int:
+        if self._random.random() < self._hot_part:
+            return 0
+        ranks = np.arange(1, kind.keys + 1, dtype=float)
+        weights = ranks**-_SKEW
+        return int(self._random.choice(kind.keys, p=weights / weights.sum()))
+
+    def _length(self, mean: float) -> int:
+        centre = np.log(mean) - _SPREAD**2 / 2
+        return max(1, round(self._random.lognormal(centre, _SPREAD)))
--- /dev/null
+++ b/mallowspindle/lab/fleet.py
@@ -0,0 +1,186 @@
+"""An emulated fleet: servers that boot, are reclaimed, crash and cost."""
+
+from itertools import count, cycle
+
+from simpy import Environment
+
+from mallowspindle.lab.engine import Engine, Steps
+from mallowspindle.lab.scenario import Scenario, Trouble
+from mallowspindle.policies.fleet import (
+    Demand,
+    FleetSizer,
+    Wanted,
+    ZoneFleet,
+    plan_fleet,
+)
+from mallowspindle.policies.rates import RateMeter
+
+_TICK_S = 0.2
+# Notice before reclaimed servers are taken away.
+_NOTICE_S = 3.0
+# Time that a surplus server is kept for its streams.
+_DRAIN_S = 10.0
+# Span over which the demand is averaged, as on the entry VMs.
+_DEMAND_SPAN_S = 6.0
+# How much longer than the fastest the servers of a fleet take.
+_SPEEDS = (1.0, 1.0, 1.3)
+# Servers of each zone at the start, all on demand.
+_AT_FIRST = 2
+
+
+class Fleet:
+    """Orders servers by the fleet policy and counts their price."""
+
+    def __init__(self, env: Environment, scenario: Scenario) -> None:
+        self._env = env
+        self._scenario = scenario
+        self._bounds = scenario.bounds
+        self._numbers = count()
+        self._speeds = cycle(_SPEEDS)
+        self._sizer = FleetSizer(lambda: env.now)
+        self._dry: set[str] = set()
+        self._booting: list[tuple[str, bool]] = []
+        self.meter = RateMeter(_DEMAND_SPAN_S, lambda: env.now)
+        self.price = 0.0
+        self._read_before = 0
+        self.engines = [
+            self._make(zone, reclaimable=False)
+            for zone in scenario.bounds.zone_prices
+            for _ in range(_AT_FIRST)
+        ]
+        env.process(self._keep())
+
+    @property
+    def read_tokens(self) -> int:
+        """Prompt tokens that all servers have read."""
+        now = sum(engine.read_tokens for engine in self.engines)
+        return self._read_before + now
+
+    def serving(self) -> list[Engine]:
+        """Return the servers that take new work."""
+        return [engine for engine in self.engines if not engine.draining]
+
+    def suffer(self, trouble: Trouble) -> Steps:
+        """Let a trouble of servers happen."""
+        if trouble.kind == 'slow':
+            engine = self.serving()[0]
+            usual = engine.speed
+            engine.speed = usual * trouble.times
+            yield self._env.timeout(trouble.for_s)
+            engine.speed = usual
+        elif trouble.kind == 'crash':
+            for engine in self._in_zone(trouble.zone):
+                self._remove(engine)
+        elif trouble.kind == 'reclaim':
+            yield from self._reclaim(trouble)
+
+    def _reclaim(self, trouble: Trouble) -> Steps:
+        self._dry.add(trouble.zone)
+        leaving = [
+            engine
+            for engine in self._in_zone(trouble.zone)
+            if engine.reclaimable
+        ]
+        for engine in leaving:
+            engine.draining = True
+        yield self._env.timeout(_NOTICE_S)
+        for engine in leaving:
+            self._remove(engine)
+        yield self._env.timeout(max(0, trouble.for_s - _NOTICE_S))
+        self._dry.discard(trouble.zone)
+
+    def _keep(self) -> Steps:
+        while True:
+            self._count_price()
+            self._plan()
+            yield self._env.timeout(_TICK_S)
+
+    def _count_price(self) -> None:
+        self.price += _TICK_S * sum(map(self._price_per_s, self.engines))
+
+    def _price_per_s(self, engine: Engine) -> float:
+        price = self._bounds.zone_prices[engine.zone]
+        if engine.reclaimable:
+            price *= self._bounds.reclaimable_price or 1
+        return price
+
+    def _plan(self) -> None:
+        serving = self.serving()
+        wanted = self._wanted(serving)
+        zones = {
+            zone: self._zone_fleet(zone) for zone in self._bounds.zone_prices
+        }
+        spare = len(serving) - wanted.when_scarce
+        for zone, target in plan_fleet(self._bounds, zones, wanted).items():
+            for kind, goal in (
+                (True, target.reclaimable),
+                (False, target.on_demand),
+            ):
+                spare -= self._approach(zone, goal, spare, reclaimable=kind)
+
+    def _wanted(self, serving: list[Engine]) -> Wanted:
+        reclaimable = sum(engine.reclaimable for engine in serving)
+        self._sizer.note_present(reclaimable, len(serving) - reclaimable)
+        running = sum(len(engine.running) for engine in serving)
+        slots = self._scenario.engine.slots
+        self._sizer.note(Demand(self.meter.per_s(), running, slots))
+        return self._sizer.wanted()
+
+    def _approach(
+        self, zone: str, goal: int, spare: int, *, reclaimable: bool
+    ) -> int:
+        """Boot or drain towards a goal; return how many are drained."""
+        here = [
+            engine
+            for engine in self._in_zone(zone)
+            if engine.reclaimable == reclaimable and not engine.draining
+        ]
+        coming = self._booting.count((zone, reclaimable))
+        for _ in range(goal - len(here) - coming):
+            self._env.process(self._boot(zone, reclaimable=reclaimable))
+        surplus = min(max(0, len(here) - goal), max(0, spare))
+        for engine in here[:surplus]:
+            engine.draining = True
+            self._env.process(self._drain(engine))
+        return surplus
+
+    def _boot(self, zone: str, *, reclaimable: bool) -> Steps:
+        self._booting.append((zone, reclaimable))
+        yield self._env.timeout(self._bounds.boot_s)
+        self._booting.remove((zone, reclaimable))
+        self.engines.append(self._make(zone, reclaimable=reclaimable))
+
+    def _drain(self, engine: Engine) -> Steps:
+        yield self._env.timeout(_DRAIN_S)
+        self._remove(engine)
+
+    def _remove(self, engine: Engine) -> None:
+        engine.draining = True
+        engine.end()
+        if engine in self.engines:
+            self.engines.remove(engine)
+            self._read_before += engine.read_tokens
+
+    def _make(self, zone: str, *, reclaimable: bool) -> Engine:
+        return Engine(
+            self._env,
+            f'server-{next(self._numbers)}',
+            zone,
+            reclaimable,
+            self._scenario.engine,
+            speed=next(self._speeds),
+        )
+
+    def _in_zone(self, zone: str) -> list[Engine]:
+        return [engine for engine in self.engines if engine.zone == zone]
+
+    def _zone_fleet(self, zone: str) -> ZoneFleet:
+        serving = [
+            engine for engine in self._in_zone(zone) if not engine.draining
+        ]
+        reclaimable = sum(engine.reclaimable for engine in serving)
+        return ZoneFleet(
+            reclaimable + self._booting.count((zone, True)),
+            len(serving) - reclaimable + self._booting.count((zone, False)),
+            reclaimable_to_be_had=zone not in self._dry,
+        )
