Pass on the usage of nodes that are silent

The holder froze; its successor had been restarted within that window and never heard what the frozen node had counted, though all its peers had. Ruled out: the frozen node's counts after its freeze (it serves nothing then), a claim too early (all other counts were there). Before: the new test fails; after: passes.

--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -91,7 +91,7 @@
         """Begin to tell usage and to look at the lease."""
         self._started_at_s = time.monotonic()
         self._sharing.provide('usage', self._own_usage)
-        self._sharing.provide('ended_usage', self._table.ended)
+        self._sharing.provide('passed_on_usage', self._table.passed_on)
         self._sharing.provide('lease', self._lease_news)
         self._sharing.watch(self._learn)
         # Separate tasks, since the platform may leave calls unanswered for
--- a/mallowspindle/duties/usage.py
+++ b/mallowspindle/duties/usage.py
@@ -1,19 +1,23 @@
 """Adds up the usage that all entry VMs count.
 
-A node that is restarted forgets what it counted and heard. So the others tell
-on the counts of lives that have ended.
+A node that is restarted forgets what it counted and heard, and one that hangs
+tells nobody. So the others tell on the counts of lives that are over or silent.
 """
 
+import time
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from mallowspindle.sharing.messages import (
-    EndedUsage,
     NodeState,
+    PassedOnUsage,
     WindowCounts,
 )
 
 _KEPT_WINDOWS = 8
+# A node from which nothing came for this long is silent: some of the pauses
+# between two states.
+_SILENT_AFTER_S = 1.5
 
 # One life of a node: its name and its incarnation.
 Life = tuple[str, int]
@@ -23,15 +27,18 @@
 class UsageTable:
     """The newest counts of each life of each node, by window."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._windows: dict[int, dict[Life, Counts]] = {}
         self._newest: dict[str, int] = {}
+        self._heard_at_s: dict[str, float] = {}
 
     def learn(self, state: NodeState) -> None:
         """Take over what a node has counted and heard."""
+        self._heard_at_s[state.node] = self._clock()
         self.put(state.node, state.incarnation, state.usage)
-        for ended in state.ended_usage:
-            self.put(ended.node, ended.incarnation, ended.usage)
+        for told in state.passed_on_usage:
+            self.put(told.node, told.incarnation, told.usage)
 
     def put(
         self, node: str, incarnation: int, usage: Iterable[WindowCounts]
@@ -47,22 +54,24 @@
         for old in sorted(self._windows)[:-_KEPT_WINDOWS]:
             self._windows.pop(old)
 
-    def ended(self) -> list[EndedUsage]:
-        """Return the counts of lives that a later one has followed."""
+    def passed_on(self) -> list[PassedOnUsage]:
+        """Return the counts of nodes that can't tell them themselves."""
         return [
-            EndedUsage(*life, [WindowCounts(window, counts)])
+            PassedOnUsage(*life, [WindowCounts(window, counts)])
             for window, lives in self._windows.items()
             for life, counts in lives.items()
-            if self._has_ended(life)
+            if self._is_silent(life)
         ]
 
     def windows(self) -> list[int]:
         """Return the windows in which anything was counted, oldest first."""
         return sorted(self._windows)
 
-    def _has_ended(self, life: Life) -> bool:
+    def _is_silent(self, life: Life) -> bool:
         node, incarnation = life
-        return incarnation < self._newest[node]
+        heard_at_s = self._heard_at_s.get(node, 0)
+        hangs = self._clock() - heard_at_s > _SILENT_AFTER_S
+        return hangs or incarnation < self._newest[node]
 
     def total(self, window: int) -> dict[str, int]:
         """Return the requests of each organisation in a window."""
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -30,8 +30,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndedUsage:
-    """What a node counted before it was restarted, as a peer heard it."""
+class PassedOnUsage:
+    """What a silent or restarted node counted, as a peer heard it."""
 
     node: str
     incarnation: int
@@ -81,7 +81,7 @@
     incarnation: int
     loads: list[ServerLoad] = field(default_factory=list)
     usage: list[WindowCounts] = field(default_factory=list)
-    ended_usage: list[EndedUsage] = field(default_factory=list)
+    passed_on_usage: list[PassedOnUsage] = field(default_factory=list)
     demands: list[ServiceDemand] = field(default_factory=list)
     quota_use: list[QuotaUse] = field(default_factory=list)
     lease: LeaseNews | None = None
--- a/mallowspindle/tests/duties/test_usage.py
+++ b/mallowspindle/tests/duties/test_usage.py
@@ -30,12 +30,24 @@
     peer, restarted = UsageTable(), UsageTable()
     peer.learn(_state('one', 1, 3))
     peer.learn(_state('one', 2, 1))
-    told = NodeState('two', 1, ended_usage=peer.ended())
+    told = NodeState('two', 1, passed_on_usage=peer.passed_on())
     restarted.learn(told)
     restarted.put('one', 2, [WindowCounts(7, {'farm': 2})])
     assert restarted.total(7) == {'farm': 5}
 
 
+def test_peers_tell_what_a_node_had_counted_that_hangs() -> None:
+    """Replays a holder that freezes as its successor has just started."""
+    clock = FakeClock()
+    peer, started = UsageTable(clock), UsageTable(clock)
+    peer.learn(_state('one', 1, 3))
+    clock.advance(0.5)
+    assert not peer.passed_on()
+    clock.advance(2)
+    started.learn(NodeState('two', 1, passed_on_usage=peer.passed_on()))
+    assert started.total(7) == {'farm': 3}
+
+
 def test_counts_that_come_late_do_not_shrink() -> None:
     table = UsageTable()
     table.learn(_state('one', 1, 5))
--- a/mallowspindle/tests/lab/test_replay.py
+++ b/mallowspindle/tests/lab/test_replay.py
@@ -9,6 +9,8 @@
 
 SEEDS = (1, 2)
 LENGTH_S = 36
+# Part of the day's worth that callers get in spite of the trouble.
+LEAST_WHOLE = 0.9
 
 
 def _replay(pattern: str, policy: str, seed: int) -> Replay:
@@ -44,7 +46,7 @@
             sample.servers for sample in played.samples if sample.at_s > 5
         )
         assert least >= 3
-        assert played.summary.whole > 0.9
+        assert played.summary.whole > LEAST_WHOLE
 
 
 def test_a_reclaimable_fleet_costs_less_than_the_first_one() -> None:
