Trace the path of a caller's request with a span for each hop

Before: no span; after: one for the caller's request and one for each attempt at a server, its child; the new test reads them from the traces' file.

--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from aiohttp.web import BaseRequest, Response, StreamResponse
+from opentelemetry.trace import SpanKind
 
 from mallowspindle.catalog.routes import CallerLimits, Configuration
 from mallowspindle.proxy import replies
@@ -12,6 +13,7 @@
 from mallowspindle.proxy.errors import BadRequest
 from mallowspindle.proxy.exchange import Exchange
 from mallowspindle.proxy.messages import CallerRequest
+from mallowspindle.utils.telemetry import hop_span
 
 log = logging.getLogger(__name__)
 
@@ -48,9 +50,13 @@
         except BadRequest as error:
             log.info('bad request', extra={'reason': str(error)})
             return replies.bad_request(str(error))
-        return await self._admit(
-            web_request, request, configuration, began_at_s
-        )
+        with hop_span('caller request', SpanKind.SERVER) as span:
+            span.set_attribute('request', request.request_id)
+            response = await self._admit(
+                web_request, request, configuration, began_at_s
+            )
+            span.set_attribute('status', response.status)
+            return response
 
     async def _admit(
         self,
--- a/mallowspindle/proxy/upstream.py
+++ b/mallowspindle/proxy/upstream.py
@@ -13,6 +13,7 @@
     TraceConfig,
 )
 from multidict import CIMultiDict
+from opentelemetry.trace import SpanKind
 from yarl import URL
 
 from mallowspindle.proxy.connections import (
@@ -21,6 +22,7 @@
     MatchedRequest,
     MatchedResponse,
 )
+from mallowspindle.utils.telemetry import hop_span
 
 _ADDED_BY_CLIENT = frozenset(
     ('accept', 'accept-encoding', 'content-type', 'user-agent')
@@ -75,21 +77,24 @@
 
         The connection is closed, not kept, unless the answer was read whole.
         """
-        response = await self._session.request(
-            method,
-            URL(url, encoded=True),
-            headers=headers,
-            data=body or None,
-            allow_redirects=False,
-            timeout=self._timeout,
-            trace_request_ctx=mark,
-        )
-        try:
-            yield cast(MatchedResponse, response)
-        finally:
-            if not response.content.is_eof():
-                response.close()
-            response.release()
+        target = URL(url, encoded=True)
+        with hop_span('server attempt', SpanKind.CLIENT) as span:
+            span.set_attribute('server', target.authority)
+            response = await self._session.request(
+                method,
+                target,
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+                timeout=self._timeout,
+                trace_request_ctx=mark,
+            )
+            try:
+                yield cast(MatchedResponse, response)
+            finally:
+                if not response.content.is_eof():
+                    response.close()
+                response.release()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -135,10 +135,16 @@
         await self.put('keyed.servers', name, json.dumps(entry).encode())
 
     async def start_gateway(
-        self, name: str, zone: str = 'a', *, wait: bool = True, **proxy: Any
+        self,
+        name: str,
+        zone: str = 'a',
+        *,
+        wait: bool = True,
+        traces: str = '',
+        **proxy: Any,
     ) -> ManagedProcess:
         """Start a gateway; wait until it serves unless told otherwise."""
-        path = self.write_settings(name, zone, **proxy)
+        path = self.write_settings(name, zone, traces, **proxy)
         started = await ManagedProcess.start(
             name,
             'mallowspindle.daemon',
@@ -151,7 +157,9 @@
             await self.wait_until(lambda: self.is_ready(name))
         return started
 
-    def write_settings(self, name: str, zone: str, **proxy: Any) -> Path:
+    def write_settings(
+        self, name: str, zone: str, traces: str = '', **proxy: Any
+    ) -> Path:
         """Write the INI file of a gateway."""
         options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
         path = self._folder / f'{name}.ini'
@@ -164,7 +172,8 @@
             f'[store]\naddress = {self.process("store").address}\n'
             f'[duties]\naddress = {self.process("duties").address}\n'
             f'kinds = usage autoscale\nusage_window_s = 1\n'
-            f'[proxy]\n{options}',
+            f'[proxy]\n{options}'
+            f'[telemetry]\ntraces_file = {traces}\n',
             encoding='utf-8',
         )
         return path
--- a/mallowspindle/tests/gateway/test_requests.py
+++ b/mallowspindle/tests/gateway/test_requests.py
@@ -1,6 +1,8 @@
 """What callers send, and what reaches the servers."""
 
 import asyncio
+import json
+import signal
 from itertools import count
 from pathlib import Path
 
@@ -92,6 +94,24 @@
     writer.close()
 
 
+async def test_traces_have_a_span_for_each_hop(
+    venture: GatewayVenture, tmp_path: Path
+) -> None:
+    path = tmp_path / 'spans.json'
+    await venture.start_gateway('entry-3', traces=str(path))
+    await venture.call('entry-3', 'POST', '/orders/x', 'r1')
+    # The last spans are written at the daemon's end.
+    venture.process('entry-3').send_signal(signal.SIGTERM)
+    await venture.process('entry-3').wait()
+    spans = [json.loads(line) for line in path.read_text().splitlines()]
+    caller = next(span for span in spans if span['name'] == 'caller request')
+    server = next(span for span in spans if span['name'] == 'server attempt')
+    assert caller['attributes'] == {'request': 'r1', 'status': 200}
+    assert server['parent_id'] == caller['context']['span_id']
+    shops = [venture.process(name).address for name in ('shop-1', 'shop-2')]
+    assert server['attributes']['server'] in shops
+
+
 async def test_refuses_slow_bodies(venture: GatewayVenture) -> None:
     await venture.configure(version=8, limits={'idle_timeout_ms': 300})
     await venture.wait_until(lambda: has_version(venture, 8))
