Cut a begun stream when its next server fails it

Cause: read while looking over the exchange. A stream that is resumed at a second server which answers 500 was concluded with that answer as a whole response, though the caller's response had begun; the caller then waited for an end that never came. Ruled out: the relay (it checks for a begun response), refusals (they look at runs). Before: the new test waits 60 s for the stream's end (its client's time-out); after: the stream is cut at once and holds no byte of the failure.

--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -303,7 +303,7 @@
 
     async def _conclude(self, outcome: AttemptOutcome) -> StreamResponse:
         match outcome:
-            case Answered(head=head, body=body):
+            case Answered(head=head, body=body) if self._response is None:
                 return replies.whole(head, body)
             case NotRun(reason=reason):
                 return self._refuse(reason)
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -50,6 +50,28 @@
     assert resumed == ['2']
 
 
+async def test_a_failure_never_lands_in_a_begun_stream(
+    venture: GatewayVenture,
+) -> None:
+    """Replays a crash beside a server that fails its requests."""
+    for name in ('model-1', 'model-2'):
+        await venture.set_faults(name, cuts=1, cut_after_tokens=2)
+    headers = venture.request_headers('r1')
+    async with venture.session.post(
+        venture.url('entry-1', '/letters/x'), headers=headers
+    ) as response:
+        assert response.status == 200
+        got = await response.content.readline()
+        for name in ('model-1', 'model-2'):
+            await venture.set_faults(name, truncate=1)
+        with pytest.raises(ClientError):
+            async with asyncio.timeout(10):
+                while chunk := await response.content.readany():
+                    got += chunk
+    assert b'HTTP/' not in got
+    assert b'failed' not in got
+
+
 async def test_cuts_streams_that_must_not_run_again(
     venture: GatewayVenture,
 ) -> None:
