--- /dev/null
+++ b/mallowspindle/bench/local.py
@@ -0,0 +1,108 @@
+"""Processes on loopback that end together: stand-ins and daemons."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, Self
+
+from aiohttp import ClientSession, ClientTimeout
+
+from mallowspindle.bench.processes import ManagedProcess
+from mallowspindle.bench.waiting import WAIT_S, wait_until
+
+# Longer than any wait of a test or a demo for one answer.
+_CALL_TIMEOUT_S = 60.0
+SHARED_KEY = 'a-shared-key-for-loopback'
+
+
+class LocalProcesses:
+    """Starts processes by name, with their logs and settings in a folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: dict[str, ManagedProcess] = {}
+        self._session = ClientSession(
+            timeout=ClientTimeout(total=_CALL_TIMEOUT_S)
+        )
+
+    @property
+    def session(self) -> ClientSession:
+        """The HTTP session of the callers."""
+        return self._session
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.stop()
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by name."""
+        return self._processes[name]
+
+    def log_path(self, name: str) -> Path:
+        """Return the file that keeps a process's output."""
+        return self._folder / f'{name}.log'
+
+    async def start_standin(
+        self, name: str, kind: str, *arguments: str
+    ) -> ManagedProcess:
+        """Start one stand-in."""
+        return await self._start(
+            name, f'mallowspindle.standins.{kind}', list(arguments)
+        )
+
+    async def start_daemon(self, name: str, settings: str) -> ManagedProcess:
+        """Start a daemon with the text of its INI file."""
+        path = self.write_settings(name, settings)
+        return await self._start(
+            name, 'mallowspindle.daemon', ['--settings', str(path)]
+        )
+
+    def write_settings(self, name: str, settings: str) -> Path:
+        """Write the INI file of a daemon."""
+        path = self._folder / f'{name}.ini'
+        path.write_text(settings, encoding='utf-8')
+        return path
+
+    async def wait_until(
+        self,
+        condition: Callable[[], Awaitable[bool]],
+        timeout_s: float = WAIT_S,
+    ) -> None:
+        """Poll a condition until it holds; ``TimeoutError`` if it never does."""
+        await wait_until(condition, timeout_s)
+
+    async def set_faults(self, name: str, **faults: Any) -> None:
+        """Make a stand-in show faults."""
+        await self.post(f'{self.process(name).url}/faults', faults)
+
+    async def post(self, url: str, document: Any) -> None:
+        """Post JSON to a stand-in."""
+        async with self._session.post(url, json=document) as response:
+            response.raise_for_status()
+
+    async def get(self, url: str, token: str = '') -> Any:
+        """Return a JSON document, or None for an error."""
+        headers = {'Authorization': f'Bearer {token}'} if token else {}
+        async with self._session.get(url, headers=headers) as response:
+            return await response.json() if response.ok else None
+
+    async def stop(self) -> None:
+        """End all processes and close the session."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+        await asyncio.gather(
+            *(process.kill() for process in self._processes.values())
+        )
+        await self._session.close()
+
+    async def _start(
+        self, name: str, module: str, arguments: list[str]
+    ) -> ManagedProcess:
+        started = await ManagedProcess.start(
+            name, module, arguments, self.log_path(name)
+        )
+        self._processes[name] = started
+        return started
--- a/mallowspindle/bench/venture.py
+++ b/mallowspindle/bench/venture.py
@@ -1,24 +1,19 @@
 """A small venture on loopback: daemons, stand-ins and callers."""
 
 import asyncio
-import signal
-from collections.abc import Awaitable, Callable
 from functools import partial
 from hashlib import sha256
 from pathlib import Path
-from typing import Any, Self
-
-from aiohttp import ClientSession, ClientTimeout
+from typing import Any
 
+from mallowspindle.bench.local import SHARED_KEY, LocalProcesses
 from mallowspindle.bench.processes import ManagedProcess
-from mallowspindle.bench.waiting import WAIT_S, wait_until
 from mallowspindle.native.log import LogClient
 from mallowspindle.settings.publisher import new_change, publish
 from mallowspindle.settings.reader import catch_up
 from mallowspindle.settings.tree import SettingsTree, Verdict
 
 OPERATOR_TOKEN = 'operator-token'
-_SHARED_KEY = 'a-shared-key-for-loopback'
 
 ROOT_DOCUMENT = """
 [split]
@@ -41,23 +36,16 @@
 """
 
 
-class Venture:
+class Venture(LocalProcesses):
     """Starts processes, publishes settings and talks to the daemons."""
 
     def __init__(self, folder: Path) -> None:
-        self._folder = folder
-        self._processes: dict[str, ManagedProcess] = {}
-        self._session = ClientSession(timeout=ClientTimeout(total=60))
+        super().__init__(folder)
         self._log_client: LogClient | None = None
         self._tree = SettingsTree()
         self._seeds: list[str] = []
         self.overrides: dict[str, dict[str, Any]] = {}
 
-    @property
-    def session(self) -> ClientSession:
-        """The HTTP session of the venture's callers."""
-        return self._session
-
     @property
     def log_client(self) -> LogClient:
         """A client of the log stand-in."""
@@ -70,16 +58,6 @@
         """The settings as the venture's operator reads them."""
         return self._tree
 
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        await self.stop()
-
-    def process(self, name: str) -> ManagedProcess:
-        """Return a process by name."""
-        return self._processes[name]
-
     async def start_platform(
         self, *, vm_list_lag_s: float = 0.2, **log_options: float
     ) -> None:
@@ -92,19 +70,6 @@
         await self.start_standin('cloud', 'cloud', f'--lag-s={vm_list_lag_s}')
         self._log_client = LogClient(self._session, self.process('log').url, 2)
 
-    async def start_standin(
-        self, name: str, kind: str, *arguments: str
-    ) -> ManagedProcess:
-        """Start one stand-in."""
-        started = await ManagedProcess.start(
-            name,
-            f'mallowspindle.standins.{kind}',
-            list(arguments),
-            self._folder / f'{name}.log',
-        )
-        self._processes[name] = started
-        return started
-
     async def start_engine(
         self, name: str, zone: str, *arguments: str, **listed: Any
     ) -> ManagedProcess:
@@ -144,15 +109,9 @@
         self, name: str, zone: str, **overrides: dict[str, Any]
     ) -> ManagedProcess:
         """Start the daemon of one entry VM."""
-        path = self._folder / f'{name}.ini'
-        path.write_text(self.node_settings(name, zone, overrides))
-        started = await ManagedProcess.start(
-            name,
-            'mallowspindle.daemon',
-            ['--settings', str(path)],
-            self._folder / f'{name}.log',
+        started = await self.start_daemon(
+            name, self.node_settings(name, zone, overrides)
         )
-        self._processes[name] = started
         self._seeds.append(started.peer_address)
         await self.list_vm(name, 'entry', zone, started.address)
         return started
@@ -173,7 +132,7 @@
         sections: dict[str, dict[str, Any]] = {
             'node': {'name': name, 'zone': zone, 'vm_id': name},
             'peers': {
-                'shared_key': _SHARED_KEY,
+                'shared_key': SHARED_KEY,
                 'seeds': ' '.join(self._seeds),
             },
             'native': {
@@ -225,18 +184,6 @@
 
         await self.wait_until(in_force)
 
-    async def wait_until(
-        self,
-        condition: Callable[[], Awaitable[bool]],
-        timeout_s: float = WAIT_S,
-    ) -> None:
-        """Poll a condition until it holds; ``TimeoutError`` if it never does."""
-        await wait_until(condition, timeout_s)
-
-    async def set_faults(self, name: str, **faults: Any) -> None:
-        """Make a stand-in show faults."""
-        await self.post(f'{self.process(name).url}/faults', faults)
-
     async def reclaim(self, vm_id: str, notice_s: float) -> None:
         """Give a VM a reclaim notice."""
         await self.post(
@@ -244,31 +191,11 @@
             {'notice_s': notice_s},
         )
 
-    async def post(self, url: str, document: Any) -> None:
-        """Post JSON to a stand-in."""
-        async with self._session.post(url, json=document) as response:
-            response.raise_for_status()
-
-    async def get(self, url: str, token: str = '') -> Any:
-        """Return a JSON document, or None for an error."""
-        headers = {'Authorization': f'Bearer {token}'} if token else {}
-        async with self._session.get(url, headers=headers) as response:
-            return await response.json() if response.ok else None
-
     async def runs(self, name: str) -> list[dict[str, Any]]:
         """Return what really ran at a plain server."""
         ledger = await self.get(f'{self.process(name).url}/ledger')
         return list(ledger)
 
-    async def stop(self) -> None:
-        """End all processes and close the session."""
-        for process in self._processes.values():
-            process.send_signal(signal.SIGCONT)
-        await asyncio.gather(
-            *(process.kill() for process in self._processes.values())
-        )
-        await self._session.close()
-
     async def _is_ready(self, name: str, nodes: tuple[str, ...]) -> bool:
         url = self.process(name).url
         known = await self.get(f'{url}/operator/nodes', OPERATOR_TOKEN)
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -2,21 +2,18 @@
 
 import asyncio
 import json
-import signal
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any, Self
+from typing import Any
 
-from aiohttp import ClientSession, ClientTimeout
 from yarl import URL
 
+from mallowspindle.bench.local import SHARED_KEY, LocalProcesses
 from mallowspindle.bench.processes import ManagedProcess
-from mallowspindle.bench.waiting import wait_until
 
 HOST = 'shop.example'
 KEY = 'key-of-farm'
-_SHARED_KEY = 'a-shared-key-for-loopback'
 _ANY = '127.0.0.1:0'
 
 CONFIGURATION: Mapping[str, Any] = MappingProxyType(
@@ -75,35 +72,18 @@
 )
 
 
-class GatewayVenture:
+class GatewayVenture(LocalProcesses):
     """Starts stand-ins and gateways, and talks to them as callers do."""
 
     def __init__(self, folder: Path) -> None:
-        self._folder = folder
-        self._processes: dict[str, ManagedProcess] = {}
+        super().__init__(folder)
         self._seeds: list[str] = []
-        self._session = ClientSession(timeout=ClientTimeout(total=30))
-
-    @property
-    def session(self) -> ClientSession:
-        """The HTTP session of the callers."""
-        return self._session
-
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        await self.stop()
-
-    def process(self, name: str) -> ManagedProcess:
-        """Return a process by name."""
-        return self._processes[name]
 
     async def start_platform(self) -> None:
         """Start the store and the duties' interface."""
         await asyncio.gather(
-            self._start('store', 'platform_store'),
-            self._start('duties', 'platform_duties'),
+            self.start_standin('store', 'platform_store'),
+            self.start_standin('duties', 'platform_duties'),
         )
 
     async def configure(self, **changes: Any) -> None:
@@ -115,7 +95,7 @@
         self, name: str, service: str, *arguments: str
     ) -> ManagedProcess:
         """Start a backend server and register it."""
-        started = await self._start(
+        started = await self.start_standin(
             name, 'platform_server', '--server-id', name, *arguments
         )
         await self.register(name, service)
@@ -144,43 +124,35 @@
         **proxy: Any,
     ) -> ManagedProcess:
         """Start a gateway; wait until it serves unless told otherwise."""
-        path = self.write_settings(name, zone, traces, **proxy)
-        started = await ManagedProcess.start(
-            name,
-            'mallowspindle.daemon',
-            ['--settings', str(path)],
-            self._folder / f'{name}.log',
+        started = await self.start_daemon(
+            name, self.gateway_settings(name, zone, traces, **proxy)
         )
-        self._processes[name] = started
         self._seeds.append(started.endpoint('peers'))
         if wait:
             await self.wait_until(lambda: self.is_ready(name))
         return started
 
-    def write_settings(
+    def gateway_settings(
         self, name: str, zone: str, traces: str = '', **proxy: Any
-    ) -> Path:
-        """Write the INI file of a gateway."""
+    ) -> str:
+        """Return the INI text of a gateway."""
         options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
-        path = self._folder / f'{name}.ini'
-        path.write_text(
+        return (
             f'[node]\ninterface = platform\nname = {name}\nzone = {zone}\n'
             f'[listen]\ncallers = {_ANY}\nreadiness = {_ANY}\n'
             f'addresses = {_ANY}\npeers = {_ANY}\n'
-            f'[peers]\nshared_key = {_SHARED_KEY}\n'
+            f'[peers]\nshared_key = {SHARED_KEY}\n'
             f'seeds = {" ".join(self._seeds)}\n'
             f'[store]\naddress = {self.process("store").address}\n'
             f'[duties]\naddress = {self.process("duties").address}\n'
             f'kinds = usage autoscale\nusage_window_s = 1\n'
             f'[proxy]\n{options}'
-            f'[telemetry]\ntraces_file = {traces}\n',
-            encoding='utf-8',
+            f'[telemetry]\ntraces_file = {traces}\n'
         )
-        return path
 
     def log_lines(self, name: str, message: str) -> list[dict[str, Any]]:
         """Return the lines of a process's log with a message."""
-        text = (self._folder / f'{name}.log').read_text(encoding='utf-8')
+        text = self.log_path(name).read_text(encoding='utf-8')
         lines = [
             json.loads(line)
             for line in text.splitlines()
@@ -245,49 +217,11 @@
         """Return the calls that the duties' interface accepted."""
         return list(await self.get(f'{self.process("duties").url}/calls'))
 
-    async def get(self, url: str) -> Any:
-        """Return a JSON document."""
-        async with self._session.get(url) as response:
-            return await response.json()
-
     async def put(self, topic: str, key: str, content: bytes) -> None:
         """Write a keyed record; no content drops the key."""
         url = f'{self.process("store").url}/operator/{topic}/{key}'
         async with self._session.post(url, data=content) as response:
             response.raise_for_status()
 
-    async def set_faults(self, name: str, **faults: Any) -> None:
-        """Make a stand-in show faults."""
-        url = f'{self.process(name).url}/faults'
-        async with self._session.post(url, json=faults) as response:
-            response.raise_for_status()
-
-    async def wait_until(
-        self, condition: Callable[[], Awaitable[bool]]
-    ) -> None:
-        """Poll a condition until it holds; ``TimeoutError`` if never."""
-        await wait_until(condition)
-
-    async def stop(self) -> None:
-        """End all processes and close the session."""
-        for started in self._processes.values():
-            started.send_signal(signal.SIGCONT)
-        await asyncio.gather(
-            *(process.kill() for process in self._processes.values())
-        )
-        await self._session.close()
-
     def _endpoint(self, name: str, listener: str) -> str:
         return self.process(name).endpoint(listener)
-
-    async def _start(
-        self, name: str, module: str, *arguments: str
-    ) -> ManagedProcess:
-        started = await ManagedProcess.start(
-            name,
-            f'mallowspindle.standins.{module}',
-            list(arguments),
-            self._folder / f'{name}.log',
-        )
-        self._processes[name] = started
-        return started
--- /dev/null
+++ b/mallowspindle/tests/backends/test_evacuation.py
@@ -0,0 +1,166 @@
+"""Where streams go while their server is reclaimed."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from multidict import CIMultiDict
+
+from mallowspindle.backends.evacuation import EvacuationService
+from mallowspindle.backends.prefixes import PartMemory
+from mallowspindle.backends.service import Pick
+from mallowspindle.backends.view import BackendView, Relocation, Work
+from mallowspindle.border import MoveError, Moves, NoRoom
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.proxy.messages import CallerRequest, MovedRun
+
+LEFT_S = 0.5
+
+
+def _view(name: str, *, draining: bool = False) -> BackendView:
+    server = BackendServer(
+        name, 'models', f'{name}:80', 'a', 8, draining=draining
+    )
+    return BackendView(server, PartMemory(1000))
+
+
+def _work(request_id: str = 'r1') -> Work:
+    request = CallerRequest(
+        'POST', '/', 'shop.example', request_id, CIMultiDict()
+    )
+    return Work(request, 0, 0, streaming=True)
+
+
+class FakeMoves(Moves):
+    """Servers of which some have no room for a copy, or for the rest."""
+
+    def __init__(self) -> None:
+        self.full: set[str] = set()
+        self.full_at_last: set[str] = set()
+        self.ended = False
+        self.calls: list[tuple[str, str]] = []
+
+    async def time_left_s(self, address: str) -> float | None:
+        """Return the time up to the reclaim."""
+        return LEFT_S
+
+    async def copy(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> MovedRun:
+        """Copy unless the target is full."""
+        self.calls.append(('copy', target_address))
+        if target_address in self.full:
+            raise NoRoom('full')
+        return MovedRun(source_address, 'h1')
+
+    async def move(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> MovedRun:
+        """Move unless the run has ended or the target is full."""
+        self.calls.append(('move', target_address))
+        if self.ended:
+            raise MoveError('no such run')
+        if target_address in self.full_at_last:
+            raise NoRoom('full', MovedRun(source_address, 'h2'))
+        return MovedRun(source_address, 'h1')
+
+    async def drop(self, run: MovedRun) -> None:
+        """Note what is freed."""
+        self.calls.append(('drop', run.handle))
+
+
+class FakeBackends:
+    """Picks the first server that is not to be avoided."""
+
+    def __init__(self, source: BackendView) -> None:
+        self._source = source
+        self.targets = [_view(name) for name in ('two', 'three', 'four')]
+
+    def find(self, service_name: str, server_id: str) -> BackendView:
+        """Return the server that leaves."""
+        return self._source
+
+    def pick(
+        self, service_name: str, request: CallerRequest, avoid: set[str]
+    ) -> Pick | None:
+        """Return the next server."""
+        left = [
+            view for view in self.targets if view.server.server_id not in avoid
+        ]
+        return Pick(left[0], 0) if left else None
+
+
+async def _evacuate(moves: FakeMoves) -> tuple[Work, BackendView]:
+    """Run the evacuation of a server with one stream up to its move."""
+    source = _view('one', draining=True)
+    work = _work()
+    source.work.add(work)
+    watchers: list[Any] = []
+    catalog = SimpleNamespace(
+        watch=watchers.append, servers={'one': source.server}
+    )
+    evacuation = EvacuationService(
+        moves,
+        FakeBackends(source),  # type: ignore[arg-type]
+        catalog,  # type: ignore[arg-type]
+    )
+    await evacuation.start()
+    watchers[0]()
+    async with asyncio.timeout(20):
+        while not (work.move and work.move.done()) and len(moves.calls) < 3:
+            await asyncio.sleep(0.01)
+    await evacuation.stop()
+    return work, source
+
+
+async def test_a_stream_is_copied_before_it_is_stopped() -> None:
+    moves = FakeMoves()
+    work, _ = await _evacuate(moves)
+    assert moves.calls == [('copy', 'two:80'), ('move', 'two:80')]
+    assert work.move is not None
+    assert work.move.result().target.server.server_id == 'two'
+
+
+async def test_a_full_server_is_passed_over_before_the_stream_stops() -> None:
+    moves = FakeMoves()
+    moves.full = {'two:80'}
+    work, _ = await _evacuate(moves)
+    assert moves.calls[:3] == [
+        ('copy', 'two:80'),
+        ('copy', 'three:80'),
+        ('move', 'three:80'),
+    ]
+    assert work.move is not None
+    assert work.move.result().target.server.server_id == 'three'
+
+
+async def test_a_refused_target_leads_back_to_the_source() -> None:
+    work, source = await _evacuate(FakeMoves())
+    assert work.move is not None
+    moved: Relocation = work.move.result()
+    assert moved.otherwise is not None
+    assert moved.otherwise.target is source
+    assert moved.otherwise.run == moved.run
+
+
+async def test_a_stopped_stream_without_room_stays_at_its_source() -> None:
+    moves = FakeMoves()
+    moves.full_at_last = {'two:80'}
+    work, source = await _evacuate(moves)
+    assert work.move is not None
+    moved: Relocation = work.move.result()
+    assert moved.target is source
+    assert moved.run.handle == 'h2'
+
+
+async def test_the_copy_of_a_stream_that_has_ended_is_freed() -> None:
+    moves = FakeMoves()
+    moves.ended = True
+    work, _ = await _evacuate(moves)
+    assert moves.calls[:3] == [
+        ('copy', 'two:80'),
+        ('move', 'two:80'),
+        ('drop', 'h1'),
+    ]
+    assert work.move is not None
+    assert work.move.cancelled()
--- a/mallowspindle/tests/duties/test_fleet.py
+++ b/mallowspindle/tests/duties/test_fleet.py
@@ -81,6 +81,17 @@
         self.answered.set()
 
 
+def _keeper(
+    catalog: FakeCatalog, duties: Duties, clock: FakeClock
+) -> FleetKeeper:
+    return FleetKeeper(
+        catalog,  # type: ignore[arg-type]
+        duties,
+        lambda service: Demand(reading=0.8, running=5, slots=64),
+        clock,
+    )
+
+
 async def test_servers_are_kept_until_their_replacements_serve() -> None:
     """Replays the end of a dry spell: reclaimable servers come late."""
     clock = FakeClock()
@@ -89,12 +100,7 @@
         catalog.put(f'dear-{number}', 'b', reclaimable=False)
     for number in range(2):
         catalog.put(f'cheap-{number}', 'a', reclaimable=True)
-    keeper = FleetKeeper(
-        catalog,  # type: ignore[arg-type]
-        duties,
-        lambda service: Demand(reading=0.8, running=5, slots=64),
-        clock,
-    )
+    keeper = _keeper(catalog, duties, clock)
     await _run(keeper, clock)
     # Five servers serve and three carry the load at a pinch: two may go.
     assert min(_on_demand_orders(duties)) == 1
@@ -109,12 +115,7 @@
     clock = FakeClock()
     catalog, duties = FakeCatalog(), DryDuties()
     catalog.put('dear-0', 'b', reclaimable=False)
-    keeper = FleetKeeper(
-        catalog,  # type: ignore[arg-type]
-        duties,
-        lambda service: Demand(reading=0.8, running=5, slots=64),
-        clock,
-    )
+    keeper = _keeper(catalog, duties, clock)
     await _run(keeper, clock)
     assert set(_on_demand_orders(duties)) == {3}
     duties.dry = False
@@ -127,12 +128,7 @@
     clock = FakeClock()
     catalog, duties = FakeCatalog(), SilentDuties()
     catalog.put('dear-0', 'a', reclaimable=False)
-    keeper = FleetKeeper(
-        catalog,  # type: ignore[arg-type]
-        duties,
-        lambda service: Demand(reading=0.8, running=5, slots=64),
-        clock,
-    )
+    keeper = _keeper(catalog, duties, clock)
     step = asyncio.create_task(keeper.step(1))
     await asyncio.wait_for(duties.answered.wait(), timeout=10)
     assert {order.zone for order in duties.orders} == {'b'}
--- a/mallowspindle/tests/gateway/test_platform.py
+++ b/mallowspindle/tests/gateway/test_platform.py
@@ -111,7 +111,10 @@
 async def test_reloads_settings_and_keeps_the_old_if_bad(
     venture: GatewayVenture,
 ) -> None:
-    path = venture.write_settings('entry-1', 'a', connect_timeout_s=-1)
+    path = venture.write_settings(
+        'entry-1',
+        venture.gateway_settings('entry-1', 'a', connect_timeout_s=-1),
+    )
     venture.process('entry-1').send_signal(signal.SIGHUP)
     refused = 'settings not reloaded, the old ones stay in force'
 
@@ -120,7 +123,10 @@
         return any('connect_timeout_s' in line['problems'] for line in lines)
 
     await venture.wait_until(told)
-    venture.write_settings('entry-1', 'a', connect_timeout_s=0.7)
+    venture.write_settings(
+        'entry-1',
+        venture.gateway_settings('entry-1', 'a', connect_timeout_s=0.7),
+    )
 
     async def reloaded() -> bool:
         return bool(venture.log_lines('entry-1', 'settings reloaded'))
