Register what troubles do in the lab; name its refusals

Cause: kinds of trouble were told apart by chains of conditions in three places and a list of those that touch the load; a refusal crossed modules as a number. Ruled out: changes of the emulation itself. Conclusion: one registry, as for patterns and policies; the daemon loads none of it.

--- a/mallowspindle/lab/callers.py
+++ b/mallowspindle/lab/callers.py
@@ -4,9 +4,9 @@
 from simpy import Environment
 
 from mallowspindle.lab.engine import Engine, Run, Steps
-from mallowspindle.lab.nodes import Nodes
+from mallowspindle.lab.nodes import Nodes, Refusal
 from mallowspindle.lab.results import Ending, Results
-from mallowspindle.lab.scenario import Kind, Scenario, Trouble
+from mallowspindle.lab.scenario import Kind, Scenario
 from mallowspindle.proxy.messages import PromptPart
 
 # Spread of the logarithm of lengths, as of prompts that people write.
@@ -16,7 +16,10 @@
 
 
 class Callers:
-    """Sends requests of all kinds at their rates."""
+    """Sends requests of all kinds at ``rate`` times their rates.
+
+    ``hot_part`` of them share one prefix.
+    """
 
     def __init__(
         self,
@@ -33,26 +36,15 @@
         self._random = np.random.default_rng(seed)
         # Apart from the load, so that this is the same for all policies.
         self._returning = np.random.default_rng((seed, 1))
-        self._rate = 1.0
-        self._hot_part = 0.0
+        self.rate = 1.0
+        self.hot_part = 0.0
         for kind in scenario.kinds:
             env.process(self._send(kind))
 
-    def suffer(self, trouble: Trouble) -> Steps:
-        """Let a trouble of the load happen."""
-        if trouble.kind == 'burst':
-            self._rate = trouble.times
-            yield self._env.timeout(trouble.for_s)
-            self._rate = 1
-        elif trouble.kind == 'hot-prefix':
-            self._hot_part = trouble.times
-            yield self._env.timeout(trouble.for_s)
-            self._hot_part = 0
-
     def _send(self, kind: Kind) -> Steps:
         clump = self._scenario.clump
         while self._env.now < self._scenario.length_s:
-            per_s = kind.per_s * self._rate / clump
+            per_s = kind.per_s * self.rate / clump
             yield self._env.timeout(self._random.exponential(1 / per_s))
             node = int(self._random.integers(self._scenario.nodes))
             for _ in range(self._random.geometric(1 / clump)):
@@ -63,9 +55,9 @@
         run = self._make_run(kind)
         self._nodes.note_demand(node, run.prompt)
         found = self._nodes.admit(node, kind, run.prompt, kind.deadline_s)
-        if isinstance(found, float):
-            yield self._env.timeout(found)
-            left_s = kind.deadline_s - found
+        if isinstance(found, Refusal):
+            yield self._env.timeout(found.pause_s)
+            left_s = kind.deadline_s - found.pause_s
             node = int(self._returning.integers(self._scenario.nodes))
             found = self._nodes.admit(node, kind, run.prompt, left_s)
         if isinstance(found, Engine):
@@ -77,7 +69,7 @@
                 run.first_at_s - began_at_s,
                 run.longest_gap_s,
                 whole=not run.lost and isinstance(found, Engine),
-                refused=isinstance(found, float),
+                refused=isinstance(found, Refusal),
             )
         )
 
@@ -94,7 +86,7 @@
         )
 
     def _key(self, kind: Kind) -> int:
-        if self._random.random() < self._hot_part:
+        if self._random.random() < self.hot_part:
             return 0
         ranks = np.arange(1, kind.keys + 1, dtype=float)
         weights = ranks**-_SKEW
--- a/mallowspindle/lab/fleet.py
+++ b/mallowspindle/lab/fleet.py
@@ -5,7 +5,7 @@
 from simpy import Environment
 
 from mallowspindle.lab.engine import Engine, Steps
-from mallowspindle.lab.scenario import Scenario, Trouble
+from mallowspindle.lab.scenario import Scenario
 from mallowspindle.policies.fleet import (
     Demand,
     FleetSizer,
@@ -16,8 +16,6 @@
 from mallowspindle.policies.rates import RateMeter
 
 _TICK_S = 0.2
-# Notice before reclaimed servers are taken away.
-_NOTICE_S = 3.0
 # Time that a surplus server is kept for its streams.
 _DRAIN_S = 10.0
 # Span over which the demand is averaged, as on the entry VMs.
@@ -29,7 +27,10 @@
 
 
 class Fleet:
-    """Orders servers by the fleet policy and counts their price."""
+    """Orders servers by the fleet policy and counts their price.
+
+    ``dry`` holds the zones without reclaimable servers.
+    """
 
     def __init__(self, env: Environment, scenario: Scenario) -> None:
         self._env = env
@@ -38,7 +39,7 @@
         self._numbers = count()
         self._speeds = cycle(_SPEEDS)
         self._sizer = FleetSizer(lambda: env.now)
-        self._dry: set[str] = set()
+        self.dry: set[str] = set()
         self._booting: list[tuple[str, bool]] = []
         self.meter = RateMeter(_DEMAND_SPAN_S, lambda: env.now)
         self.price = 0.0
@@ -60,35 +61,6 @@
         """Return the servers that take new work."""
         return [engine for engine in self.engines if not engine.draining]
 
-    def suffer(self, trouble: Trouble) -> Steps:
-        """Let a trouble of servers happen."""
-        if trouble.kind == 'slow':
-            engine = self.serving()[0]
-            usual = engine.speed
-            engine.speed = usual * trouble.times
-            yield self._env.timeout(trouble.for_s)
-            engine.speed = usual
-        elif trouble.kind == 'crash':
-            for engine in self._in_zone(trouble.zone):
-                self._remove(engine)
-        elif trouble.kind == 'reclaim':
-            yield from self._reclaim(trouble)
-
-    def _reclaim(self, trouble: Trouble) -> Steps:
-        self._dry.add(trouble.zone)
-        leaving = [
-            engine
-            for engine in self._in_zone(trouble.zone)
-            if engine.reclaimable
-        ]
-        for engine in leaving:
-            engine.draining = True
-        yield self._env.timeout(_NOTICE_S)
-        for engine in leaving:
-            self._remove(engine)
-        yield self._env.timeout(max(0, trouble.for_s - _NOTICE_S))
-        self._dry.discard(trouble.zone)
-
     def _keep(self) -> Steps:
         while True:
             self._count_price()
@@ -132,7 +104,7 @@
         """Boot or drain towards a goal; return how many are drained."""
         here = [
             engine
-            for engine in self._in_zone(zone)
+            for engine in self.in_zone(zone)
             if engine.reclaimable == reclaimable and not engine.draining
         ]
         coming = self._booting.count((zone, reclaimable))
@@ -152,9 +124,10 @@
 
     def _drain(self, engine: Engine) -> Steps:
         yield self._env.timeout(_DRAIN_S)
-        self._remove(engine)
+        self.remove(engine)
 
-    def _remove(self, engine: Engine) -> None:
+    def remove(self, engine: Engine) -> None:
+        """End a server; what runs there is lost."""
         engine.draining = True
         engine.end()
         if engine in self.engines:
@@ -171,16 +144,17 @@
             speed=next(self._speeds),
         )
 
-    def _in_zone(self, zone: str) -> list[Engine]:
+    def in_zone(self, zone: str) -> list[Engine]:
+        """Return all servers of a zone."""
         return [engine for engine in self.engines if engine.zone == zone]
 
     def _zone_fleet(self, zone: str) -> ZoneFleet:
         serving = [
-            engine for engine in self._in_zone(zone) if not engine.draining
+            engine for engine in self.in_zone(zone) if not engine.draining
         ]
         reclaimable = sum(engine.reclaimable for engine in serving)
         return ZoneFleet(
             reclaimable + self._booting.count((zone, True)),
             len(serving) - reclaimable + self._booting.count((zone, False)),
-            reclaimable_to_be_had=zone not in self._dry,
+            reclaimable_to_be_had=zone not in self.dry,
         )
--- a/mallowspindle/lab/nodes.py
+++ b/mallowspindle/lab/nodes.py
@@ -23,6 +23,13 @@
 _OWNERS = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request is turned away and may come back after ``pause_s``."""
+
+    pause_s: float
+
+
 @dataclass(slots=True)
 class Load:
     """What one node, or all others, have at a server."""
@@ -61,12 +68,12 @@
 
     def admit(
         self, number: int, kind: Kind, prompt: Prompt, time_left_s: float
-    ) -> Engine | float:
-        """Return the server for a request, or when to come back."""
+    ) -> Engine | Refusal:
+        """Return the server for a request, or its refusal."""
         node = self._nodes[number]
         serving = self._fleet.serving()
         if not serving:
-            return self._scenario.gap_s
+            return Refusal(self._scenario.gap_s)
         candidates = [self._candidate(node, each, prompt) for each in serving]
         zone = self._zones[number % len(self._zones)]
         tokens = sum(part.tokens for part in prompt)
@@ -77,7 +84,7 @@
             Turn(chosen.backlog_s, kind.aim_s, time_left_s)
         )
         if pause_s:
-            return pause_s
+            return Refusal(pause_s)
         return next(
             each for each in serving if each.server_id == chosen.server_id
         )
--- a/mallowspindle/lab/replay.py
+++ b/mallowspindle/lab/replay.py
@@ -10,11 +10,11 @@
 from mallowspindle.lab.fleet import Fleet
 from mallowspindle.lab.nodes import Nodes
 from mallowspindle.lab.results import Results, Summary
-from mallowspindle.lab.scenario import Scenario, Trouble
+from mallowspindle.lab.scenario import Scenario
+from mallowspindle.lab.troubles import Stage, play
 
 # Time after the last request in which streams end.
 _TAIL_S = 16.0
-_LOAD_TROUBLES = frozenset(('burst', 'hot-prefix'))
 _SAMPLE_S = 0.5
 
 
@@ -49,24 +49,15 @@
     callers = Callers(env, scenario, nodes, results, seed)
     samples: list[Sample] = []
     env.process(_sample(env, fleet, samples))
+    stage = Stage(env, fleet, callers)
     for trouble in scenario.troubles:
-        env.process(_suffer(env, trouble, fleet, callers))
+        env.process(play(stage, trouble))
     env.run(until=scenario.length_s + _TAIL_S)
     return Replay(
         results, results.summary(fleet.price, fleet.read_tokens), samples
     )
 
 
-def _suffer(
-    env: Environment, trouble: Trouble, fleet: Fleet, callers: Callers
-) -> Steps:
-    yield env.timeout(trouble.at_s)
-    if trouble.kind in _LOAD_TROUBLES:
-        yield from callers.suffer(trouble)
-    else:
-        yield from fleet.suffer(trouble)
-
-
 def _sample(env: Environment, fleet: Fleet, samples: list[Sample]) -> Steps:
     while True:
         samples.append(
