Test what telling peers costs a node of a large venture

Callers on the grown sites saw too little served (SHORT). Hypothesis: the state of work goes from each node to each, so its cost grows with the nodes and takes the links (5 to 10 Mbit/s) and the processors of small entry VMs. Ruled out: the speed of the test's machine, which slowed the first draft of the test; bytes are now counted for each round of states. No logic changes; the interval's constant becomes public for the test.

--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -21,7 +21,7 @@
 
 # Pause between two states sent to each peer: below half of the lag of a
 # backend server's own report, so that peers' sends are known before it.
-_INTERVAL_S = 0.35
+INTERVAL_S = 0.35
 # News in a hurry is sent no more often than this.
 _LEAST_INTERVAL_S = 0.03
 # A state that is older says nothing of the present load any longer.
@@ -140,7 +140,7 @@
             await asyncio.sleep(_LEAST_INTERVAL_S)
             with suppress(TimeoutError):
                 await asyncio.wait_for(
-                    self._hurry.wait(), _INTERVAL_S - _LEAST_INTERVAL_S
+                    self._hurry.wait(), INTERVAL_S - _LEAST_INTERVAL_S
                 )
 
     async def _send_state(self) -> None:
--- /dev/null
+++ b/mallowspindle/tests/sharing/fakes.py
@@ -0,0 +1,120 @@
+"""Entry VMs in one process whose messages are counted, not sent."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any, cast
+
+from mallowspindle.membership.messages import MemberInfo
+from mallowspindle.membership.service import MembershipService
+from mallowspindle.membership.table import MemberTable
+from mallowspindle.peers.codec import OkReply, peer_codec
+from mallowspindle.peers.errors import PeerTimeout
+from mallowspindle.sharing.service import SharingService
+from mallowspindle.utils.codec import pack, unpack
+
+_NEVER_S = 1e9
+# Bytes of a frame around its message: the length and the number of the call.
+_FRAME_BYTES = 8
+
+Handler = Callable[[Any], Awaitable[object]]
+
+
+class FakeServer:
+    """Keeps the handlers of one node."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[type, Handler] = {}
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Register the handler of one type of message."""
+        self._handlers[message_type] = handler
+
+    async def reply_to(self, message: object) -> object:
+        """Return a handler's reply."""
+        return await self._handlers[type(message)](message)
+
+
+@dataclass(slots=True)
+class FakeLink:
+    """A link from one node of the mesh to another."""
+
+    mesh: 'FakeMesh'
+    source: str
+    target: str
+
+    async def call(self, message: object, timeout_s: float) -> object:
+        """Deliver a message through its encoding."""
+        payload = pack(peer_codec.to_wire(message))
+        self.mesh.note_sent(self.source, len(payload) + _FRAME_BYTES)
+        await asyncio.sleep(0)
+        if self.target in self.mesh.silent:
+            raise PeerTimeout(self.target)
+        server = self.mesh.servers[self.target]
+        return await server.reply_to(peer_codec.from_wire(unpack(payload)))
+
+
+class FakeMembership:
+    """One node's view of a venture in which all nodes know all."""
+
+    def __init__(self, mesh: 'FakeMesh', own: MemberInfo) -> None:
+        self._mesh = mesh
+        self.own = own
+        self.server = mesh.servers[own.name]
+        self.table = MemberTable(own.name, _NEVER_S)
+
+    def link(self, info: MemberInfo) -> FakeLink:
+        """Return the link to a member."""
+        return FakeLink(self._mesh, self.own.name, info.name)
+
+
+class FakeMesh:
+    """The sharing services of a venture of some size."""
+
+    def __init__(self, size: int, zones: int) -> None:
+        infos = [_info(number, number % zones) for number in range(size)]
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.silent: set[str] = set()
+        self.servers = {info.name: FakeServer() for info in infos}
+        self.memberships = {
+            info.name: FakeMembership(self, info) for info in infos
+        }
+        self.nodes = {
+            name: SharingService(cast(MembershipService, membership))
+            for name, membership in self.memberships.items()
+        }
+        for membership in self.memberships.values():
+            for info in infos:
+                membership.table.merge(info)
+
+    async def __aenter__(self) -> 'FakeMesh':
+        await asyncio.gather(*(node.start() for node in self.nodes.values()))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await asyncio.gather(*(node.stop() for node in self.nodes.values()))
+
+    def note_sent(self, source: str, size: int) -> None:
+        """Count a message of a node."""
+        self.sent[source] += 1
+        self.sent_bytes[source] += size
+
+    def lose(self, name: str, seen_by: Iterable[str]) -> None:
+        """Let a node answer nothing, and let others take it for lost."""
+        self.silent.add(name)
+        for other in seen_by:
+            member = self.memberships[other].table.find(name)
+            if member is not None:
+                member.lost = True
+
+    async def answer_ok(self, message: object) -> OkReply:
+        """Handle a message by doing nothing."""
+        return OkReply()
+
+
+def _info(number: int, zone: int) -> MemberInfo:
+    name = f'entry-{number:03}'
+    blank = MemberInfo(name, 'one', f'zone-{zone}', '', '', 1, 1)
+    return replace(blank, peer_address=name, http_address=name)
--- /dev/null
+++ b/mallowspindle/tests/sharing/test_scale.py
@@ -0,0 +1,66 @@
+"""What telling the others costs a node, by the size of the venture."""
+
+import asyncio
+from functools import partial
+
+from mallowspindle.sharing.messages import QuotaUse, ServerLoad
+from mallowspindle.sharing.service import INTERVAL_S
+from mallowspindle.tests.sharing.fakes import FakeMesh
+
+_ZONES = 5
+_SERVERS = 45
+_BUSY_SERVERS = 10
+_ORGANISATIONS = 16
+_ROUNDS = 4
+# What a node may spend on control by the operators' figures for 410 nodes.
+_MOST_BYTES_PER_S = 9_000
+
+
+class _Rounds:
+    """Gives each node's load and counts how often all have told it."""
+
+    def __init__(self, mesh: FakeMesh) -> None:
+        self._nodes = len(mesh.nodes)
+        self._asked = 0
+        for number, node in enumerate(mesh.nodes.values()):
+            node.provide('loads', partial(self._loads, number))
+            node.provide('quota_use', _quota_use)
+
+    @property
+    def told(self) -> float:
+        """States that each node has told, on average."""
+        return self._asked / self._nodes
+
+    def _loads(self, number: int) -> list[ServerLoad]:
+        self._asked += 1
+        return [
+            ServerLoad(f'i-{(number + step) % _SERVERS:010}', 1, 0.05)
+            for step in range(_BUSY_SERVERS)
+        ]
+
+
+def _quota_use() -> list[QuotaUse]:
+    return [
+        QuotaUse(f'organisation-{index}', 1200, 400, 150)
+        for index in range(_ORGANISATIONS)
+    ]
+
+
+async def _bytes_per_node_s(size: int) -> float:
+    """Return what a node sends, whatever the speed of the test's machine."""
+    mesh = FakeMesh(size, _ZONES)
+    rounds = _Rounds(mesh)
+    async with mesh:
+        while rounds.told < _ROUNDS:
+            await asyncio.sleep(0.01)
+    return mesh.sent_bytes.total() / size / rounds.told / INTERVAL_S
+
+
+async def test_a_node_of_a_large_venture_spends_little_on_telling() -> None:
+    """Replays the grown deployments: states went from each node to each."""
+    assert await _bytes_per_node_s(60) <= _MOST_BYTES_PER_S
+
+
+async def test_telling_stays_flat_as_nodes_are_added() -> None:
+    few, many = await _bytes_per_node_s(30), await _bytes_per_node_s(90)
+    assert many <= few * 1.25
