Test that a moved stream never begins anew where an address passed on

Callers of a route that must not run twice got events twice. Their stream was moved off a reclaimed server; the target had died without notice, and its address had passed to a new server of the same service, which answered 421 to the continuation.

Cause: before the exchange took the outcome of the continuation for that of the request. A 421 means "not run", which is true of the target only, so the request was sent to one more server as if nothing of it had run.

The first test replays the record on loopback: the server that is the target ends without notice and keeps its entry, another one starts on its port with another id, and the stream is moved. The second one has the server that keeps the copy of a lost stream end in the same way. For both, the stand-in of a server gets `--no-resume`, with which a stream starts at its first event unless the request names the memory of its run, and it stops the run that is moved, not all later runs of the request.

Ruled out: the continuation itself reaching the wrong run. The new server has another id and refuses it; no other server is sent it.

--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -28,13 +28,20 @@
 class ServerStandin:
     """A server with an id that records what ran."""
 
-    def __init__(self, server_id: str, events: int, pause_s: float) -> None:
+    def __init__(
+        self,
+        server_id: str,
+        events: int,
+        pause_s: float,
+        *,
+        resumes: bool = True,
+    ) -> None:
         self._id = server_id
         self._events = events
         self._pause_s = pause_s
+        self._resumes = resumes
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
-        self._moved: set[str] = set()
 
     def app(self) -> Application:
         """Return the HTTP application."""
@@ -64,15 +71,16 @@
             'headers': dict(request.headers),
             'body': (await request.read()).decode(),
             'ended': False,
+            'stopped': False,
         }
         self._runs.append(run)
         try:
-            return await self._answer(request, headers)
+            return await self._answer(request, headers, run)
         finally:
             run['ended'] = True
 
     async def _answer(
-        self, request: Request, headers: dict[str, str]
+        self, request: Request, headers: dict[str, str], run: dict[str, Any]
     ) -> StreamResponse:
         if self._faults.take('lose_answers'):
             drop_connection(request)
@@ -82,21 +90,22 @@
         if not self._events:
             await asyncio.sleep(self._pause_s + self._faults.slow_s)
             return Response(headers=headers, text=f'answer of {self._id}')
-        return await self._stream(request, headers)
+        return await self._stream(request, headers, run)
 
     async def _stream(
-        self, request: Request, headers: dict[str, str]
+        self, request: Request, headers: dict[str, str], run: dict[str, Any]
     ) -> StreamResponse:
         """Stream the events after the last one that the caller has."""
         response = StreamResponse(headers=headers)
         response.content_type = 'text/event-stream'
         await response.prepare(request)
-        first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        first = 1
+        if self._resumes or 'Kv-From' in request.headers:
+            first += int(request.headers.get('Last-Event-Id', '0'))
         cut = self._faults.take('cuts')
-        request_id = request.headers['Request-Id']
         for number in range(first, self._events + 1):
             await asyncio.sleep(self._pause_s)
-            if request_id in self._moved and 'Kv-From' not in request.headers:
+            if run['stopped']:
                 drop_connection(request)
                 return response
             if cut and number - first == self._faults.cut_after_tokens:
@@ -109,13 +118,13 @@
     async def _move(self, request: Request) -> Response:
         """Copy a run's memory to another server; ``last`` stops the run."""
         asked = await request.json()
-        running = {run['id'] for run in self._runs if not run['ended']}
+        running = {run['id']: run for run in self._runs if not run['ended']}
         if asked['id'] not in running:
             return Response(status=404)
         if self._faults.take('no_room'):
             return json_response({}, status=503)
         if asked.get('last'):
-            self._moved.add(asked['id'])
+            running[asked['id']]['stopped'] = True
             if self._faults.take('no_room_at_last'):
                 return json_response({'handle': 'h1'}, status=503)
         return json_response({'handle': 'h1', 'create_rev': 0})
@@ -142,8 +151,18 @@
     parser.add_argument('--server-id', required=True)
     parser.add_argument('--events', type=int, default=0)
     parser.add_argument('--pause-s', type=float, default=0.01)
+    parser.add_argument(
+        '--no-resume',
+        action='store_true',
+        help='start streams at their first event unless their memory is there',
+    )
     args = parser.parse_args()
-    standin = ServerStandin(args.server_id, args.events, args.pause_s)
+    standin = ServerStandin(
+        args.server_id,
+        args.events,
+        args.pause_s,
+        resumes=not args.no_resume,
+    )
     asyncio.run(serve(standin.app(), args.host, args.port))
 
 
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from aiohttp import ClientError
+from aiohttp import ClientError, ClientResponse
 from multidict import CIMultiDict
 
 from mallowspindle.standins.gateways import GatewayVenture
@@ -257,6 +257,104 @@
     assert {run['id'] for run in runs} == {'r1'}
 
 
+async def _pass_address_on(venture: GatewayVenture) -> None:
+    """End the fourth server without notice; a fifth gets its address."""
+    died = venture.process('model-4')
+    await died.kill()
+    port = died.address.rpartition(':')[2]
+    await venture.start_standin(
+        'model-5',
+        'platform_server',
+        '--server-id=model-5',
+        f'--events={_MANY}',
+        f'--port={port}',
+        '--no-resume',
+    )
+    await venture.register('model-5', 'models', zone='b')
+    await venture.wait_until(lambda: registered(venture, 'model-5'))
+
+
+async def _is_misdirected(venture: GatewayVenture, server: str) -> bool:
+    return any(
+        line['server'] == server and line['reason'].endswith('421')
+        for line in venture.log_lines('entry-1', 'attempt not run')
+    )
+
+
+async def test_a_moved_stream_never_begins_anew_where_an_address_passed_on(
+    venture: GatewayVenture,
+) -> None:
+    """The 421 is true of the move's target only: the stream has run."""
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+    await venture.start_server(
+        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
+    )
+    await venture.wait_until(lambda: registered(venture, 'model-3'))
+    stream = asyncio.create_task(
+        venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    )
+    await venture.wait_until(lambda: has_run(venture, 'r1'))
+    await venture.start_server('model-4', 'models')
+    await venture.wait_until(lambda: registered(venture, 'model-4'))
+    await _pass_address_on(venture)
+    await venture.set_faults('model-3', leaving=True)
+    await venture.register('model-3', 'models', state='draining', spot=True)
+    status, _, text = await stream
+    await venture.wait_until(lambda: _is_misdirected(venture, 'model-4'))
+    assert status == 200
+    assert text == _events(_MANY)
+    runs = await venture.runs('model-3') + await venture.runs('model-5')
+    begun = [run for run in runs if 'Kv-From' not in run['headers']]
+    assert len(begun) == 1
+
+
+async def test_a_lost_stream_never_begins_anew_where_its_copy_was(
+    venture: GatewayVenture,
+) -> None:
+    """The server that kept the copy died too; its address passed on."""
+    engine = {'slots': 8, 'kv_capacity_tokens': 10_000, 'backups': True}
+    services = [{'name': 'models', 'max_connections': 100, 'engine': engine}]
+    await venture.configure(version=8, services=services)
+    await venture.wait_until(lambda: has_version(venture, 8))
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+    await venture.start_standin(
+        'model-4', 'platform_server', '--server-id=model-4'
+    )
+    await venture.register('model-4', 'models', zone='b')
+    await venture.start_server(
+        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
+    )
+    await venture.wait_until(lambda: registered(venture, 'model-3'))
+    await venture.wait_until(lambda: registered(venture, 'model-4'))
+    headers = venture.request_headers('r1')
+    async with venture.session.post(
+        venture.url('entry-1', '/questions/x'), headers=headers
+    ) as response:
+        assert response.status == 200
+        (run,) = await venture.runs('model-3')
+        kept_at = venture.process('model-4').address
+        assert run['headers']['Kv-Backup'] == kept_at
+        await _pass_address_on(venture)
+        await venture.process('model-3').kill()
+        got = await _read_until_cut(response)
+    await venture.wait_until(lambda: _is_misdirected(venture, 'model-4'))
+    assert got
+    assert _events(_MANY).startswith(got)
+    assert not await venture.runs('model-5')
+
+
+async def _read_until_cut(response: ClientResponse) -> str:
+    """Return what came of a stream that must not look whole."""
+    got = b''
+    with pytest.raises(ClientError):
+        async with asyncio.timeout(10):
+            while chunk := await response.content.readany():
+                got += chunk
+    return got.decode()
+
+
 async def test_leaving_callers_end_the_work(venture: GatewayVenture) -> None:
     await venture.start_server(
         'model-3', 'models', '--events=1000', '--pause-s=0.05'
