Check that a further answer goes on behind the events given out

Cause: the exchange joined whatever a further answer began with to what the caller had. A server that ignores `Kv-From` or `Last-Event-Id` begins at its first event, one that miscounts leaves events out; and where the last events had no id, `Last-Event-Id` names an earlier one, or none. In each case the caller gets events twice, loses some, or gets two runs joined.

The splitter now compares the first id of a further answer with the last one given out: it must be higher and, as long as all ids went up by one, the next. Otherwise the outcome is `Diverged`: it goes on nowhere from memory, since the copies may be of the wrong run, and is repeated only where the route allows further runs. A stream whose last event has no id is not resumed. An event that was cut is dropped where a further answer begins, in one place.

Ruled out: dropping events that are repeated instead of cutting. A server that begins at its first event runs the request anew, and its text may differ. Also ruled out: several ids in one chunk, boundaries of CRLF and events split over chunks (covered by tests of the splitter, which find the last id whatever the chunks).

--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -18,7 +18,7 @@
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
-from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.events import EventSplitter, OutOfOrder
 from mallowspindle.proxy.messages import (
     AnswerHead,
     CallerRequest,
@@ -28,6 +28,7 @@
 from mallowspindle.proxy.outcomes import (
     Answered,
     AttemptOutcome,
+    Diverged,
     Relayed,
     Unreachable,
 )
@@ -130,6 +131,7 @@
         self, view: BackendView, body: bytes, continues: MovedRun | None = None
     ) -> AttemptOutcome:
         self._tried.add(view.server.server_id)
+        self._splitter.resume()
         mark = SendMark()
         request = self._request
         keeper = self._copy_keeper(view)
@@ -145,11 +147,19 @@
                 if self._is_overdue():
                     raise TimeoutError from error
                 outcome = self._lost(error, mark)
-            if isinstance(outcome, Unknown):
+            if self._may_go_on(outcome):
                 moved = await relocated(work)
                 self._relocation = moved or self._copied_run(keeper)
         return outcome
 
+    def _may_go_on(self, outcome: AttemptOutcome) -> bool:
+        """Tell whether the run may go on elsewhere from its memory."""
+        return (
+            isinstance(outcome, Unknown)
+            and not isinstance(outcome, Diverged)
+            and self._splitter.can_resume
+        )
+
     def _dispatch_headers(
         self,
         view: BackendView,
@@ -189,7 +199,6 @@
         return Relocation(keeper, run)
 
     def _lost(self, error: Exception, mark: SendMark) -> AttemptOutcome:
-        self._splitter.drop_pending()
         reason = f'{type(error).__name__}: {error}'
         if mark.sent:
             return Unknown(reason)
@@ -226,12 +235,15 @@
         async for chunk in answer.content.iter_any():
             work.note_first_event()
             self._count_usage()
-            events = self._splitter.feed(chunk)
+            try:
+                events = self._splitter.feed(chunk)
+            except OutOfOrder as error:
+                answer.close()
+                return Diverged(str(error))
             if events:
                 response = await self._started_stream(head)
                 await response.write(events)
         if answer.cut:
-            self._splitter.drop_pending()
             return Unknown('the connection was reset within the stream')
         response = await self._started_stream(head)
         if self._splitter.pending:
@@ -299,7 +311,11 @@
     def _may_rerun(self) -> bool:
         """Tell whether the request may run at one more server."""
         route = self._route
-        return route.repeatable and self._runs < route.max_attempts
+        return (
+            route.repeatable
+            and self._splitter.can_resume
+            and self._runs < route.max_attempts
+        )
 
     async def _conclude(self, outcome: AttemptOutcome) -> StreamResponse:
         match outcome:
--- a/mallowspindle/proxy/outcomes.py
+++ b/mallowspindle/proxy/outcomes.py
@@ -24,4 +24,9 @@
     """The server takes no connections, or another one has its address."""
 
 
+@dataclass(frozen=True, slots=True)
+class Diverged(Unknown):
+    """The server's events do not follow those that the caller has."""
+
+
 AttemptOutcome = Answered | Relayed | NotRun | Unknown
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -11,6 +11,8 @@
     drops answers after the effect, ``late_s`` delays the effect itself,
     ``refuse`` answers 503 without any effect, ``no_room`` refuses copies of
     runs and ``no_room_at_last`` those of runs that have just been stopped.
+    ``forgets`` starts a resumed stream at its first event and ``skips`` leaves
+    out the event with which it should go on.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -27,6 +29,8 @@
     leaving: bool = False
     no_room: int = 0
     no_room_at_last: int = 0
+    forgets: int = 0
+    skips: int = 0
 
     def take(self, name: str) -> bool:
         """Use one of the counted faults; False if none is left."""
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -35,11 +35,13 @@
         pause_s: float,
         *,
         resumes: bool = True,
+        has_ids: bool = True,
     ) -> None:
         self._id = server_id
         self._events = events
         self._pause_s = pause_s
         self._resumes = resumes
+        self._has_ids = has_ids
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
 
@@ -99,9 +101,7 @@
         response = StreamResponse(headers=headers)
         response.content_type = 'text/event-stream'
         await response.prepare(request)
-        first = 1
-        if self._resumes or 'Kv-From' in request.headers:
-            first += int(request.headers.get('Last-Event-Id', '0'))
+        first = self._first_event(request)
         cut = self._faults.take('cuts')
         for number in range(first, self._events + 1):
             await asyncio.sleep(self._pause_s)
@@ -112,9 +112,21 @@
                 await response.write(f'id: {number}\nda'.encode())
                 drop_connection(request)
                 return response
-            await response.write(f'id: {number}\ndata: t{number}\n\n'.encode())
+            await response.write(self._event(number))
         return response
 
+    def _first_event(self, request: Request) -> int:
+        """Return the number of the event after the last one received."""
+        last = int(request.headers.get('Last-Event-Id', '0'))
+        resumes = self._resumes or 'Kv-From' in request.headers
+        if not last or not resumes or self._faults.take('forgets'):
+            return 1
+        return last + 1 + self._faults.take('skips')
+
+    def _event(self, number: int) -> bytes:
+        id_line = f'id: {number}\n' if self._has_ids else ''
+        return f'{id_line}data: t{number}\n\n'.encode()
+
     async def _move(self, request: Request) -> Response:
         """Copy a run's memory to another server; ``last`` stops the run."""
         asked = await request.json()
@@ -156,12 +168,16 @@
         action='store_true',
         help='start streams at their first event unless their memory is there',
     )
+    parser.add_argument(
+        '--no-ids', action='store_true', help='send events without ids'
+    )
     args = parser.parse_args()
     standin = ServerStandin(
         args.server_id,
         args.events,
         args.pause_s,
         resumes=not args.no_resume,
+        has_ids=not args.no_ids,
     )
     asyncio.run(serve(standin.app(), args.host, args.port))
 
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -11,6 +11,7 @@
 
 from mallowspindle.standins.gateways import GatewayVenture
 from mallowspindle.tests.gateway.observations import (
+    EVENTS,
     WHOLE_STREAM,
     all_runs,
     has_run,
@@ -345,6 +346,55 @@
     assert not await venture.runs('model-5')
 
 
+@pytest.mark.parametrize(
+    ('path', 'fault'),
+    [
+        ('/questions/x', 'forgets'),
+        ('/questions/x', 'skips'),
+        ('/letters/x', 'forgets'),
+    ],
+)
+async def test_events_are_never_repeated_or_skipped_by_a_resumed_stream(
+    venture: GatewayVenture, path: str, fault: str
+) -> None:
+    """A server answers with other events than those that are due."""
+    engine = {'slots': 8, 'kv_capacity_tokens': 10_000, 'backups': True}
+    services = [{'name': 'models', 'max_connections': 100, 'engine': engine}]
+    await venture.configure(version=8, services=services)
+    await venture.wait_until(lambda: has_version(venture, 8))
+    for name in ('model-1', 'model-2'):
+        await venture.set_faults(
+            name, cuts=1, cut_after_tokens=2, **{fault: 10}
+        )
+    headers = venture.request_headers('r1')
+    async with venture.session.post(
+        venture.url('entry-1', path), headers=headers
+    ) as response:
+        got = await _read_until_cut(response)
+    assert got == _events(2)
+
+
+async def test_events_without_ids_are_never_repeated(
+    venture: GatewayVenture,
+) -> None:
+    """No id tells a further server what the caller has."""
+    for name in ('model-3', 'model-4'):
+        await venture.start_server(
+            name, 'models', f'--events={EVENTS}', '--no-ids'
+        )
+        await venture.set_faults(name, cuts=1, cut_after_tokens=2)
+        await venture.wait_until(partial(registered, venture, name))
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+        await venture.wait_until(partial(_is_draining, venture, name))
+    headers = venture.request_headers('r1')
+    async with venture.session.post(
+        venture.url('entry-1', '/letters/x'), headers=headers
+    ) as response:
+        got = await _read_until_cut(response)
+    assert got == 'data: t1\n\ndata: t2\n\n'
+
+
 async def _read_until_cut(response: ClientResponse) -> str:
     """Return what came of a stream that must not look whole."""
     got = b''
--- a/mallowspindle/tests/proxy/test_events.py
+++ b/mallowspindle/tests/proxy/test_events.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.events import EventSplitter, OutOfOrder
 
 STREAM = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nweight-versions: 3\nid: 10\n\n'
 
@@ -20,7 +20,7 @@
     splitter = EventSplitter('7')
     assert not splitter.feed(b'id: 8\nda')
     assert splitter.last_event_id == '7'
-    splitter.drop_pending()
+    splitter.resume()
     assert splitter.feed(b'id: 8\ndata: x\n\n') == b'id: 8\ndata: x\n\n'
     assert splitter.last_event_id == '8'
 
@@ -31,3 +31,56 @@
         b'id: 4\r\ndata: x\r\n\r\n'
     )
     assert splitter.last_event_id == '4'
+
+
+def _after_two_events() -> EventSplitter:
+    splitter = EventSplitter()
+    splitter.feed(b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda')
+    splitter.resume()
+    return splitter
+
+
+@pytest.mark.parametrize(
+    'event',
+    [
+        b'id: 1\ndata: a\n\n',
+        b'id: 2\ndata: b\n\n',
+        b'id: 4\ndata: d\n\n',
+        b'data: b\n\n',
+    ],
+)
+def test_a_further_answer_never_repeats_or_skips_events(event: bytes) -> None:
+    with pytest.raises(OutOfOrder):
+        _after_two_events().feed(event)
+
+
+def test_a_further_answer_goes_on_with_the_next_event() -> None:
+    splitter = _after_two_events()
+    events = b'id: 3\r\ndata: c\r\n\r\nid: 4\r\ndata: d\r\n\r\n'
+    assert splitter.feed(b': still reading\n\n') == b': still reading\n\n'
+    assert splitter.feed(events) == events
+    assert splitter.last_event_id == '4'
+
+
+def test_ids_with_gaps_may_go_on_with_a_gap() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b'id: 10\ndata: a\n\nid: 20\ndata: b\n\n')
+    splitter.resume()
+    assert splitter.feed(b'id: 30\ndata: c\n\n')
+
+
+def test_the_first_answer_may_begin_anywhere() -> None:
+    splitter = EventSplitter('7')
+    splitter.resume()
+    assert splitter.feed(b'id: 1\ndata: a\n\n')
+
+
+def test_a_stream_goes_on_only_behind_an_event_with_an_id() -> None:
+    splitter = EventSplitter()
+    assert splitter.can_resume
+    splitter.feed(b'id: 1\ndata: a\n\n: comment\n\n')
+    assert splitter.can_resume
+    splitter.feed(b'id: 2\ndata: b\n\ndata: c\n\n')
+    assert not splitter.can_resume
+    splitter.feed(b'id: 3\ndata: d\n\n')
+    assert splitter.can_resume
