Never end a stream without a length as whole because it was stopped

Cause: an answer without a length ends with its connection, and only a reset told a cut from its end. A server that stops a run to have it moved closes the stream, so the exchange ended the caller's stream as whole in the middle. The same happened where such an answer ended within an event: the partial event was passed on as if it were the last one.

The exchange asked for the stop, so it knows better. Where an answer without a length ends while its request is being moved, it waits for the move. The result of a move now tells a run that was not stopped (it had ended, or no copy was made and none is named) from one of which nothing is known: the stream goes on elsewhere in the one case, is whole in the other and is cut where it isn't known. An end within an event is a cut.

A whole stream without a length still ends as whole (same test).

In the test of evacuation the end of a run before its move is now `NoSuchRun`, after which the stream counts as not stopped. The old check, that a failed move cancels the future, stays for a move without an answer.

Ruled out: answers with a length or in chunks; their early end is an error of the client already.

What remains: a server that crashes between two events of an answer without a length, and closes its connection without a reset, can't be told from one that is done. Whether model servers send such streams is not known.

--- a/mallowspindle/backends/evacuation.py
+++ b/mallowspindle/backends/evacuation.py
@@ -6,7 +6,13 @@
 
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.backends.view import BackendView, Relocation, Work
-from mallowspindle.border import BorderService, MoveError, Moves, NoRoom
+from mallowspindle.border import (
+    BorderService,
+    MoveError,
+    Moves,
+    NoRoom,
+    NoSuchRun,
+)
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
@@ -129,12 +135,15 @@
             )
         except NoRoom as error:
             if error.kept is None:
-                work.move.cancel()
+                _settle(work, None)
                 raise
             _settle(work, Relocation(source, error.kept))
             _log_not_moved(source, target, work, error)
-        except MoveError:
-            work.move.cancel()
+        except MoveError as error:
+            if isinstance(error, NoSuchRun):
+                _settle(work, None)
+            else:
+                work.move.cancel()
             await self._moves.drop(copy)
             raise
         else:
@@ -142,8 +151,8 @@
             log.info('stream moved', extra=_fields(source, target, work))
 
 
-def _settle(work: Work, relocation: Relocation) -> None:
-    """Tell the exchange where its stream goes on."""
+def _settle(work: Work, relocation: Relocation | None) -> None:
+    """Tell the exchange where its stream goes on; None if it was not stopped."""
     if work.move is not None and not work.move.done():
         work.move.set_result(relocation)
 
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -31,14 +31,15 @@
 class Work:
     """One request at a server; ``reading_s`` until its first event.
 
-    ``move`` is set while the request moves to another server.
+    ``move`` is set while the request moves to another server. Its result is
+    None if the run was not stopped; it is cancelled if that is not known.
     """
 
     request: CallerRequest
     reading_s: float
     sent_at_s: float
     streaming: bool = False
-    move: asyncio.Future[Relocation] | None = None
+    move: asyncio.Future[Relocation | None] | None = None
 
     def note_first_event(self) -> None:
         """Note that the prompt has been read."""
--- a/mallowspindle/border.py
+++ b/mallowspindle/border.py
@@ -114,7 +114,8 @@
         """Stop a run and copy what another server still lacks of its memory.
 
         Its stream ends without an end. ``NoRoom`` if it can only go on where
-        it was; ``MoveError`` if there is nothing to go on from.
+        it was; ``NoSuchRun`` if it has ended; ``MoveError`` if there is
+        nothing to go on from.
         """
 
     @abstractmethod
@@ -126,6 +127,10 @@
     """A run was not moved."""
 
 
+class NoSuchRun(MoveError):
+    """The run has ended before it could be stopped."""
+
+
 class NoRoom(MoveError):
     """The other server can't take a run.
 
--- a/mallowspindle/platform/moves.py
+++ b/mallowspindle/platform/moves.py
@@ -5,10 +5,11 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from mallowspindle.border import MoveError, Moves, NoRoom
+from mallowspindle.border import MoveError, Moves, NoRoom, NoSuchRun
 from mallowspindle.proxy.messages import MovedRun
 
 _OK = 200
+_NOT_FOUND = 404
 _UNAVAILABLE = 503
 _MS = 1000
 
@@ -94,7 +95,8 @@
 def _decode_run(source_address: str, status: int, answer: bytes) -> MovedRun:
     """Return the copied run; ``MoveError`` if there is none."""
     if status not in {_OK, _UNAVAILABLE}:
-        raise MoveError(f'the server answered {status} to a move')
+        kind = NoSuchRun if status == _NOT_FOUND else MoveError
+        raise kind(f'the server answered {status} to a move')
     handle = _decode_handle(answer)
     run = None if handle is None else MovedRun(source_address, handle)
     if status == _UNAVAILABLE:
--- a/mallowspindle/proxy/connections.py
+++ b/mallowspindle/proxy/connections.py
@@ -120,15 +120,19 @@
         return await super().start(connection)
 
     @property
-    def cut(self) -> bool:
-        """Whether an answer without a length ended by a reset."""
-        framed = (
+    def framed(self) -> bool:
+        """Whether the answer tells its end, not its connection."""
+        return (
             'Content-Length' in self.headers
             or 'Transfer-Encoding' in self.headers
         )
+
+    @property
+    def cut(self) -> bool:
+        """Whether an answer without a length ended by a reset."""
         protocol = self._answer_protocol
         return (
-            not framed
+            not self.framed
             and isinstance(protocol, AnswerProtocol)
             and protocol.was_reset
         )
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -243,13 +243,19 @@
             if events:
                 response = await self._started_stream(head)
                 await response.write(events)
-        if answer.cut:
-            return Unknown('the connection was reset within the stream')
+        if answer.cut or await self._ended_early(answer, work):
+            return Unknown('the connection ended within the stream')
         response = await self._started_stream(head)
         if self._splitter.pending:
             await response.write(self._splitter.pending)
         return Relayed()
 
+    async def _ended_early(self, answer: MatchedResponse, work: Work) -> bool:
+        """Tell whether an end without a length is not that of the run."""
+        if answer.framed:
+            return False
+        return bool(self._splitter.pending.strip()) or await was_stopped(work)
+
     async def _started_stream(self, head: AnswerHead) -> StreamResponse:
         if self._response is None:
             response = replies.stream(head)
@@ -397,6 +403,15 @@
         return int((now_s - self._began_at_s) * 1000)
 
 
+async def was_stopped(work: Work) -> bool:
+    """Tell whether a stream may have been stopped to be moved."""
+    if work.move is None:
+        return False
+    move = work.move
+    await asyncio.wait([move])
+    return move.cancelled() or move.result() is not None
+
+
 async def relocated(work: Work) -> Relocation | None:
     """Return where a stream goes on that was stopped to be moved."""
     if work.move is None:
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -7,8 +7,10 @@
 import asyncio
 from typing import Any
 
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.web import (
     Application,
+    BaseRequest,
     Request,
     Response,
     StreamResponse,
@@ -25,6 +27,19 @@
 _MISDIRECTED = 421
 
 
+class StreamWithoutLength(StreamResponse):
+    """An answer that ends with its connection."""
+
+    _length_check = False
+
+    async def prepare(
+        self, request: BaseRequest
+    ) -> AbstractStreamWriter | None:
+        """Send the head."""
+        self.force_close()
+        return await super().prepare(request)
+
+
 class ServerStandin:
     """A server with an id that records what ran."""
 
@@ -36,12 +51,14 @@
         *,
         resumes: bool = True,
         has_ids: bool = True,
+        has_length: bool = True,
     ) -> None:
         self._id = server_id
         self._events = events
         self._pause_s = pause_s
         self._resumes = resumes
         self._has_ids = has_ids
+        self._has_length = has_length
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
 
@@ -98,7 +115,8 @@
         self, request: Request, headers: dict[str, str], run: dict[str, Any]
     ) -> StreamResponse:
         """Stream the events after the last one that the caller has."""
-        response = StreamResponse(headers=headers)
+        kind = StreamResponse if self._has_length else StreamWithoutLength
+        response = kind(headers=headers)
         response.content_type = 'text/event-stream'
         await response.prepare(request)
         first = self._first_event(request)
@@ -171,6 +189,11 @@
     parser.add_argument(
         '--no-ids', action='store_true', help='send events without ids'
     )
+    parser.add_argument(
+        '--no-length',
+        action='store_true',
+        help='end streams with their connection only',
+    )
     args = parser.parse_args()
     standin = ServerStandin(
         args.server_id,
@@ -178,6 +201,7 @@
         args.pause_s,
         resumes=not args.no_resume,
         has_ids=not args.no_ids,
+        has_length=not args.no_length,
     )
     asyncio.run(serve(standin.app(), args.host, args.port))
 
--- a/mallowspindle/tests/backends/test_evacuation.py
+++ b/mallowspindle/tests/backends/test_evacuation.py
@@ -10,8 +10,9 @@
 from mallowspindle.backends.prefixes import PartMemory
 from mallowspindle.backends.service import Pick
 from mallowspindle.backends.view import BackendView, Relocation, Work
-from mallowspindle.border import MoveError, Moves, NoRoom
+from mallowspindle.border import MoveError, Moves, NoRoom, NoSuchRun
 from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.proxy.exchange import was_stopped
 from mallowspindle.proxy.messages import CallerRequest, MovedRun
 
 LEFT_S = 0.5
@@ -31,13 +32,21 @@
     return Work(request, 0, 0, streaming=True)
 
 
+def _relocation(work: Work) -> Relocation:
+    """Return where a moved stream goes on."""
+    assert work.move is not None
+    moved = work.move.result()
+    assert moved is not None
+    return moved
+
+
 class FakeMoves(Moves):
     """Servers of which some have no room for a copy, or for the rest."""
 
     def __init__(self) -> None:
         self.full: set[str] = set()
         self.full_at_last: set[str] = set()
-        self.ended = False
+        self.error: MoveError | None = None
         self.calls: list[tuple[str, str]] = []
 
     async def time_left_s(self, address: str) -> float | None:
@@ -56,10 +65,10 @@
     async def move(
         self, source_address: str, request_id: str, target_address: str
     ) -> MovedRun:
-        """Move unless the run has ended or the target is full."""
+        """Move unless there is an error or the target is full."""
         self.calls.append(('move', target_address))
-        if self.ended:
-            raise MoveError('no such run')
+        if self.error is not None:
+            raise self.error
         if target_address in self.full_at_last:
             raise NoRoom('full', MovedRun(source_address, 'h2'))
         return MovedRun(source_address, 'h1')
@@ -117,8 +126,7 @@
     moves = FakeMoves()
     work, _ = await _evacuate(moves)
     assert moves.calls == [('copy', 'two:80'), ('move', 'two:80')]
-    assert work.move is not None
-    assert work.move.result().target.server.server_id == 'two'
+    assert _relocation(work).target.server.server_id == 'two'
 
 
 async def test_a_full_server_is_passed_over_before_the_stream_stops() -> None:
@@ -130,14 +138,12 @@
         ('copy', 'three:80'),
         ('move', 'three:80'),
     ]
-    assert work.move is not None
-    assert work.move.result().target.server.server_id == 'three'
+    assert _relocation(work).target.server.server_id == 'three'
 
 
 async def test_a_refused_target_leads_back_to_the_source() -> None:
     work, source = await _evacuate(FakeMoves())
-    assert work.move is not None
-    moved: Relocation = work.move.result()
+    moved = _relocation(work)
     assert moved.otherwise is not None
     assert moved.otherwise.target is source
     assert moved.otherwise.run == moved.run
@@ -147,20 +153,34 @@
     moves = FakeMoves()
     moves.full_at_last = {'two:80'}
     work, source = await _evacuate(moves)
-    assert work.move is not None
-    moved: Relocation = work.move.result()
+    moved = _relocation(work)
     assert moved.target is source
     assert moved.run.handle == 'h2'
 
 
 async def test_the_copy_of_a_stream_that_has_ended_is_freed() -> None:
     moves = FakeMoves()
-    moves.ended = True
+    moves.error = NoSuchRun('ended')
     work, _ = await _evacuate(moves)
     assert moves.calls[:3] == [
         ('copy', 'two:80'),
         ('move', 'two:80'),
         ('drop', 'h1'),
     ]
+    assert not await was_stopped(work)
+
+
+async def test_a_move_without_an_answer_may_have_stopped_the_stream() -> None:
+    moves = FakeMoves()
+    moves.error = MoveError('no answer')
+    work, _ = await _evacuate(moves)
     assert work.move is not None
     assert work.move.cancelled()
+    assert await was_stopped(work)
+
+
+async def test_a_target_that_is_full_at_last_may_leave_the_stream() -> None:
+    moves = FakeMoves()
+    moves.error = NoRoom('full')
+    work, _ = await _evacuate(moves)
+    assert not await was_stopped(work)
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -395,6 +395,57 @@
     assert got == 'data: t1\n\ndata: t2\n\n'
 
 
+async def test_a_stopped_stream_without_a_length_never_looks_whole(
+    venture: GatewayVenture,
+) -> None:
+    """Its connection ends in the same way as that of a whole answer."""
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+    await venture.start_server(
+        'model-3',
+        'models',
+        f'--events={_MANY}',
+        '--pause-s=0.05',
+        '--no-length',
+    )
+    await venture.wait_until(lambda: registered(venture, 'model-3'))
+    stream = asyncio.create_task(
+        venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    )
+    await venture.wait_until(lambda: has_run(venture, 'r1'))
+    await venture.start_server(
+        'model-4', 'models', f'--events={_MANY}', '--no-length'
+    )
+    await venture.wait_until(lambda: registered(venture, 'model-4'))
+    await venture.set_faults('model-3', leaving=True)
+    await venture.register('model-3', 'models', state='draining', spot=True)
+    _, _, text = await stream
+    assert text == _events(_MANY)
+    (run,) = await venture.runs('model-4')
+    assert 'Kv-From' in run['headers']
+
+
+async def test_a_stream_without_a_length_is_whole_only_behind_an_event(
+    venture: GatewayVenture,
+) -> None:
+    await venture.start_server(
+        'model-3', 'models', f'--events={EVENTS}', '--no-length'
+    )
+    await venture.wait_until(lambda: registered(venture, 'model-3'))
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+        await venture.wait_until(partial(_is_draining, venture, name))
+    _, _, text = await venture.call('entry-1', 'POST', '/questions/x', 'r1')
+    assert text == WHOLE_STREAM
+    await venture.set_faults('model-3', cuts=1, cut_after_tokens=2)
+    headers = venture.request_headers('r2')
+    async with venture.session.post(
+        venture.url('entry-1', '/questions/x'), headers=headers
+    ) as response:
+        got = await _read_until_cut(response)
+    assert got == _events(2)
+
+
 async def _read_until_cut(response: ClientResponse) -> str:
     """Return what came of a stream that must not look whole."""
     got = b''
