Let peers read large news of a stream from the log

One cause: the node that reads a configuration sends the whole document on, and so does each relay. Now news of more than 8 KiB are not told: peers hear how far the stream goes and read it themselves. Smaller ones, as a server's entry, still go through peers. A node that catches up tells nothing (all may be doing so); the next regular news begin where this node last told, so that they leave no gap at others. A node that is behind by more records than there are keys reads the newest record of each key once. A peer that is asked answers only if it knows more than the asker. Found on the way: the answer to a read that came after news of a peer set the known offset back, which left a gap at this node or read as lost history.

--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -7,11 +7,23 @@
 
 from mallowspindle.log.errors import RecordsExpired
 from mallowspindle.log.interface import Log
-from mallowspindle.log.records import KeyedRecord, KeyedState, LogRecord
+from mallowspindle.log.records import (
+    KeyedRecord,
+    KeyedState,
+    LogPage,
+    LogRecord,
+)
 from mallowspindle.peers.codec import peer_codec
 
 log = logging.getLogger(__name__)
 
+# News of more bytes than this are not passed on: at 5 Mbit/s, the slowest
+# link of an entry VM, sending them to some twenty peers takes a quarter of a
+# second, while each peer can read them from the log at its own pace.
+MOST_TOLD_BYTES = 8_192
+# Reading all keys takes their bytes in base64.
+_COST_OF_NEWEST = 4 / 3
+
 # Tells whether a record that replaces another is news to peers.
 Fold = Callable[[KeyedRecord], bool]
 DecodeKeyed = Callable[[LogRecord], KeyedRecord]
@@ -34,12 +46,37 @@
     records: list[KeyedRecord] = field(default_factory=list)
 
 
+@peer_codec.register('stream-end')
+@dataclass(frozen=True, slots=True)
+class StreamEnd:
+    """Tells how far a stream went ``age_s`` ago, without its records.
+
+    It stands for news that are too large to be passed on.
+    """
+
+    stream: str
+    through: int
+    age_s: float
+
+
 @peer_codec.register('stream-request')
 @dataclass(frozen=True, slots=True)
 class StreamRequest:
-    """Asks a peer for all that it knows of a stream."""
+    """Asks a peer for all that it knows of a stream.
+
+    What ends at the offset ``known`` or before is of no use to the asker.
+    """
 
     stream: str
+    known: int | None = None
+
+
+def message_of(news: StreamNews) -> StreamNews | StreamEnd:
+    """Return what peers are told of the news."""
+    size = sum(len(record.value or b'') for record in news.records)
+    if size <= MOST_TOLD_BYTES:
+        return news
+    return StreamEnd(news.stream, news.through, news.age_s)
 
 
 class StreamFollower:
@@ -55,7 +92,12 @@
         self._records: dict[str, KeyedRecord] = {}
         self._through: int | None = None
         self._fresh_at_s = 0.0
-        self._gap = True
+        # The offset up to which records are known to exist.
+        self._end = 0
+        # Peers were told, or have told, all news up to here.
+        self._shared: int | None = None
+        # The newest record of each key that was news.
+        self._news: dict[str, KeyedRecord] = {}
 
     @property
     def stream(self) -> str:
@@ -74,23 +116,32 @@
 
     @property
     def has_gap(self) -> bool:
-        """Whether records are missing, so that only a read can help."""
-        return self._gap
+        """Whether records are missing that are known to exist."""
+        return self._through is None or self._through < self._end
+
+    async def read(self, *, for_peers: bool = True) -> StreamNews:
+        """Read what is new and return the news since those last told.
 
-    async def read(self) -> StreamNews:
-        """Read what is new and return it for the peers."""
+        What is not read ``for_peers`` is told with the next news that are.
+        """
         asked_at_s = time.monotonic()
-        base = self._through
+        base = self._shared
+        known_end = self._end
         try:
-            news = await self._read_on()
+            await self._read_on()
         except RecordsExpired as error:
             log.info('history is gone, reading all keys', extra=_told(error))
             base = None
-            news = self._replace(await self._log.newest(self._stream))
-        self._gap = False
-        self._fresh_at_s = asked_at_s
+            self._replace(await self._log.newest(self._stream))
         through = self._through or 0
+        if self._end == known_end:
+            # A log that was set up anew may end before the former one.
+            self._end = through
+        self._fresh_at_s = max(self._fresh_at_s, asked_at_s)
+        if for_peers:
+            self._shared = through
         age_s = time.monotonic() - asked_at_s
+        news = self._news_since(base)
         return StreamNews(self._stream, base, through, age_s, news)
 
     def learn(self, news: StreamNews) -> None:
@@ -98,16 +149,17 @@
         if news.base is None:
             if self._through is None or news.through > self._through:
                 self._replace(KeyedState(news.records, news.through))
-                self._gap = False
         elif self._through is None or news.base > self._through:
-            self._gap = True
+            self._end = max(self._end, news.through)
             return
         self._apply(news.records)
-        if self._through is None or news.through < self._through:
-            return
-        self._through = news.through
-        heard_at_s = time.monotonic() - news.age_s
-        self._fresh_at_s = max(self._fresh_at_s, heard_at_s)
+        self._note_known(news.through, news.age_s)
+
+    def learn_end(self, end: StreamEnd) -> None:
+        """Note how far the stream goes; only a read brings what is missing."""
+        self._end = max(self._end, end.through)
+        if not self.has_gap:
+            self._note_known(end.through, end.age_s)
 
     def state(self) -> StreamNews | None:
         """Return all that is known, for a peer that can't read the store."""
@@ -118,23 +170,51 @@
             self._stream, None, self._through, self.age_s, records
         )
 
-    async def _read_on(self) -> list[KeyedRecord]:
-        if self._through is None:
-            return self._replace(await self._log.newest(self._stream))
-        page = await self._log.read(self._stream, self._through)
-        if page.end_offset < self._through:
+    def _note_known(self, through: int, age_s: float) -> None:
+        if self._through is None or through < self._through:
+            return
+        self._through = through
+        self._shared = through
+        heard_at_s = time.monotonic() - age_s
+        self._fresh_at_s = max(self._fresh_at_s, heard_at_s)
+
+    def _news_since(self, base: int | None) -> list[KeyedRecord]:
+        if base is None:
+            return [
+                record
+                for record in self._records.values()
+                if record.value is not None
+            ]
+        return [
+            record for record in self._news.values() if record.offset >= base
+        ]
+
+    async def _read_on(self) -> None:
+        if self._through is None or self._is_far_behind(self._through):
+            self._replace(await self._log.newest(self._stream))
+            return
+        # Peers may tell more while the log's answer is on its way.
+        offset = self._through
+        page = await self._log.read(self._stream, offset)
+        if page.end_offset < offset:
             raise RecordsExpired(self._stream, page.end_offset)
-        news = self._apply([self._decode(record) for record in page.records])
-        self._through = page.next_offset
+        self._take_page(page)
         while page.records and page.next_offset < page.end_offset:
             page = await self._log.read(self._stream, page.next_offset)
-            news += self._apply(
-                [self._decode(record) for record in page.records]
-            )
-            self._through = page.next_offset
-        return news
+            self._take_page(page)
+
+    def _take_page(self, page: LogPage) -> None:
+        self._apply([self._decode(record) for record in page.records])
+        self._through = max(self._through or 0, page.next_offset)
+
+    def _is_far_behind(self, through: int) -> bool:
+        """Tell whether all missing records are more than all keys."""
+        keys = sum(
+            record.value is not None for record in self._records.values()
+        )
+        return self._end - through > keys * _COST_OF_NEWEST
 
-    def _replace(self, state: KeyedState) -> list[KeyedRecord]:
+    def _replace(self, state: KeyedState) -> None:
         present = {record.key for record in state.records}
         gone = [
             KeyedRecord(record.key, None, state.end_offset)
@@ -146,21 +226,15 @@
         self._apply([*state.records, *gone])
         if self._through is None or state.end_offset > self._through:
             self._through = state.end_offset
-        return [
-            record
-            for record in self._records.values()
-            if record.value is not None
-        ]
-
-    def _apply(self, records: Sequence[KeyedRecord]) -> list[KeyedRecord]:
-        return [record for record in records if self._take(record)]
 
-    def _take(self, record: KeyedRecord) -> bool:
-        known = self._records.get(record.key)
-        if known is not None and known.offset >= record.offset:
-            return False
-        self._records[record.key] = record
-        return self._fold(record)
+    def _apply(self, records: Sequence[KeyedRecord]) -> None:
+        for record in records:
+            known = self._records.get(record.key)
+            if known is not None and known.offset >= record.offset:
+                continue
+            self._records[record.key] = record
+            if self._fold(record):
+                self._news[record.key] = record
 
 
 def _told(error: Exception) -> dict[str, str]:
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -7,9 +7,11 @@
 
 from mallowspindle.border import BorderService
 from mallowspindle.catalog.following import (
+    StreamEnd,
     StreamFollower,
     StreamNews,
     StreamRequest,
+    message_of,
 )
 from mallowspindle.catalog.routes import Configuration
 from mallowspindle.catalog.servers import BackendServer
@@ -95,6 +97,7 @@
         """Begin to follow; wait a while for the first configuration."""
         server = self._sharing.membership.server
         server.handle(StreamNews, self._receive)
+        server.handle(StreamEnd, self._receive)
         server.handle(StreamRequest, self._give_state)
         for follower in self._followers.values():
             self._tasks.spawn(self._follow(follower), follower.stream)
@@ -123,8 +126,10 @@
         return follower.age_s >= reading_delay_s(self._interval_s, rank)
 
     async def _read(self, follower: StreamFollower) -> None:
+        # What was missed is no news to the peers, and all may have missed it.
+        for_peers = not follower.has_gap
         try:
-            news = await follower.read()
+            news = await follower.read(for_peers=for_peers)
         except LogError as error:
             self._note_failure(follower, error)
             await self._ask_peers(follower)
@@ -133,7 +138,8 @@
         if not self._reachable:
             self._reachable = True
             log.info('store reached again')
-        self._sharing.tell_all(news)
+        if for_peers:
+            self._sharing.tell_all(message_of(news))
         self._note_news(news)
 
     def _note_failure(self, follower: StreamFollower, error: LogError) -> None:
@@ -148,12 +154,12 @@
         """Take the state from a peer while the store gives none."""
         if not follower.has_gap:
             return
-        request = StreamRequest(follower.stream)
+        request = StreamRequest(follower.stream, follower.through)
         state = await self._sharing.ask_any(request, _PEER_TIMEOUT_S)
         if isinstance(state, StreamNews):
             self._learn(state)
 
-    async def _receive(self, news: StreamNews) -> OkReply:
+    async def _receive(self, news: StreamNews | StreamEnd) -> OkReply:
         self._learn(news)
         return OkReply()
 
@@ -162,15 +168,21 @@
     ) -> StreamNews | ErrorReply:
         follower = self._followers.get(request.stream)
         state = follower.state() if follower else None
-        return state or ErrorReply('the stream is not known here')
+        if state is None:
+            return ErrorReply('the stream is not known here')
+        if request.known is not None and state.through <= request.known:
+            return ErrorReply('nothing newer is known here')
+        return state
 
-    def _learn(self, news: StreamNews) -> None:
+    def _learn(self, news: StreamNews | StreamEnd) -> None:
         follower = self._followers.get(news.stream)
         if follower is None:
             log.warning('news of an unknown stream %s', news.stream)
-            return
-        follower.learn(news)
-        self._note_news(news)
+        elif isinstance(news, StreamEnd):
+            follower.learn_end(news)
+        else:
+            follower.learn(news)
+            self._note_news(news)
 
     def _note_news(self, news: StreamNews) -> None:
         if self._configuration.current is not None:
--- a/mallowspindle/tests/catalog/fakes.py
+++ b/mallowspindle/tests/catalog/fakes.py
@@ -83,9 +83,13 @@
         """Forget the history of a stream."""
         self._first[stream] = len(self._streams[stream])
 
+    def fail(self) -> None:
+        """Raise what a node sees that does not reach the log."""
+        raise LogError('the log is down')
+
     def _check(self) -> None:
         if self.down:
-            raise LogError('the log is down')
+            self.fail()
 
 
 def decode_keyed(record: LogRecord) -> KeyedRecord:
--- a/mallowspindle/tests/catalog/test_following.py
+++ b/mallowspindle/tests/catalog/test_following.py
@@ -2,9 +2,15 @@
 
 import pytest
 
-from mallowspindle.catalog.following import StreamFollower
+from mallowspindle.catalog.following import (
+    MOST_TOLD_BYTES,
+    StreamEnd,
+    StreamFollower,
+    StreamNews,
+    message_of,
+)
 from mallowspindle.log.errors import LogError
-from mallowspindle.log.records import KeyedRecord
+from mallowspindle.log.records import KeyedRecord, LogPage
 from mallowspindle.tests.catalog.fakes import FakeLog, decode_keyed
 
 STREAM = 'servers'
@@ -108,3 +114,93 @@
     assert state is not None
     peer.follower.learn(state)
     assert peer.state == {'one': b'1'}
+
+
+async def test_of_large_news_peers_hear_only_that_there_are_some() -> None:
+    log = FakeLog()
+    log.put(STREAM, 'one', b'1')
+    reader, peer = Node(log), Node(log)
+    peer.follower.learn(await reader.follower.read())
+    log.put(STREAM, 'one', b'2' * (MOST_TOLD_BYTES + 1))
+    message = message_of(await reader.follower.read())
+    assert isinstance(message, StreamEnd)
+    peer.follower.learn_end(message)
+    assert peer.follower.has_gap
+    await peer.follower.read(for_peers=False)
+    assert not peer.follower.has_gap
+    assert peer.state == reader.state
+    log.put(STREAM, 'one', b'3')
+    small = message_of(await reader.follower.read())
+    assert isinstance(small, StreamNews)
+    peer.follower.learn(small)
+    assert peer.state == {'one': b'3'}
+
+
+async def test_a_known_end_is_no_gap() -> None:
+    log = FakeLog()
+    log.put(STREAM, 'one', b'1')
+    node = Node(log)
+    await node.follower.read()
+    node.follower.learn_end(StreamEnd(STREAM, 1, 0))
+    assert not node.follower.has_gap
+    node.follower.learn_end(StreamEnd(STREAM, 0, 0))
+    assert node.follower.through == 1
+
+
+async def test_what_was_read_alone_is_told_with_the_next_news() -> None:
+    """A peer that knows no less than this node last told has no gap."""
+    log = FakeLog()
+    log.put(STREAM, 'one', b'1')
+    reader, peer = Node(log), Node(log)
+    peer.follower.learn(await reader.follower.read())
+    log.put(STREAM, 'one', b'2')
+    await reader.follower.read(for_peers=False)
+    log.put(STREAM, 'two', b'1')
+    peer.follower.learn(await reader.follower.read())
+    assert not peer.follower.has_gap
+    assert peer.state == {'one': b'2', 'two': b'1'}
+
+
+class _SlowLog(FakeLog):
+    """Its answer arrives after what a peer told meanwhile."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.told: list[tuple[Node, StreamNews]] = []
+
+    async def read(
+        self, stream: str, offset: int, wait_s: float = 0
+    ) -> LogPage:
+        page = await super().read(stream, offset, wait_s)
+        while self.told:
+            node, news = self.told.pop()
+            node.follower.learn(news)
+        return page
+
+
+async def test_a_late_answer_takes_nothing_back() -> None:
+    log = _SlowLog()
+    log.put(STREAM, 'one', b'1')
+    node = Node(log)
+    await node.follower.read()
+    newer = [KeyedRecord('one', b'2', 1)]
+    log.told.append((node, StreamNews(STREAM, 1, 2, 0, newer)))
+    await node.follower.read()
+    assert node.follower.through == 2
+    assert node.state == {'one': b'2'}
+
+
+async def test_a_node_far_behind_reads_each_key_once() -> None:
+    log = FakeLog()
+    log.put(STREAM, 'one', b'1')
+    node = Node(log)
+    await node.follower.read()
+    for version in range(2, 9):
+        log.put(STREAM, 'one', str(version).encode())
+    node.follower.learn_end(StreamEnd(STREAM, 8, 0))
+    log.trim(STREAM)
+    news = await node.follower.read(for_peers=False)
+    # A read of the history would have failed and told all keys.
+    assert news.base is not None
+    assert not node.follower.has_gap
+    assert node.state == {'one': b'8'}
--- /dev/null
+++ b/mallowspindle/tests/catalog/venture.py
@@ -0,0 +1,159 @@
+"""The catalogs of a venture in one process, on one log in memory."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+from mallowspindle.border import BorderService, LogLayout
+from mallowspindle.catalog.errors import UnusableRecord
+from mallowspindle.catalog.routes import Configuration
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.service import CatalogService
+from mallowspindle.log.interface import Log
+from mallowspindle.log.records import KeyedState, LogPage
+from mallowspindle.tests.catalog.fakes import FakeLog, decode_keyed
+from mallowspindle.tests.sharing.fakes import FakeMesh
+
+CONFIGURATIONS = 'configurations'
+SERVERS = 'servers'
+KEY = 'config'
+READ_INTERVAL_S = 0.5
+_ZONES = 5
+_POLL_S = 0.02
+_LIMIT_S = 10.0
+
+
+class NodeLog(Log):
+    """The log as one node of a venture reaches it."""
+
+    def __init__(self, venture: 'Venture', name: str) -> None:
+        self._venture = venture
+        self._name = name
+
+    async def append(self, *args: Any, **kwargs: Any) -> int:
+        """Nodes only read these streams."""
+        raise NotImplementedError
+
+    async def read(
+        self, stream: str, offset: int, wait_s: float = 0
+    ) -> LogPage:
+        """Read records."""
+        await self._pass()
+        return await self._venture.log.read(stream, offset, wait_s)
+
+    async def newest(self, stream: str) -> KeyedState:
+        """Return the newest record of each key."""
+        await self._pass()
+        return await self._venture.log.newest(stream)
+
+    async def _pass(self) -> None:
+        self._venture.calls[self._name] += 1
+        await self._venture.pass_to_log(self._name)
+
+
+class Venture:
+    """Catalogs that read one log; ``apart`` nodes wait in vain for it."""
+
+    def __init__(self, size: int) -> None:
+        self.log = FakeLog()
+        self.calls: Counter[str] = Counter()
+        self.apart: set[str] = set()
+        # Time after which a read of a node that is apart fails.
+        self.read_timeout_s = 1.5
+        self.mesh = FakeMesh(size, _ZONES)
+        self.catalogs = {
+            name: CatalogService(
+                cast(
+                    BorderService,
+                    SimpleNamespace(log=NodeLog(self, name), layout=_layout()),
+                ),
+                sharing,
+                READ_INTERVAL_S,
+            )
+            for name, sharing in self.mesh.nodes.items()
+        }
+
+    async def __aenter__(self) -> 'Venture':
+        await self.mesh.__aenter__()
+        await asyncio.gather(
+            *(catalog.start() for catalog in self.catalogs.values())
+        )
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await asyncio.gather(
+            *(catalog.stop() for catalog in self.catalogs.values())
+        )
+        await self.mesh.__aexit__(*error)
+
+    @property
+    def names(self) -> list[str]:
+        """The nodes' names."""
+        return list(self.catalogs)
+
+    async def pass_to_log(self, name: str) -> None:
+        """Let a call pass, or time out."""
+        if name in self.apart:
+            await asyncio.sleep(self.read_timeout_s)
+            self.log.fail()
+        await asyncio.sleep(0)
+
+    def configure(self, version: int, size: int = 0) -> None:
+        """Write a configuration of at least ``size`` bytes."""
+        text = str(version).encode().ljust(size, b' ')
+        self.log.put(CONFIGURATIONS, KEY, text)
+
+    def put_server(self, server_id: str, *, draining: bool = False) -> None:
+        """Write the entry of a server."""
+        text = b'draining' if draining else b'ready'
+        self.log.put(SERVERS, server_id, text)
+
+    def version_at(self, name: str) -> int | None:
+        """Return the version in force at a node."""
+        configuration = self.catalogs[name].configuration
+        return configuration.version if configuration else None
+
+    async def seconds_until_version(
+        self, version: int, names: list[str] | None = None
+    ) -> float:
+        """Wait until a version is in force at all of the named nodes."""
+        wanted = self.names if names is None else names
+        return await seconds_until(
+            lambda: all(self.version_at(name) == version for name in wanted)
+        )
+
+
+async def seconds_until(condition: Callable[[], bool]) -> float:
+    """Wait for a condition and return how long that took."""
+    loop = asyncio.get_running_loop()
+    began_at_s = loop.time()
+    async with asyncio.timeout(_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(_POLL_S)
+    return loop.time() - began_at_s
+
+
+def _layout() -> LogLayout:
+    return LogLayout(
+        CONFIGURATIONS,
+        KEY,
+        SERVERS,
+        decode_keyed,
+        _decode_configuration,
+        _decode_server,
+    )
+
+
+def _decode_configuration(text: bytes) -> Configuration:
+    return Configuration(int(text))
+
+
+def _decode_server(server_id: str, text: bytes) -> BackendServer:
+    if text not in {b'ready', b'draining'}:
+        raise UnusableRecord(server_id)
+    draining = text == b'draining'
+    return BackendServer(
+        server_id, 'models', '10.0.0.1:80', 'zone-0', 8, draining
+    )
