Replace connections between entry VMs that went silent

Issue: open connections may go silent for good, without a reset, while new ones work; only a time-out of one's own shows it. Cause: a call that timed out kept its connection, so all later calls to this peer timed out on it too: its heartbeats were lost, and watchers told the others that it was. A write to it could also wait without a bound. Evidence: tests/peers/test_link.py with the loopback proxy, which passes nothing on the present connections and all on new ones: no call was answered again. Now a connection on which a call timed out and that gave no reply for a second is closed, and the next call connects anew. While new connections give no reply either, the pause doubles up to 8 s: a peer that is slow has few handshakes. Late replies count, so a slow peer keeps its connection. Each connection has its own waiting calls, so that the end of an old one can't close a new one. A peer that never replies is given 2 to 4 connections in 8 s.

--- a/mallowspindle/bench/proxy.py
+++ b/mallowspindle/bench/proxy.py
@@ -30,6 +30,8 @@
         self._delay_s = 0.0
         self._cut_answer_after = -1
         self._passed_bytes = 0
+        self._accepted = 0
+        self._silent_through = 0
         self._thawed = asyncio.Event()
         self._thawed.set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -60,6 +62,15 @@
         """Bytes passed so far, both ways."""
         return self._passed_bytes
 
+    @property
+    def accepted(self) -> int:
+        """Connections accepted so far."""
+        return self._accepted
+
+    def silence_open(self) -> None:
+        """Pass nothing on the present connections any more, for good."""
+        self._silent_through = self._accepted
+
     def show(self, mode: Mode, delay_s: float = 0) -> None:
         """Change the fault; open connections are affected, too."""
         self._mode = mode
@@ -92,6 +103,8 @@
         if self._mode == Mode.CUT:
             writer.transport.abort()
             return
+        self._accepted += 1
+        number = self._accepted
         host, port = self._target.rsplit(':', 1)
         try:
             upstream = await asyncio.open_connection(host, int(port))
@@ -100,13 +113,14 @@
             return
         self._writers.update((writer, upstream[1]))
         await asyncio.gather(
-            self._pump(reader, upstream[1], answer=False),
-            self._pump(upstream[0], writer, answer=True),
+            self._pump(number, reader, upstream[1], answer=False),
+            self._pump(number, upstream[0], writer, answer=True),
         )
         self._writers.difference_update((writer, upstream[1]))
 
     async def _pump(
         self,
+        number: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
@@ -114,8 +128,7 @@
     ) -> None:
         passed = 0
         try:
-            while data := await reader.read(_CHUNK_BYTES):
-                await self._thawed.wait()
+            while data := await self._next(number, reader):
                 await asyncio.sleep(self._delay_s)
                 if answer and self._mode == Mode.DROP_ANSWERS:
                     break
@@ -131,6 +144,14 @@
         finally:
             writer.close()
 
+    async def _next(self, number: int, reader: asyncio.StreamReader) -> bytes:
+        """Return what a connection passes next; nothing at its end."""
+        while data := await reader.read(_CHUNK_BYTES):
+            await self._thawed.wait()
+            if number > self._silent_through:
+                return data
+        return b''
+
     def _allowed(self, data: bytes, passed: int, *, answer: bool) -> bytes:
         if not answer or self._cut_answer_after < 0:
             return data
--- a/mallowspindle/peers/frames.py
+++ b/mallowspindle/peers/frames.py
@@ -48,3 +48,7 @@
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
+
+    def abort(self) -> None:
+        """Close the connection at once; what is not sent yet is dropped."""
+        self._writer.transport.abort()
--- a/mallowspindle/peers/link.py
+++ b/mallowspindle/peers/link.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
-from itertools import count
 from typing import Any
 
-from mallowspindle.peers.codec import ErrorReply, peer_codec
+from mallowspindle.peers.codec import ErrorReply
+from mallowspindle.peers.connection import PeerConnection
 from mallowspindle.peers.errors import (
     PeerError,
     PeerRefused,
@@ -14,10 +14,15 @@
 )
 from mallowspindle.peers.frames import FrameStream
 from mallowspindle.peers.handshake import Credentials, greet_as_client
-from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
 _CONNECT_TIMEOUT_S = 1.0
+# A connection on which calls time out and that gave no reply for this long is
+# replaced: two heartbeats, and half of what a lost peer is judged by.
+_SILENT_S = 1.0
+# The silence doubles up to this while new connections give no reply either, so
+# that a slow peer has few handshakes.
+_MAX_SILENT_S = 8.0
 
 
 class PeerLink:
@@ -29,12 +34,10 @@
         self._address = address
         self._credentials = credentials
         self._max_frame_bytes = max_frame_bytes
-        self._stream: FrameStream | None = None
-        self._reader: asyncio.Task[None] | None = None
-        self._waiting: dict[int, asyncio.Future[Any]] = {}
-        self._numbers = count()
+        self._connection: PeerConnection | None = None
         self._connecting = asyncio.Lock()
-        self._sent_bytes = 0
+        self._patience_s = _SILENT_S
+        self._closed_bytes = 0
 
     @property
     def address(self) -> str:
@@ -44,42 +47,34 @@
     @property
     def sent_bytes(self) -> int:
         """Bytes sent since the link was made."""
-        return self._sent_bytes
+        if self._connection is None:
+            return self._closed_bytes
+        return self._closed_bytes + self._connection.sent_bytes
 
     async def call(self, message: object, timeout_s: float) -> Any:
         """Send a message and return the peer's reply."""
-        stream = await self._connected()
-        number = next(self._numbers)
-        reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._waiting[number] = reply
+        connection = await self._connected()
         try:
-            self._sent_bytes += await stream.write(
-                [number, *peer_codec.to_wire(message)]
-            )
-            answer = await asyncio.wait_for(reply, timeout_s)
-        except TimeoutError as error:
-            raise PeerTimeout(f'{self._address} did not answer') from error
-        finally:
-            self._waiting.pop(number, None)
+            answer = await connection.call(message, timeout_s)
+        except PeerTimeout:
+            self._judge(connection)
+            raise
         if isinstance(answer, ErrorReply):
             raise PeerRefused(answer.text)
         return answer
 
     async def close(self) -> None:
         """Close the connection."""
-        if self._reader is not None:
-            self._reader.cancel()
-        self._lose(PeerUnreachable('the link was closed'))
+        if self._connection is not None:
+            self._connection.close(PeerUnreachable('the link was closed'))
 
-    async def _connected(self) -> FrameStream:
+    async def _connected(self) -> PeerConnection:
         async with self._connecting:
-            if self._stream is None:
-                self._stream = await self._connect()
-                self._reader = asyncio.create_task(
-                    self._read_replies(self._stream),
-                    name=f'peer link {self._address}',
-                )
-            return self._stream
+            if self._connection is None or self._connection.lost:
+                stream = await self._connect()
+                self._closed_bytes = self.sent_bytes
+                self._connection = PeerConnection(self._address, stream)
+            return self._connection
 
     async def _connect(self) -> FrameStream:
         host, port = self._address.rsplit(':', 1)
@@ -92,21 +87,14 @@
             raise PeerUnreachable(f'{self._address}: {error}') from error
         return stream
 
-    async def _read_replies(self, stream: FrameStream) -> None:
-        try:
-            while True:
-                number, *wire = await stream.read()
-                waiting = self._waiting.get(number)
-                if waiting is not None and not waiting.done():
-                    waiting.set_result(peer_codec.from_wire(wire))
-        except (PeerError, CodecError, ValueError) as error:
-            log.info('link to %s lost: %s', self._address, error)
-            self._lose(PeerTimeout(f'link to {self._address} lost'))
-
-    def _lose(self, error: PeerError) -> None:
-        if self._stream is not None:
-            self._stream.close()
-        self._stream = None
-        for waiting in self._waiting.values():
-            if not waiting.done():
-                waiting.set_exception(error)
+    def _judge(self, connection: PeerConnection) -> None:
+        """Close a connection that may have gone silent for good."""
+        if connection.lost:
+            return
+        if connection.answered:
+            self._patience_s = _SILENT_S
+        if connection.silent_s < self._patience_s:
+            return
+        log.info('link to %s is silent, closed', self._address)
+        self._patience_s = min(2 * self._patience_s, _MAX_SILENT_S)
+        connection.close(PeerTimeout(f'link to {self._address} is silent'))
--- a/mallowspindle/tests/peers/test_link.py
+++ b/mallowspindle/tests/peers/test_link.py
@@ -22,6 +22,7 @@
 KEY = b'the-shared-key'
 LIMIT_BYTES = 10_000
 TIMEOUT_S = 0.4
+SILENCE_LIMIT_S = 2.5
 
 
 @pytest_asyncio.fixture
@@ -111,6 +112,72 @@
     await proxy.stop()
 
 
+async def test_silent_connection_is_replaced(address: str) -> None:
+    """Replays connections that went silent for good while new ones work."""
+    proxy = await FaultProxy.start(address)
+    link = _link(proxy.address)
+    await link.call(OkReply(), TIMEOUT_S)
+    for silences in range(1, 3):
+        proxy.silence_open()
+        with pytest.raises(PeerTimeout):
+            await link.call(OkReply(), TIMEOUT_S)
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            await _call_until_answered(link)
+        assert proxy.accepted == 1 + silences
+    await link.close()
+    await proxy.stop()
+
+
+async def test_silent_connection_is_replaced_after_a_rest(
+    address: str,
+) -> None:
+    """A late silence after long rest costs one call that times out."""
+    proxy = await FaultProxy.start(address)
+    link = _link(proxy.address)
+    await link.call(OkReply(), TIMEOUT_S)
+    proxy.silence_open()
+    with pytest.raises(PeerTimeout):
+        await link.call(OkReply(), SILENCE_LIMIT_S)
+    assert await link.call(OkReply(), TIMEOUT_S) == OkReply()
+    await link.close()
+    await proxy.stop()
+
+
+async def test_peer_that_never_replies_has_few_connections() -> None:
+    server = PeerServer(Credentials('server', KEY), LIMIT_BYTES)
+
+    async def wait(message: OkReply) -> OkReply:
+        await asyncio.sleep(60)
+        return message
+
+    server.handle(OkReply, wait)
+    port = await server.start('127.0.0.1', 0)
+    proxy = await FaultProxy.start(f'127.0.0.1:{port}')
+    link = _link(proxy.address)
+    loop = asyncio.get_running_loop()
+    ends_at_s = loop.time() + 8
+    while loop.time() < ends_at_s:
+        with pytest.raises(PeerTimeout):
+            await link.call(OkReply(), TIMEOUT_S)
+    assert 2 <= proxy.accepted <= 4
+    await link.close()
+    await proxy.stop()
+    await server.stop()
+
+
+async def test_slow_replies_keep_the_connection(address: str) -> None:
+    proxy = await FaultProxy.start(address)
+    link = _link(proxy.address)
+    await link.call(OkReply(), TIMEOUT_S)
+    proxy.show(Mode.PASS, delay_s=TIMEOUT_S)
+    for _ in range(6):
+        with pytest.raises(PeerTimeout):
+            await link.call(OkReply(), TIMEOUT_S)
+    assert proxy.accepted == 1
+    await link.close()
+    await proxy.stop()
+
+
 async def _call_until_answered(link: PeerLink) -> None:
     async with asyncio.timeout(10):
         while True:
