End the heartbeats when a node stops; measure larger meshes

Issue: the mesh bench gave no result at 64 nodes. Cause: `asyncio.wait_for` of Python 3.11 returns as usual when its task is cancelled in the moment in which the event is set. A node whose heartbeats were hurried in this moment went on with them, and its stop waited for ever: 6 of 64 nodes in the bench, found by listing the tasks that were left. The loops of the states and of the reload of settings had the same fault. Now these loops wait with `asyncio.timeout`, which keeps the cancellation. Ruled out: the time to join (3.9 s) and the limit of the measurement. The bench starts all nodes within 0.3 s, as the operators' platform does, and counts the bytes of joining, the time until a leaving node is known and the losses believed of nodes that live.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(BIN)/python -m mallowspindle.bench.slopes
 
 mesh: setup
-	$(BIN)/python -m mallowspindle.bench.mesh 8 32
+	$(BIN)/python -m mallowspindle.bench.mesh 8 32 77
 
 reclaims: setup
 	$(BIN)/python -m mallowspindle.bench.reclaims
--- a/mallowspindle/bench/mesh.py
+++ b/mallowspindle/bench/mesh.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import sys
 import time
 
@@ -16,41 +17,92 @@
 from mallowspindle.peers.server import PeerServer
 
 _KEY = 'a-shared-key-for-loopback'
+_SEEDS = 3
+_SETTLE_S = 5.0
 _REST_S = 10.0
 _POLL_S = 0.02
-_JOIN_PAUSE_S = 0.3
+# The operators' platform starts all machines of a deployment at once.
+_JOIN_WITHIN_S = 0.3
 _LIMIT_S = 15.0
+_COLUMNS = (
+    'nodes',
+    'joined s',
+    'join KB/n',
+    'sent B/s/n',
+    'cpu %/node',
+    'sign s',
+    'leaving s',
+    'lost s',
+    'false',
+)
+
+Nodes = list[MembershipService]
+
+
+class _LossCounter(logging.Handler):
+    """Counts how often a node believed that another was lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.count = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count the messages on lost members."""
+        self.count += 'is lost' in record.msg
 
 
 async def measure(size: int) -> None:
     """Start ``size`` members; measure them at rest and under news."""
-    nodes: list[MembershipService] = []
+    losses = _LossCounter()
+    logger = logging.getLogger('mallowspindle.membership.gossip')
+    logger.setLevel(logging.INFO)
+    logger.addHandler(losses)
+    nodes: Nodes = []
     for number in range(size):
-        nodes.append(await _start(number, nodes[:3]))
-        await asyncio.sleep(_JOIN_PAUSE_S)
-    joined_s = await _until(nodes, lambda node: _sees(node, size - 1))
-    await asyncio.sleep(5)
-    sent = sum(node.sent_bytes for node in nodes)
+        nodes.append(await _start(number, nodes[:_SEEDS]))
+        await asyncio.sleep(_JOIN_WITHIN_S / size)
+    figures = [await _until(nodes, lambda node: _sees(node, size - 1))]
+    figures.append(_sent_bytes(nodes) / size / 1000)
+    await asyncio.sleep(_SETTLE_S)
+    figures.extend(await _rest(nodes))
+    false_losses = losses.count
+    figures.extend(await _news(nodes))
+    await asyncio.gather(*(node.stop() for node in nodes))
+    logger.removeHandler(losses)
+    row = ''.join(f'{figure:>12.2f}' for figure in figures)
+    sys.stdout.write(f'{size:>12}{row}{false_losses:>12}\n')
+    sys.stdout.flush()
+
+
+async def _rest(nodes: Nodes) -> list[float]:
+    """Return bytes a second and part of a processor of a node at rest."""
+    sent = _sent_bytes(nodes)
     cpu_s = time.process_time()
     await asyncio.sleep(_REST_S)
-    rest_bytes = (sum(node.sent_bytes for node in nodes) - sent) / _REST_S
+    rest_bytes = (_sent_bytes(nodes) - sent) / _REST_S
     rest_cpu = (time.process_time() - cpu_s) / _REST_S
+    return [rest_bytes / len(nodes), rest_cpu / len(nodes) * 100]
+
+
+async def _news(nodes: Nodes) -> list[float]:
+    """Return the seconds until a sign, a leaving and a lost node are known."""
     nodes[0].report_leaving_server('vm-1')
     sign_s = await _until(nodes, lambda node: 'vm-1' in node.signs)
+    leaving = nodes.pop()
+    name = leaving.own.name
+    begun_s = time.monotonic()
+    await leaving.prepare_drain()
+    await _until(nodes, lambda node: _knows_leaving(node, name))
+    leaving_s = time.monotonic() - begun_s
+    await leaving.stop()
     lost = nodes.pop()
+    begun_s = time.monotonic()
     await lost.stop()
-    lost_s = await _until(nodes, lambda node: _sees(node, size - 2))
-    sys.stdout.write(
-        f'{size:>6}{joined_s:>10.2f}{rest_bytes / size:>12.0f}'
-        f'{rest_cpu / size * 100:>12.3f}{sign_s:>10.2f}{lost_s:>10.2f}\n'
-    )
-    sys.stdout.flush()
-    await asyncio.gather(*(node.stop() for node in nodes))
+    await _until(nodes, lambda node: not _lists(node, lost.own.name))
+    return [sign_s, leaving_s, time.monotonic() - begun_s]
 
 
-async def _start(
-    number: int, seeds: list[MembershipService]
-) -> MembershipService:
+async def _start(number: int, seeds: Nodes) -> MembershipService:
     node = NodeSection.model_validate(
         {'name': f'entry-{number:04}', 'zone': 'abcd'[number % 4]}
     )
@@ -65,11 +117,23 @@
     return made
 
 
+def _sent_bytes(nodes: Nodes) -> int:
+    return sum(node.sent_bytes for node in nodes)
+
+
+def _knows_leaving(node: MembershipService, name: str) -> bool:
+    return all(info.leaving for info in node.table.live() if info.name == name)
+
+
+def _lists(node: MembershipService, name: str) -> bool:
+    return any(info.name == name for info in node.table.live())
+
+
 def _sees(node: MembershipService, count: int) -> bool:
     return len(node.table.live()) == count
 
 
-async def _until(nodes: list[MembershipService], condition: object) -> float:
+async def _until(nodes: Nodes, condition: object) -> float:
     """Return the seconds until a condition holds at all nodes."""
     begun_s = time.monotonic()
     while time.monotonic() - begun_s < _LIMIT_S:
@@ -81,10 +145,9 @@
 
 def main() -> None:
     """Measure several sizes and print a row for each."""
-    sizes = [int(text) for text in sys.argv[1:]] or [8, 32, 100]
-    sys.stdout.write(
-        ' nodes  joined s  sent B/s/n  cpu %/node    sign s    lost s\n'
-    )
+    sizes = [int(text) for text in sys.argv[1:]] or [8, 32, 77]
+    head = ''.join(f'{column:>12}' for column in _COLUMNS)
+    sys.stdout.write(f'{head}\n')
     for size in sizes:
         uvloop.run(measure(size))
 
--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -27,7 +27,7 @@
 from mallowspindle.peers.links import PeerLinks
 from mallowspindle.peers.server import PeerServer
 from mallowspindle.utils.identifiers import rendezvous_order
-from mallowspindle.utils.tasks import TaskGroup
+from mallowspindle.utils.tasks import TaskGroup, happens
 from mallowspindle.utils.telemetry import meter
 
 log = logging.getLogger(__name__)
@@ -167,12 +167,8 @@
             self._hurry.clear()
             await self._send_round(wait=False)
             await asyncio.sleep(_MIN_INTERVAL_S)
-            try:
-                await asyncio.wait_for(
-                    self._hurry.wait(),
-                    self._peers.heartbeat_interval_s - _MIN_INTERVAL_S,
-                )
-            except TimeoutError:
+            pause_s = self._peers.heartbeat_interval_s - _MIN_INTERVAL_S
+            if not await happens(self._hurry, pause_s):
                 self._table.forget(_FORGET_AFTER_S)
 
     async def _send_round(self, *, wait: bool = True) -> None:
--- a/mallowspindle/reloading.py
+++ b/mallowspindle/reloading.py
@@ -8,7 +8,7 @@
 
 from mallowspindle.config.common import CommonSettings
 from mallowspindle.config.errors import ConfigError
-from mallowspindle.utils.tasks import TaskGroup
+from mallowspindle.utils.tasks import TaskGroup, happens
 
 log = logging.getLogger(__name__)
 
@@ -75,12 +75,10 @@
 
     async def _wait(self) -> bool:
         """Wait for SIGHUP or the next look; tell whether it was SIGHUP."""
-        try:
-            await asyncio.wait_for(self._hurry.wait(), _LOOK_INTERVAL_S)
-        except TimeoutError:
-            return False
-        self._hurry.clear()
-        return True
+        signalled = await happens(self._hurry, _LOOK_INTERVAL_S)
+        if signalled:
+            self._hurry.clear()
+        return signalled
 
 
 def _stamp_of(path: Path) -> FileStamp:
--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -4,7 +4,6 @@
 import logging
 import time
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 from dataclasses import replace
 from itertools import chain, count
 from typing import Self
@@ -26,7 +25,7 @@
 )
 from mallowspindle.sharing.relays import relays_of, tells_directly
 from mallowspindle.sharing.sums import total, young
-from mallowspindle.utils.tasks import TaskGroup
+from mallowspindle.utils.tasks import TaskGroup, happens
 
 log = logging.getLogger(__name__)
 
@@ -178,10 +177,7 @@
             self._hurry.clear()
             self._send_state()
             await asyncio.sleep(_LEAST_INTERVAL_S)
-            with suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._hurry.wait(), INTERVAL_S - _LEAST_INTERVAL_S
-                )
+            await happens(self._hurry, INTERVAL_S - _LEAST_INTERVAL_S)
 
     def _send_state(self) -> None:
         """Tell all peers, or the relays of the own zone."""
--- a/mallowspindle/utils/tasks.py
+++ b/mallowspindle/utils/tasks.py
@@ -46,6 +46,20 @@
             )
 
 
+async def happens(event: asyncio.Event, timeout_s: float) -> bool:
+    """Wait for an event; False if it is not set within the time.
+
+    Unlike ``asyncio.wait_for`` before Python 3.12 this ends when the task is
+    cancelled in the moment in which the event is set.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 async def repeat(work: Callable[[], Awaitable[Any]], interval_s: float) -> None:
     """Call ``work`` forever with pauses; failures are logged, not raised."""
     while True:
