Draw a server where the others' work is known late

Cause: all nodes look at the same sums of one another's work, which are about half a second old on average, and each chose the cheapest server of them. So they chose the same few until the next sums. Besides, each node took a server to read for it alone: prompts of several nodes at one server were counted as read at the same time, and the sums told less than was waiting there (35 ms a server on average where 133 ms waited). Now the sums tell how old they are. Age times the others' demand is the reading of which a node has not heard; it is taken to fill the cheapest servers, and a server is drawn by how far it lies below that level. The owners of the shared parts compete with it. With nothing unheard the cheapest is chosen as before. A prompt counts as unread until those ahead of it have been read, and parts of a sum share the time in which a server read on. The requests of services without prompts are still sent to the least busy server.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -1,8 +1,9 @@
 """Keeps a view of each registered backend server."""
 
 import logging
+import time
 from collections import defaultdict
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -58,14 +59,18 @@
     """Chooses a server for each attempt and knows the work at each."""
 
     def __init__(
-        self, catalog: CatalogService, sharing: SharingService
+        self,
+        catalog: CatalogService,
+        sharing: SharingService,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._catalog = catalog
         self._sharing = sharing
+        self._clock = clock
         self._zone = sharing.membership.own.zone
         self._views: dict[str, BackendView] = {}
         self._meters: dict[str, RateMeter] = defaultdict(
-            partial(RateMeter, _DEMAND_SPAN_S)
+            partial(RateMeter, _DEMAND_SPAN_S, clock)
         )
 
     @classmethod
@@ -118,7 +123,9 @@
     ) -> Pick | None:
         """Return the server for the next attempt; None if there is none."""
         usable = self.usable(service_name, avoid)
-        return self._pick_of(usable, request, self._zone, 'predicted')
+        unheard_s = _unheard_s(self._sharing.peer_work(), service_name)
+        placement = self._placement(request, self._zone, unheard_s)
+        return self._pick_of(usable, request, placement, 'predicted')
 
     def pick_copy_keeper(
         self, running: BackendView, request: CallerRequest
@@ -130,8 +137,8 @@
         if not (spec and spec.engine and spec.engine.can_back_up):
             return None
         usable = self.usable(service_name, {running.server.server_id})
-        zone = running.server.zone
-        pick = self._pick_of(usable, request, zone, 'copy_keeper')
+        placement = self._placement(request, running.server.zone)
+        pick = self._pick_of(usable, request, placement, 'copy_keeper')
         return pick.view if pick else None
 
     def note_demand(self, service_name: str, request: CallerRequest) -> None:
@@ -165,7 +172,10 @@
         self, view: BackendView, request: CallerRequest
     ) -> Iterator[Work]:
         """Count a request while it is at a server."""
-        with view.working(request) as work:
+        peers = self._sharing.peer_work().loads
+        ahead = peers.get(view.server.server_id, _NO_WORK)
+        wait_ms = ahead.backlog_ms + view.load().backlog_ms
+        with view.working(request, wait_ms / _MS) as work:
             if work.reading_s >= _TOLD_AT_ONCE_S:
                 self._sharing.hurry()
             yield work
@@ -174,16 +184,13 @@
         self,
         usable: list[BackendView],
         request: CallerRequest,
-        zone: str,
+        placement: Placement,
         policy: str,
     ) -> Pick | None:
         if not usable:
             return None
         peer_loads = self._sharing.peer_work().loads
         owners = self._owners(usable, request)
-        placement = Placement(
-            zone, request.prompt_tokens or 0, self._cache_worth(request)
-        )
         candidates = [
             self._candidate(view, request, peer_loads, owners)
             for view in usable
@@ -226,8 +233,12 @@
         names = [view.server.server_id for view in usable]
         return rendezvous_order(key, names)[:_OWNERS]
 
-    def _cache_worth(self, request: CallerRequest) -> int:
-        return sum(part.tokens for part in request.prompt[:-1])
+    def _placement(
+        self, request: CallerRequest, zone: str, unheard_s: float = 0
+    ) -> Placement:
+        shared_tokens = sum(part.tokens for part in request.prompt[:-1])
+        tokens = request.prompt_tokens or 0
+        return Placement(zone, tokens, shared_tokens, unheard_s)
 
     def _own_work(self) -> WorkSum:
         return WorkSum(
@@ -249,7 +260,8 @@
             or view.server.address != server.address
         ):
             self._forget_gone()
-            view = BackendView(server, PartMemory(self._capacity(server)))
+            memory = PartMemory(self._capacity(server))
+            view = BackendView(server, memory, clock=self._clock)
             self._views[server.server_id] = view
         view.server = server
         return view
@@ -265,3 +277,11 @@
         configuration = self._catalog.configuration
         spec = configuration and configuration.services.get(server.service)
         return spec.engine.cache_tokens if spec and spec.engine else 0
+
+
+def _unheard_s(peers: WorkSum, service_name: str) -> float:
+    """Return the reading that peers have sent since they told their work."""
+    if not peers.nodes:
+        return 0
+    asked = peers.demands.get(service_name, ReadingDemand(0))
+    return asked.reading_ms / _MS * peers.ages_s / peers.nodes
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -31,16 +31,22 @@
 class Work:
     """One request at a server; ``reading_s`` until its first event.
 
+    ``read_from_s`` is when the server should begin to read the prompt.
     ``move`` is set while the request moves to another server. Its result is
     None if the run was not stopped; it is cancelled if that is not known.
     """
 
     request: CallerRequest
     reading_s: float
-    sent_at_s: float
+    read_from_s: float
     streaming: bool = False
     move: asyncio.Future[Relocation | None] | None = None
 
+    def unread_s(self, now_s: float) -> float:
+        """Return the reading time that should be left."""
+        begun_s = max(0, now_s - self.read_from_s)
+        return max(0, self.reading_s - begun_s)
+
     def note_first_event(self) -> None:
         """Note that the prompt has been read."""
         self.reading_s = 0
@@ -69,34 +75,36 @@
     failures: int = 0
     ejected_until_s: float = 0
     refused_until_s: float = 0
+    clock: Callable[[], float] = time.monotonic
 
     @property
     def ejected(self) -> bool:
         """Whether the server is left alone for its failures."""
-        return time.monotonic() < self.ejected_until_s
+        return self.clock() < self.ejected_until_s
 
     @property
     def full(self) -> bool:
         """Whether the server has just turned work away."""
-        return time.monotonic() < self.refused_until_s
+        return self.clock() < self.refused_until_s
 
     def load(self) -> ServerWork:
         """Return this node's work at the server."""
-        unread = [work for work in self.work if work.reading_s]
-        backlog_s = sum(work.reading_s for work in unread)
-        if unread:
-            # The server has been reading since the oldest of them came.
-            oldest_s = min(work.sent_at_s for work in unread)
-            backlog_s = max(0, backlog_s - (time.monotonic() - oldest_s))
+        now_s = self.clock()
+        backlog_s = sum(work.unread_s(now_s) for work in self.work)
         return ServerWork(len(self.work), int(backlog_s * _MS))
 
     @contextmanager
-    def working(self, request: CallerRequest) -> Iterator[Work]:
-        """Count a request while it is at the server."""
+    def working(
+        self, request: CallerRequest, wait_s: float = 0
+    ) -> Iterator[Work]:
+        """Count a request while it is at the server.
+
+        The prompts ahead of it, also those of peers, take ``wait_s``.
+        """
         tokens = request.prompt_tokens or 0
         cached = self.memory.cached_tokens(request.prompt)
         reading_s = reading_time_s(tokens, cached)
-        work = Work(request, reading_s, time.monotonic())
+        work = Work(request, reading_s, self.clock() + wait_s)
         self.memory.remember(request.prompt)
         self.work.add(work)
         try:
@@ -115,12 +123,12 @@
         extra = self.failures - _FAILURES_UNTIL_EJECTED
         if extra >= 0:
             pause_s = min(_MOST_EJECTED_S, _EJECTED_S * 2**extra)
-            self.ejected_until_s = time.monotonic() + pause_s
+            self.ejected_until_s = self.clock() + pause_s
 
     def note_unreachable(self) -> None:
         """Eject a server that takes no connections, or is another one."""
-        self.ejected_until_s = time.monotonic() + UNREACHABLE_S
+        self.ejected_until_s = self.clock() + UNREACHABLE_S
 
     def note_full(self, pause_s: float) -> None:
         """Send no further work for a moment."""
-        self.refused_until_s = time.monotonic() + pause_s
+        self.refused_until_s = self.clock() + pause_s
--- a/mallowspindle/policies/placement.py
+++ b/mallowspindle/policies/placement.py
@@ -4,6 +4,7 @@
 parts, on servers that read prompts one after the other between the tokens of
 running requests. Sending each prompt to the server that will have read it
 first keeps the time to the first token short and reads shared parts once.
+Many nodes send at a time, and hear of one another's work up to a second late.
 """
 
 import random
@@ -45,11 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The request to place, as seen from a node in ``zone``."""
+    """The request to place, as seen from a node in ``zone``.
+
+    ``unheard_s`` is the reading that other nodes have probably sent to all
+    servers together since they told their work.
+    """
 
     zone: str
     prompt_tokens: int
     shared_tokens: int
+    unheard_s: float = 0
 
 
 Policy = Callable[[Candidate, Placement], float]
@@ -110,7 +116,34 @@
     placement: Placement,
     name: str = 'predicted',
 ) -> Candidate:
-    """Return the candidate of the lowest cost; equal ones at random."""
+    """Return the candidate of the lowest cost; equal ones at random.
+
+    If others have sent work of which this node has not heard, all would choose
+    the same few. They have sent it to the cheapest servers, which are level by
+    now; so a server is drawn by how far it lies below that level. The owners of
+    the shared parts, other ones for each request, compete with it.
+    """
     cost = policies[name]
     shuffled = random.sample(list(candidates), len(candidates))
-    return min(shuffled, key=lambda candidate: cost(candidate, placement))
+    costs = [cost(candidate, placement) for candidate in shuffled]
+    places = range(len(shuffled))
+    if placement.unheard_s:
+        level = _level_s(costs, placement.unheard_s)
+        room_s = [max(0, level - cost_s) for cost_s in costs]
+        owners = [place for place in places if shuffled[place].is_owner]
+        contenders = [*random.choices(places, room_s), *owners]
+    else:
+        contenders = list(places)
+    return shuffled[min(contenders, key=costs.__getitem__)]
+
+
+def _level_s(costs_s: Sequence[float], unheard_s: float) -> float:
+    """Return up to where ``unheard_s`` fills the servers, cheapest first."""
+    level_s = 0.0
+    filled_s = 0.0
+    for count, cost_s in enumerate(sorted(costs_s), start=1):
+        if count > 1 and cost_s >= level_s:
+            break
+        filled_s += cost_s
+        level_s = (filled_s + unheard_s) / count
+    return level_s
--- a/mallowspindle/sharing/knowledge.py
+++ b/mallowspindle/sharing/knowledge.py
@@ -12,7 +12,7 @@
     WorkSum,
     ZoneState,
 )
-from mallowspindle.sharing.sums import aged, total, without
+from mallowspindle.sharing.sums import aged, brought_up, without
 
 StateT = TypeVar('StateT', NodeState, ZoneState, VentureState)
 
@@ -158,20 +158,20 @@
 
     def zone_work(self) -> WorkSum:
         """Return the work of the other nodes of the own zone."""
-        return total(self._node_works({self._zone}))
+        return brought_up(self._node_works({self._zone}))
 
     def collected_work(self) -> WorkSum:
         """Return the work of the others from what nodes and zones told."""
-        best: dict[str, WorkSum] = {}
+        best: dict[str, Heard[ZoneState]] = {}
         for told in self._zones.fresh():
             zone = told.state.zone
-            work = self._aged(told.state.work, told.heard_at_s)
-            if zone not in best or work.nodes >= best[zone].nodes:
-                best[zone] = work
+            known = best.get(zone, told)
+            if told.state.work.nodes >= known.state.work.nodes:
+                best[zone] = told
         best.pop(self._zone, None)
         zones = {heard.state.zone for heard in self._nodes.fresh()}
         others = self._node_works(zones - best.keys())
-        return total([*best.values(), *others])
+        return brought_up([*map(self._with_age, best.values()), *others])
 
     def peer_work(self) -> WorkSum:
         """Return the work of all other nodes.
@@ -191,20 +191,21 @@
             told, key=lambda heard: (heard.state.work.nodes, heard.heard_at_s)
         )
         state = fullest.state
-        work = self._aged(state.work, fullest.heard_at_s)
         own = self._own.get(state.included.get(self._name, -1))
-        return work if own is None else without(work, own)
+        work, age_s = self._with_age(fullest)
+        others = work if own is None else without(work, own)
+        return aged(others, age_s)
 
-    def _node_works(self, zones: Iterable[str]) -> list[WorkSum]:
+    def _node_works(self, zones: Iterable[str]) -> list[tuple[WorkSum, float]]:
         wanted = set(zones)
         return [
-            self._aged(heard.state.work, heard.heard_at_s)
+            self._with_age(heard)
             for heard in self._nodes.fresh()
             if heard.state.zone in wanted
         ]
 
-    def _aged(self, work: WorkSum, heard_at_s: float) -> WorkSum:
-        return aged(work, self._clock() - heard_at_s)
+    def _with_age(self, heard: Heard[StateT]) -> tuple[WorkSum, float]:
+        return heard.state.work, self._clock() - heard.heard_at_s
 
 
 def _lease_order(news: LeaseNews) -> tuple[int, bool, float]:
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -40,7 +40,7 @@
 
     ``loads`` are by backend server, ``demands`` by service and ``quota_use``
     by organisation. ``young_s`` is how long those nodes have run that
-    started lately.
+    started lately; ``ages_s`` is how long ago each told its work, added up.
     """
 
     nodes: int = 0
@@ -48,6 +48,7 @@
     demands: dict[str, ReadingDemand] = field(default_factory=dict)
     quota_use: dict[str, QuotaSpent] = field(default_factory=dict)
     young_s: list[float] = field(default_factory=list)
+    ages_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/sharing/sums.py
+++ b/mallowspindle/sharing/sums.py
@@ -1,6 +1,8 @@
 """Adds up what entry VMs do."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from operator import add, sub
 from typing import TypeVar
 
@@ -26,9 +28,38 @@
         demands=_merged(part.demands for part in parts),
         quota_use=_merged(part.quota_use for part in parts),
         young_s=[young_s for part in parts for young_s in part.young_s],
+        ages_s=round(sum(part.ages_s for part in parts), 2),
     )
 
 
+def brought_up(parts: Iterable[tuple[WorkSum, float]]) -> WorkSum:
+    """Return the sum of parts, each with its age, as it is by now.
+
+    A server reads one prompt at a time, so that parts of the work at the same
+    server share the time that has passed.
+    """
+    parts = list(parts)
+    whole = total(aged(work, age_s) for work, age_s in parts)
+    told = _merged(work.loads for work, _ in parts)
+    weighted: Counter[str] = Counter()
+    for work, age_s in parts:
+        weighted.update(_weighted_ages(work, int(age_s * _MS)))
+    left = {
+        name: ServerWork(load.running, _left_ms(load, weighted[name]))
+        for name, load in told.items()
+    }
+    return replace(whole, loads=left)
+
+
+def _weighted_ages(work: WorkSum, age_ms: int) -> dict[str, int]:
+    return {name: load.backlog_ms * age_ms for name, load in work.loads.items()}
+
+
+def _left_ms(load: ServerWork, weighted_age: int) -> int:
+    passed_ms = weighted_age // max(1, load.backlog_ms)
+    return max(0, load.backlog_ms - passed_ms)
+
+
 def without(whole: WorkSum, part: WorkSum) -> WorkSum:
     """Return what the nodes of ``whole`` do that are not in ``part``."""
     return WorkSum(
@@ -37,6 +68,7 @@
         demands=_less(whole.demands, part.demands),
         quota_use=_less(whole.quota_use, part.quota_use),
         young_s=_others(whole.young_s, part.young_s),
+        ages_s=_ages_without(whole, part),
     )
 
 
@@ -60,6 +92,7 @@
             for name, spent in work.quota_use.items()
         },
         young_s=young([young_s + age_s for young_s in work.young_s]),
+        ages_s=work.ages_s + work.nodes * age_s,
     )
 
 
@@ -68,6 +101,13 @@
     return [round(uptime_s, 2) for uptime_s in uptimes_s if uptime_s < _YOUNG_S]
 
 
+def _ages_without(whole: WorkSum, part: WorkSum) -> float:
+    """Return the ages of the others if all are as old as the average."""
+    if not whole.nodes:
+        return 0
+    return whole.ages_s * max(0, 1 - part.nodes / whole.nodes)
+
+
 def _merged(maps: Iterable[Mapping[str, AmountT]]) -> dict[str, AmountT]:
     merged: dict[str, AmountT] = {}
     for part in maps:
--- a/mallowspindle/tests/policies/test_placement.py
+++ b/mallowspindle/tests/policies/test_placement.py
@@ -1,5 +1,7 @@
 """Placement by predicted time, and of copies of runs."""
 
+import random
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -58,3 +60,46 @@
     quiet = replace(IDLE, server_id='quiet', zone='c', running=3)
     chosen = choose_server([busy, quiet], LONG, 'copy_keeper')
     assert chosen.server_id == 'quiet'
+
+
+def _servers(count: int) -> list[Candidate]:
+    return [
+        replace(IDLE, server_id=f'i-{number}', backlog_s=number * 0.01)
+        for number in range(count)
+    ]
+
+
+def test_work_not_heard_of_spreads_the_choice() -> None:
+    """Replays many nodes that look at the same old sums."""
+    random.seed(1)
+    placement = replace(LONG, unheard_s=2)
+    chosen = Counter(
+        choose_server(_servers(20), placement).server_id for _ in range(400)
+    )
+    assert len(chosen) == 20
+    assert max(chosen.values()) < 400 / 5
+    assert chosen['i-0'] > chosen['i-19']
+
+
+def test_servers_that_are_far_behind_are_not_drawn() -> None:
+    random.seed(1)
+    placement = replace(LONG, unheard_s=0.12)
+    chosen = {
+        choose_server(_servers(20), placement).server_id for _ in range(400)
+    }
+    assert chosen == {'i-0', 'i-1', 'i-2', 'i-3', 'i-4'}
+
+
+def test_without_unheard_work_the_cheapest_is_chosen() -> None:
+    chosen = {choose_server(_servers(20), LONG).server_id for _ in range(50)}
+    assert chosen == {'i-0'}
+
+
+def test_owners_keep_shared_parts_in_spite_of_unheard_work() -> None:
+    owner = replace(IDLE, server_id='owner', is_owner=True)
+    placement = replace(LONG, unheard_s=2)
+    chosen = {
+        choose_server([IDLE, owner, IDLE], placement).server_id
+        for _ in range(50)
+    }
+    assert chosen == {'owner'}
--- a/mallowspindle/tests/sharing/test_knowledge.py
+++ b/mallowspindle/tests/sharing/test_knowledge.py
@@ -86,3 +86,25 @@
         news = LeaseNews(f'holder-{number}', number, 0)
         known.hear(ZoneState('b', 'two', WorkSum(), news))
     assert known.venture_lease == LeaseNews('holder-8', 8, 0)
+
+
+def test_a_server_reads_for_all_nodes_one_after_the_other() -> None:
+    """Replays prompts of several nodes at one server: each waits its turn."""
+    clock = FakeClock()
+    known = PeerKnowledge('a', 'one', clock)
+    for node in ('two', 'three'):
+        known.hear(_state(node, 'a'))
+    known.hear(ZoneState('b', 'four', _WORK))
+    known.hear(ZoneState('c', 'five', _WORK))
+    clock.advance(0.25)
+    assert known.peer_work().loads == {'i-1': ServerWork(8, 1750)}
+
+
+def test_the_age_of_what_is_known_adds_up_along_its_way() -> None:
+    clock = FakeClock()
+    known = PeerKnowledge('a', 'one', clock)
+    known.hear(ZoneState('b', 'two', WorkSum(nodes=3, ages_s=0.6)))
+    clock.advance(0.25)
+    known.hear(_state('three', 'a'))
+    clock.advance(0.25)
+    assert known.peer_work().ages_s == 0.6 + 3 * 0.5 + 0.25
