Ask peers also when neither the log nor any news reach a node

A node whose reads fail and which no peer reaches knows of no gap, so it asked nobody: it kept its old version though its peers answered its calls. Evidence: the new test of 58 nodes. One reaches neither the log nor is told anything; a new version is not in force there within 10 s. Now a node whose last read failed and which has heard nothing for 1.5 s asks two peers each second. A peer that knows nothing newer answers how far it knows the stream and how old that is, which tells the asker that it is up to date. Ruled out: as many questions as for a known gap; while the log is away all nodes would ask all.

--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from mallowspindle.catalog.following import (
+    StreamEnd,
     StreamFollower,
     StreamNews,
     StreamRequest,
@@ -36,6 +37,12 @@
 # Peers that are asked before this node pauses.
 _MOST_ASKED = 8
 _ASKING_PAUSE_S = 0.3
+# A node that reaches the store no more and has heard nothing for this time asks
+# too: all others would have read by then.
+_UNHEARD_S = 1.5
+# The same then: while the store is away all nodes ask for nothing.
+_ASKED_IN_DOUBT = 2
+_DOUBT_PAUSE_S = 1.0
 # Peers that did not help are asked last for this time, in which a link or a
 # process that failed is mostly back.
 _UNHELPFUL_FOR_S = 5.0
@@ -85,7 +92,7 @@
             self._reads.spawn(self._read(), self._follower.stream)
         if self._questions or now_s < self._next_question_s:
             return
-        if self._follower.behind_s >= _PATIENCE_S or self._misses_reads:
+        if self._needs_peers:
             self._questions.spawn(self._ask_peers(), 'ask for a state')
 
     async def stop(self) -> None:
@@ -94,8 +101,12 @@
         await self._questions.cancel()
 
     @property
-    def _misses_reads(self) -> bool:
-        return self._follower.has_gap and not self._reachable
+    def _needs_peers(self) -> bool:
+        if self._follower.behind_s >= _PATIENCE_S:
+            return True
+        if self._reachable:
+            return False
+        return self._follower.has_gap or self._follower.age_s > _UNHEARD_S
 
     def _is_due(self) -> bool:
         if self._follower.has_gap:
@@ -148,12 +159,15 @@
 
     async def _ask_peers(self) -> None:
         """Take the state from peers, one after the other."""
-        for info in self._most_helpful(self._sharing.peers()):
-            if not self._follower.has_gap:
+        in_doubt = not self._follower.has_gap
+        peers = self._most_helpful(self._sharing.peers())
+        for info in peers[: _ASKED_IN_DOUBT if in_doubt else _MOST_ASKED]:
+            if not self._needs_peers:
                 break
             question = self._questions.spawn(self._ask(info), 'ask a peer')
             await asyncio.wait({question}, timeout=_NEXT_PEER_S)
-        self._next_question_s = time.monotonic() + _ASKING_PAUSE_S
+        pause_s = _DOUBT_PAUSE_S if in_doubt else _ASKING_PAUSE_S
+        self._next_question_s = time.monotonic() + pause_s
 
     def _most_helpful(self, peers: list[MemberInfo]) -> list[MemberInfo]:
         """Return peers to ask: near ones first, those that failed last."""
@@ -171,7 +185,7 @@
                 info.zone != zone,
             )
         )
-        return mixed[:_MOST_ASKED]
+        return mixed
 
     async def _ask(self, info: MemberInfo) -> None:
         request = StreamRequest(self._follower.stream, self._follower.through)
@@ -182,6 +196,8 @@
             self._unhelpful.pop(info.name, None)
             self._follower.learn(reply)
             self._note_news(reply)
+        elif isinstance(reply, StreamEnd):
+            self._follower.learn_end(reply)
 
     def _stream_field(self) -> dict[str, str]:
         return {'stream': self._follower.stream}
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -116,13 +116,13 @@
 
     async def _give_state(
         self, request: StreamRequest
-    ) -> StreamNews | ErrorReply:
+    ) -> StreamNews | StreamEnd | ErrorReply:
         keeper = self._keepers.get(request.stream)
         state = keeper.follower.state() if keeper else None
         if state is None:
             return ErrorReply('the stream is not known here')
         if request.known is not None and state.through <= request.known:
-            return ErrorReply('nothing newer is known here')
+            return StreamEnd(state.stream, state.through, state.age_s)
         return state
 
     def _learn(self, news: StreamNews | StreamEnd) -> None:
--- a/mallowspindle/tests/catalog/test_venture.py
+++ b/mallowspindle/tests/catalog/test_venture.py
@@ -130,6 +130,21 @@
         assert venture.catalogs[node].servers['one'].draining
 
 
+async def test_a_node_that_hears_nothing_asks_its_peers() -> None:
+    """Neither the log nor a peer reaches it, but it reaches its peers."""
+    venture = Venture(_SIZE)
+    venture.configure(1)
+    async with venture:
+        await asyncio.sleep(_SETTLING_S)
+        alone = venture.names[0]
+        venture.apart.add(alone)
+        venture.mesh.cut.update((name, alone) for name in venture.names[1:])
+        await asyncio.sleep(4)
+        venture.configure(2, _CONFIGURATION_BYTES)
+        # A peer may not know it when it is asked first.
+        assert await venture.seconds_until_version(2) < 2 * _APART_IN_FORCE_S
+
+
 async def _stop(venture: Venture, names: list[str]) -> None:
     venture.mesh.silent.update(names)
     for name in names:
