Deny routes and keys only while the configuration is known to be new

A node that has heard of no read for some seconds, or knows that there are records that it lacks, can't say which routes and keys there are not; the design has it refuse as not run then. Now such a node answers 503 with a time to come back instead of 401 or 404. The bound is 1.8 s, below the operators' 2 s for a configuration: while some node reads, knowledge is at most 1.4 s old plus the time of a read. What the known configuration allows goes on as before (operators have fail_closed false), so a key that was revoked is refused as soon as before: by 401 where the new version is known, and where it is not the key is in the old one. Ruled out: refusing all requests of a node that may be behind (a store that is away would stop the whole venture). Catalogs in memory, 58 nodes: a node cut from all becomes unsure, the others don't, and it is sure again after the cut; while all is well no node is unsure in 2.8 s of looks.

--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -27,6 +27,9 @@
 
 _TICK_S = 0.05
 _START_TIMEOUT_S = 3.0
+# A configuration must be in force within 2 s. What is older than this may lack
+# one; while some node reads the store it is not, whichever node that is.
+_CURRENT_FOR_S = 1.8
 
 
 @service('catalog', requires=('border', 'sharing'))
@@ -58,6 +61,8 @@
                 (layout.servers_stream, self._servers.fold),
             )
         }
+        follower = self._keepers[layout.configuration_stream].follower
+        self._configurations = follower
         self._watchers: list[Callable[[], None]] = []
         self._known = asyncio.Event()
         self._tasks = TaskGroup()
@@ -76,6 +81,15 @@
         """The configuration in force; None before the first one."""
         return self._configuration.current
 
+    @property
+    def is_current(self) -> bool:
+        """Whether no newer configuration can have been in force for long.
+
+        Until it is, nobody can say which routes and keys there are not.
+        """
+        follower = self._configurations
+        return not follower.has_gap and follower.age_s < _CURRENT_FOR_S
+
     @property
     def servers(self) -> dict[str, BackendServer]:
         """The registered servers by id."""
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -20,6 +20,9 @@
 # Pause told to callers while this node knows no configuration, which it has
 # within a second or two of its start.
 _UNKNOWN_PAUSE_S = 0.5
+# Pause told to callers whose route or key a newer configuration may have: within
+# it a node that reaches the store or its peers has read it.
+_BEHIND_PAUSE_S = 0.5
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -68,13 +71,15 @@
         host = request.host.partition(':')[0]
         route = configuration.find_route(host, request.path)
         if route is None:
-            _log_refusal(request, configuration, 'no route')
-            return replies.not_found()
+            return self._deny(
+                request, configuration, 'no route', replies.not_found()
+            )
         organisation = configuration.find_organisation(request.key or '')
         needs_key = configuration.checks_keys and not route.public
         if needs_key and organisation is None:
-            _log_refusal(request, configuration, 'unknown key')
-            return replies.unauthorized()
+            return self._deny(
+                request, configuration, 'unknown key', replies.unauthorized()
+            )
         body = await self._read_body(web_request, configuration.limits)
         if isinstance(body, Response):
             _log_refusal(request, configuration, f'status {body.status}')
@@ -94,6 +99,24 @@
         )
         return await exchange.run(body.payload)
 
+    def _deny(
+        self,
+        request: CallerRequest,
+        configuration: Configuration,
+        reason: str,
+        denial: Response,
+    ) -> Response:
+        """Return the denial, or let the caller come again.
+
+        A newer configuration may have the route or the key. What the known one
+        allows goes on: operators want no node to stop for want of news.
+        """
+        if self._context.catalog.is_current:
+            _log_refusal(request, configuration, reason)
+            return denial
+        _log_refusal(request, configuration, f'{reason}, may be behind')
+        return replies.refusal(_BEHIND_PAUSE_S)
+
     async def _read_body(
         self, web_request: BaseRequest, limits: CallerLimits
     ) -> _Body | Response:
--- a/mallowspindle/tests/catalog/test_venture.py
+++ b/mallowspindle/tests/catalog/test_venture.py
@@ -6,11 +6,13 @@
 import pytest
 
 from mallowspindle.catalog import keeping
-from mallowspindle.catalog.following import StreamNews
+from mallowspindle.catalog.following import StreamEnd, StreamNews
 from mallowspindle.log.records import KeyedRecord
 from mallowspindle.tests.catalog.venture import (
+    CONFIGURATIONS,
     SERVERS,
     Venture,
+    seconds_until,
 )
 from mallowspindle.utils.identifiers import (
     rendezvous_order,
@@ -178,3 +180,47 @@
         monkeypatch.setattr(keeping, 'rendezvous_weight', weighed)
         await asyncio.sleep(_SETTLING_S)
     assert not weighed.call_count
+
+
+async def test_a_node_knows_when_it_may_be_behind() -> None:
+    venture = Venture(_SIZE)
+    venture.configure(1)
+    async with venture:
+        await asyncio.sleep(_SETTLING_S)
+        alone = venture.names[0]
+        catalog = venture.catalogs[alone]
+        venture.apart.add(alone)
+        for name in venture.names[1:]:
+            venture.mesh.cut.update(((name, alone), (alone, name)))
+        await seconds_until(lambda: not catalog.is_current)
+        others = (venture.catalogs[name] for name in venture.names[1:])
+        assert all(other.is_current for other in others)
+        venture.apart.clear()
+        venture.mesh.cut.clear()
+        await seconds_until(lambda: catalog.is_current)
+
+
+async def test_a_node_that_reads_no_news_yet_may_be_behind() -> None:
+    venture = Venture(_SIZE)
+    venture.configure(1)
+    async with venture:
+        await asyncio.sleep(_SETTLING_S)
+        node = venture.names[0]
+        await venture.mesh.servers[node].reply_to(
+            StreamEnd(CONFIGURATIONS, 2, 0)
+        )
+        assert not venture.catalogs[node].is_current
+
+
+async def test_all_nodes_are_current_while_all_is_well() -> None:
+    venture = Venture(_SIZE)
+    venture.configure(1)
+    async with venture:
+        await asyncio.sleep(_SETTLING_S)
+        for version in range(2, 30):
+            assert all(
+                catalog.is_current for catalog in venture.catalogs.values()
+            )
+            if version % 4 == 0:
+                venture.configure(version)
+            await asyncio.sleep(0.1)
