Tell the others which servers take no connections

Cause: each node finds out for itself that a server takes no connections, and again each three seconds. The lost attempts grow with the nodes. Now a node tells at once, with its state, which servers it can't connect to; the sums count these nodes by their zone. Others leave a server alone if two nodes of the own zone say so, or nodes of two zones. It lapses with what the nodes found. A node that reaches fewer servers than it does not reach tells nothing; an answer of the server itself counts for more than the others' word; the last servers are never taken away. Ruled out: the word of one node, or of one other zone: these may be cut off together from servers that the rest reaches. Conclusion: left are the attempts until two nodes have timed out (0.5 s) and the others have heard it, once in each three seconds.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -42,6 +42,9 @@
 _TOLD_AT_ONCE_S = 0.1
 # Span over which the demand is averaged: a few clumps of prompts.
 _DEMAND_SPAN_S = 6.0
+# Nodes that must find a server unreachable for the others to avoid it: one
+# alone may be cut off itself.
+_ENOUGH_FINDERS = 2
 _NO_WORK = ServerWork(0, 0)
 _MS = 1000
 
@@ -106,14 +109,30 @@
     ) -> list[BackendView]:
         """Return the servers that may get new work.
 
-        Ejected servers are left out unless all are ejected.
+        Ejected servers, and those that peers find unreachable, are left out
+        unless none is left.
         """
         serving = [
             view
             for view in self.views(service_name)
             if not view.server.draining and view.server.server_id not in avoid
         ]
-        return [view for view in serving if not view.ejected] or serving
+        kept = [view for view in serving if not view.ejected]
+        doubted = self._doubted()
+        if doubted:
+            believed = [
+                view
+                for view in kept
+                if view.reached or view.server.server_id not in doubted
+            ]
+            kept = believed or kept
+        return kept or serving
+
+    def note_unreachable(self, view: BackendView) -> None:
+        """Leave a server alone that takes no connections, and tell peers."""
+        if not view.unreachable:
+            self._sharing.hurry()
+        view.note_unreachable()
 
     def pick(
         self,
@@ -233,6 +252,39 @@
         names = [view.server.server_id for view in usable]
         return rendezvous_order(key, names)[:_OWNERS]
 
+    def _doubted(self) -> set[str]:
+        """Return the servers that enough peers find unreachable.
+
+        Nodes of another zone may be cut off together from a server that this
+        zone reaches, so nodes of two zones count, or two of the own.
+        """
+        zones = self._sharing.peer_work().unreachable
+        if not zones:
+            return set()
+        finders = Counter(name for counts in zones.values() for name in counts)
+        finders.update(zones.get(self._zone, {}))
+        finders.subtract(dict.fromkeys(zones.get(self._zone, {}), 1))
+        return {
+            name for name, count in finders.items() if count >= _ENOUGH_FINDERS
+        }
+
+    def _found_unreachable(self) -> dict[str, dict[str, int]]:
+        """Return what this node tells of servers without connections.
+
+        It tells nothing if it reaches fewer servers than it does not reach:
+        then it may be cut off itself.
+        """
+        known = [
+            view
+            for name, view in self._views.items()
+            if name in self._catalog.servers
+        ]
+        found = [view.server.server_id for view in known if view.unreachable]
+        reached = sum(view.reached for view in known)
+        if not found or len(found) > reached:
+            return {}
+        return {self._zone: dict.fromkeys(found, 1)}
+
     def _placement(
         self, request: CallerRequest, zone: str, unheard_s: float = 0
     ) -> Placement:
@@ -251,6 +303,7 @@
                 name: ReadingDemand(int(meter.per_s() * _MS))
                 for name, meter in self._meters.items()
             },
+            unreachable=self._found_unreachable(),
         )
 
     def _view_of(self, server: BackendServer) -> BackendView:
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -74,13 +74,26 @@
     work: set[Work] = field(default_factory=set)
     failures: int = 0
     ejected_until_s: float = 0
+    unreachable_until_s: float = 0
+    reached_until_s: float = 0
     refused_until_s: float = 0
     clock: Callable[[], float] = time.monotonic
 
     @property
     def ejected(self) -> bool:
         """Whether the server is left alone for its failures."""
-        return self.clock() < self.ejected_until_s
+        until_s = max(self.ejected_until_s, self.unreachable_until_s)
+        return self.clock() < until_s
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether the server has lately taken no connections."""
+        return self.clock() < self.unreachable_until_s
+
+    @property
+    def reached(self) -> bool:
+        """Whether the server has lately answered this node."""
+        return self.clock() < self.reached_until_s
 
     @property
     def full(self) -> bool:
@@ -116,10 +129,12 @@
         """Forget the failures."""
         self.failures = 0
         self.ejected_until_s = 0
+        self._note_reached()
 
     def note_failure(self) -> None:
         """Eject the server after some failures in a row."""
         self.failures += 1
+        self.reached_until_s = 0
         extra = self.failures - _FAILURES_UNTIL_EJECTED
         if extra >= 0:
             pause_s = min(_MOST_EJECTED_S, _EJECTED_S * 2**extra)
@@ -127,8 +142,14 @@
 
     def note_unreachable(self) -> None:
         """Eject a server that takes no connections, or is another one."""
-        self.ejected_until_s = self.clock() + UNREACHABLE_S
+        self.unreachable_until_s = self.clock() + UNREACHABLE_S
+        self.reached_until_s = 0
 
     def note_full(self, pause_s: float) -> None:
         """Send no further work for a moment."""
         self.refused_until_s = self.clock() + pause_s
+        self._note_reached()
+
+    def _note_reached(self) -> None:
+        self.reached_until_s = self.clock() + UNREACHABLE_S
+        self.unreachable_until_s = 0
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -284,7 +284,7 @@
         match outcome:
             case NotRun(reason=reason):
                 if isinstance(outcome, Unreachable):
-                    view.note_unreachable()
+                    self._context.backends.note_unreachable(view)
                 else:
                     view.note_full(_FULL_PAUSE_S)
                 log.info('attempt not run', extra={**fields, 'reason': reason})
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -41,6 +41,8 @@
     ``loads`` are by backend server, ``demands`` by service and ``quota_use``
     by organisation. ``young_s`` is how long those nodes have run that
     started lately; ``ages_s`` is how long ago each told its work, added up.
+    ``unreachable`` counts, by the nodes' zone and by backend server, the nodes
+    that lately found the server to take no connections.
     """
 
     nodes: int = 0
@@ -49,6 +51,7 @@
     quota_use: dict[str, QuotaSpent] = field(default_factory=dict)
     young_s: list[float] = field(default_factory=list)
     ages_s: float = 0
+    unreachable: dict[str, dict[str, int]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/sharing/sums.py
+++ b/mallowspindle/sharing/sums.py
@@ -1,8 +1,9 @@
 """Adds up what entry VMs do."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
+from itertools import chain
 from operator import add, sub
 from typing import TypeVar
 
@@ -16,6 +17,7 @@
 # A node that has run for longer has forgotten nothing that still counts.
 _YOUNG_S = 30.0
 
+ZoneCounts = Mapping[str, Mapping[str, int]]
 AmountT = TypeVar('AmountT', bound=tuple[int, ...])
 
 
@@ -29,6 +31,7 @@
         quota_use=_merged(part.quota_use for part in parts),
         young_s=[young_s for part in parts for young_s in part.young_s],
         ages_s=round(sum(part.ages_s for part in parts), 2),
+        unreachable=_counted(part.unreachable for part in parts),
     )
 
 
@@ -69,6 +72,7 @@
         quota_use=_less(whole.quota_use, part.quota_use),
         young_s=_others(whole.young_s, part.young_s),
         ages_s=_ages_without(whole, part),
+        unreachable=_counted_less(whole.unreachable, part.unreachable),
     )
 
 
@@ -93,6 +97,7 @@
         },
         young_s=young([young_s + age_s for young_s in work.young_s]),
         ages_s=work.ages_s + work.nodes * age_s,
+        unreachable=work.unreachable,
     )
 
 
@@ -108,6 +113,22 @@
     return whole.ages_s * max(0, 1 - part.nodes / whole.nodes)
 
 
+def _counted(maps: Iterable[ZoneCounts]) -> dict[str, dict[str, int]]:
+    counted: defaultdict[str, Counter[str]] = defaultdict(Counter)
+    for zone, counts in chain.from_iterable(part.items() for part in maps):
+        counted[zone].update(counts)
+    return {name: dict(sums) for name, sums in counted.items()}
+
+
+def _counted_less(
+    whole: ZoneCounts, part: ZoneCounts
+) -> dict[str, dict[str, int]]:
+    return {
+        zone: dict(Counter(counts) - Counter(part.get(zone, {})))
+        for zone, counts in whole.items()
+    }
+
+
 def _merged(maps: Iterable[Mapping[str, AmountT]]) -> dict[str, AmountT]:
     merged: dict[str, AmountT] = {}
     for part in maps:
--- a/mallowspindle/tests/backends/crowd.py
+++ b/mallowspindle/tests/backends/crowd.py
@@ -18,7 +18,7 @@
 from multidict import CIMultiDict
 
 from mallowspindle.backends.prefixes import PartMemory
-from mallowspindle.backends.service import BackendsService
+from mallowspindle.backends.service import BackendsService, Pick
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.policies.reading_time import reading_time_s
 from mallowspindle.proxy.messages import CallerRequest, PromptPart
@@ -47,6 +47,8 @@
 # Time until caches and states are as they stay.
 _WARM_S = 5.0
 _START_S = 1000.0
+# Time after which a connection that is not made is given up.
+_CONNECT_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +74,8 @@
 class Crowd:
     """How many nodes and servers there are, and how busy they are.
 
-    With ``fresh`` states each node knows at once what all others send.
+    With ``fresh`` states each node knows at once what all others send. So many
+    servers are ``dead``: they take no connections from when it is warm.
     """
 
     nodes: int
@@ -80,6 +83,7 @@
     zones: int
     busy: float = 1
     fresh: bool = False
+    dead: int = 0
     length_s: float = 12
 
 
@@ -90,6 +94,7 @@
     first_s: list[float] = field(default_factory=list)
     longest_queues_s: list[float] = field(default_factory=list)
     read_s: float = 0
+    lost: int = 0
 
     def first_at(self, part: float) -> float:
         """Return the time to the first token that ``part`` stay below."""
@@ -195,6 +200,7 @@
             configuration=SimpleNamespace(services={SERVICE: spec}),
         )
         self._engines = {name: Engine() for name in servers}
+        self._dead = set(list(servers)[: crowd.dead])
         self._nodes = [
             Node(
                 f'entry-{number:03}',
@@ -325,18 +331,34 @@
 
     def _send(self, node: Node, request: CallerRequest) -> None:
         node.backends.note_demand(SERVICE, request)
-        pick = node.backends.pick(SERVICE, request, ())
+        self._attempt(node, request, ())
+
+    def _attempt(
+        self, node: Node, request: CallerRequest, avoid: tuple[str, ...]
+    ) -> None:
+        pick = node.backends.pick(SERVICE, request, avoid)
         assert pick is not None
-        engine = self._engines[pick.view.server.server_id]
+        name = pick.view.server.server_id
+        if self._now_s > _START_S + _WARM_S and name in self._dead:
+            self.outcome.lost += 1
+            self._after(_CONNECT_S, partial(self._lose, node, request, pick))
+            return
+        engine = self._engines[name]
         reading_s, first_s, end_s = engine.submit(request, self._now_s)
         stack = ExitStack()
         work = stack.enter_context(node.backends.working(pick.view, request))
         self._after(first_s - self._now_s, work.note_first_event)
+        stack.callback(pick.view.note_success)
         self._after(end_s - self._now_s, stack.close)
         if self._now_s > _START_S + _WARM_S:
             self.outcome.first_s.append(first_s - self._now_s)
             self.outcome.read_s += reading_s
 
+    def _lose(self, node: Node, request: CallerRequest, pick: Pick) -> None:
+        """Find a server unreachable and try another one."""
+        node.backends.note_unreachable(pick.view)
+        self._attempt(node, request, (pick.view.server.server_id,))
+
     def _sample(self) -> None:
         queues_s = [
             max(0, engine.read_until_s - self._now_s)
--- a/mallowspindle/tests/sharing/test_knowledge.py
+++ b/mallowspindle/tests/sharing/test_knowledge.py
@@ -108,3 +108,17 @@
     known.hear(_state('three', 'a'))
     clock.advance(0.25)
     assert known.peer_work().ages_s == 0.6 + 3 * 0.5 + 0.25
+
+
+def test_nodes_that_find_a_server_unreachable_are_counted() -> None:
+    known = PeerKnowledge('a', 'one', FakeClock())
+    own = WorkSum(nodes=1, unreachable={'a': {'i-1': 1}})
+    known.note_own(NodeState('one', 1, 'a', 4, own))
+    all_work = WorkSum(nodes=9, unreachable={'a': {'i-1': 3}, 'b': {'i-2': 1}})
+    known.hear(VentureState('two', all_work, {'one': 4}))
+    expected = {'a': {'i-1': 2}, 'b': {'i-2': 1}}
+    assert known.peer_work().unreachable == expected
+    known.hear(ZoneState('b', 'three', all_work))
+    known.hear(NodeState('four', 1, 'a', 4, own))
+    expected = {'a': {'i-1': 4}, 'b': {'i-2': 1}}
+    assert known.collected_work().unreachable == expected
