Never take a caller that leaves for a failure of its server

Cause: a write to a caller that has reset its connection raises an error of the same family as a connection to a server that breaks. Where it came before the exchange was cancelled, the attempt counted as lost: the server was blamed (three in a row eject it) and the exchange began to look for a place at which the stream could go on.

Writes to the caller now raise `CallerGone`, which ends the exchange.

Evidence: the new test has 40 callers reset their streams one after the other.

Ruled out: a second run of such a request. None of the 40 reached a second server before the change, since the cancellation ended the next attempt.

Conclusion: the error of one side no longer tells of the other one.

--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -18,6 +18,7 @@
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.errors import CallerGone
 from mallowspindle.proxy.events import EventSplitter, OutOfOrder
 from mallowspindle.proxy.messages import (
     AnswerHead,
@@ -90,6 +91,9 @@
                 return await self._run_attempts(body)
         except TimeoutError:
             return self._time_out()
+        except CallerGone:
+            self._log_end('left', 'the caller closed its connection')
+            return self._response or replies.unknown()
 
     async def _run_attempts(self, body: bytes) -> StreamResponse:
         for number in count(1):
@@ -241,13 +245,10 @@
                 answer.close()
                 return Diverged(str(error))
             if events:
-                response = await self._started_stream(head)
-                await response.write(events)
+                await self._write(head, events)
         if answer.cut or await self._ended_early(answer, work):
             return Unknown('the connection ended within the stream')
-        response = await self._started_stream(head)
-        if self._splitter.pending:
-            await response.write(self._splitter.pending)
+        await self._write(head, self._splitter.pending)
         return Relayed()
 
     async def _ended_early(self, answer: MatchedResponse, work: Work) -> bool:
@@ -256,12 +257,17 @@
             return False
         return bool(self._splitter.pending.strip()) or await was_stopped(work)
 
-    async def _started_stream(self, head: AnswerHead) -> StreamResponse:
-        if self._response is None:
-            response = replies.stream(head)
-            await response.prepare(self._web_request)
-            self._response = response
-        return self._response
+    async def _write(self, head: AnswerHead, events: bytes) -> None:
+        """Pass on bytes; ``head`` begins the answer if they are the first."""
+        try:
+            if self._response is None:
+                response = replies.stream(head)
+                await response.prepare(self._web_request)
+                self._response = response
+            if events:
+                await self._response.write(events)
+        except OSError as error:
+            raise CallerGone from error
 
     def _count_usage(self) -> None:
         if self._counted or self._organisation is None:
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+import socket
+import struct
 from functools import partial
 from typing import Any
 
@@ -20,6 +22,7 @@
 )
 
 _MANY = 70
+_CALLERS = 40
 
 
 def _events(count: int) -> str:
@@ -456,6 +459,46 @@
     return got.decode()
 
 
+async def test_a_caller_that_leaves_is_no_failure_of_the_server(
+    venture: GatewayVenture,
+) -> None:
+    """Callers reset their connections while events come fast."""
+    for name in ('model-3', 'model-4'):
+        await venture.start_server(
+            name, 'models', '--events=100000', '--pause-s=0'
+        )
+        await venture.wait_until(partial(registered, venture, name))
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+        await venture.wait_until(partial(_is_draining, venture, name))
+    for number in range(_CALLERS):
+        await _leave_stream(venture, f'r{number}')
+    await venture.call('entry-1', 'GET', '/status/x', 'last')
+    await asyncio.sleep(0.5)
+    assert not venture.log_lines('entry-1', 'attempt lost')
+    runs = await venture.runs('model-3') + await venture.runs('model-4')
+    assert len(runs) == _CALLERS
+
+
+async def _leave_stream(venture: GatewayVenture, request_id: str) -> None:
+    """Reset the connection of a stream that is under way."""
+    host, _, port = (
+        venture.process('entry-1').endpoint('callers').partition(':')
+    )
+    reader, writer = await asyncio.open_connection(host, int(port))
+    headers = venture.request_headers(request_id)
+    lines = [f'{name}: {text}\r\n' for name, text in headers.items()]
+    head = ''.join(lines)
+    writer.write(f'POST /letters/x HTTP/1.1\r\n{head}\r\n'.encode())
+    await reader.readuntil(b'id: 3')
+    # A close with a linger time of zero sends a reset.
+    linger = struct.pack('ii', 1, 0)
+    raw = writer.get_extra_info('socket')
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+    await asyncio.sleep(0.02)
+
+
 async def test_leaving_callers_end_the_work(venture: GatewayVenture) -> None:
     await venture.start_server(
         'model-3', 'models', '--events=1000', '--pause-s=0.05'
