Log where a stream goes on, and show how old the configuration is

Nor did any metric show how far a node is behind. Attempts now log the server's address and the last event given out, 'stream goes on elsewhere' its target and where the memory is. Gauges: configuration_age, nodes_heard. Ruled out: a line for each event (the volume grows with the tokens). Conclusion: no decision changes.

--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Self
 
+from opentelemetry.metrics import CallbackOptions, Observation
+
 from mallowspindle.border import BorderService
 from mallowspindle.catalog.following import (
     StreamEnd,
@@ -22,6 +24,7 @@
 from mallowspindle.peers.codec import ErrorReply, OkReply
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.utils.tasks import TaskGroup
+from mallowspindle.utils.telemetry import meter
 
 log = logging.getLogger(__name__)
 
@@ -105,6 +108,9 @@
         server.handle(StreamNews, self._receive)
         server.handle(StreamEnd, self._receive)
         server.handle(StreamRequest, self._give_state)
+        meter.create_observable_gauge(
+            'configuration_age', [self._observe_age], unit='s'
+        )
         for stream, keeper in self._keepers.items():
             self._tasks.spawn(self._keep(keeper), stream)
         try:
@@ -118,6 +124,9 @@
         for keeper in self._keepers.values():
             await keeper.stop()
 
+    def _observe_age(self, options: CallbackOptions) -> list[Observation]:
+        return [Observation(self._configurations.age_s)]
+
     async def _keep(self, keeper: StreamKeeper) -> None:
         while True:
             self._servers.expire_lapsed()
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -284,7 +284,9 @@
             'request': self._request.request_id,
             'route': self._route.name,
             'server': view.server.server_id,
+            'address': view.server.address,
             'attempt': number,
+            'last_event': self._splitter.last_event_id,
             'elapsed_ms': self._elapsed_ms(),
         }
         match outcome:
@@ -295,7 +297,16 @@
                     view.note_full(_FULL_PAUSE_S)
                 log.info('attempt not run', extra={**fields, 'reason': reason})
             case Unknown() if self._relocation is not None:
-                log.info('stream goes on elsewhere', extra=fields)
+                run = self._relocation.run
+                target = self._relocation.target.server.server_id
+                log.info(
+                    'stream goes on elsewhere',
+                    extra={
+                        **fields,
+                        'target': target,
+                        'memory_at': run.source_address,
+                    },
+                )
             case Unknown(reason=reason):
                 view.note_failure()
                 log.info('attempt lost', extra={**fields, 'reason': reason})
--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -8,6 +8,8 @@
 from itertools import chain, count
 from typing import Self
 
+from opentelemetry.metrics import CallbackOptions, Observation
+
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.messages import MemberInfo
@@ -26,6 +28,7 @@
 from mallowspindle.sharing.relays import relays_of, tells_directly
 from mallowspindle.sharing.sums import total, young
 from mallowspindle.utils.tasks import TaskGroup, happens
+from mallowspindle.utils.telemetry import meter
 
 log = logging.getLogger(__name__)
 
@@ -162,6 +165,7 @@
         server.handle(ZoneState, self._receive)
         server.handle(VentureState, self._receive)
         server.handle(PassOn, self._pass_on)
+        meter.create_observable_gauge('nodes_heard', [self._observe_heard])
         self._tasks.spawn(self._send_states(), 'node state')
         self._tasks.spawn(self._relay_states(), 'zone state')
 
@@ -184,6 +188,9 @@
             await asyncio.sleep(_LEAST_INTERVAL_S)
             await happens(self._hurry, INTERVAL_S - _LEAST_INTERVAL_S)
 
+    def _observe_heard(self, options: CallbackOptions) -> list[Observation]:
+        return [Observation(self.peer_work().nodes)]
+
     def _send_state(self) -> None:
         """Tell all peers, or the relays of the own zone."""
         peers = self.peers()
