Keep sums right where relays leave, tie, and nodes restart

Leaving nodes now relay in a zone that has no others. - Of two sums of as many nodes the one counted that was heard first, up to two seconds old. The fresher one counts now. - A node's own part was taken off a sum as it was when told, though the relay had brought it up to its own time: the others' backlog came out too small. - States of a restarted node had the numbers of its former life. They go on behind them now. Before: the four new tests fail; after: they pass. Ruled out: a state that is added twice, directly and through a zone (a zone's sum replaces its nodes' states).

--- a/mallowspindle/sharing/knowledge.py
+++ b/mallowspindle/sharing/knowledge.py
@@ -91,7 +91,7 @@
         self._nodes: HeardStates[NodeState] = HeardStates(clock)
         self._zones: HeardStates[ZoneState] = HeardStates(clock)
         self._ventures: HeardStates[VentureState] = HeardStates(clock)
-        self._own: dict[int, WorkSum] = {}
+        self._own: dict[int, tuple[WorkSum, float]] = {}
         self._zone_lease = NewestLease(clock)
         self._venture_lease = NewestLease(clock)
 
@@ -111,7 +111,7 @@
 
     def note_own(self, state: NodeState) -> None:
         """Keep a state that this node has told."""
-        self._own[state.number] = state.work
+        self._own[state.number] = state.work, self._clock()
         self._own.pop(state.number - _OWN_KEPT, None)
         self._zone_lease.put(state.lease)
         self._venture_lease.put(state.lease)
@@ -165,8 +165,7 @@
         best: dict[str, Heard[ZoneState]] = {}
         for told in self._zones.fresh():
             zone = told.state.zone
-            known = best.get(zone, told)
-            if told.state.work.nodes >= known.state.work.nodes:
+            if zone not in best or _fullness(told) > _fullness(best[zone]):
                 best[zone] = told
         best.pop(self._zone, None)
         zones = {heard.state.zone for heard in self._nodes.fresh()}
@@ -187,14 +186,14 @@
         told = self._ventures.fresh()
         if not told:
             return WorkSum()
-        fullest = max(
-            told, key=lambda heard: (heard.state.work.nodes, heard.heard_at_s)
-        )
-        state = fullest.state
-        own = self._own.get(state.included.get(self._name, -1))
+        fullest = max(told, key=_fullness)
         work, age_s = self._with_age(fullest)
-        others = work if own is None else without(work, own)
-        return aged(others, age_s)
+        own = self._own.get(fullest.state.included.get(self._name, -1))
+        if own is not None:
+            own_work, told_at_s = own
+            # The relay has brought this part up to its own time, too.
+            work = without(work, aged(own_work, fullest.heard_at_s - told_at_s))
+        return aged(work, age_s)
 
     def _node_works(self, zones: Iterable[str]) -> list[tuple[WorkSum, float]]:
         wanted = set(zones)
@@ -208,5 +207,12 @@
         return heard.state.work, self._clock() - heard.heard_at_s
 
 
+def _fullness(
+    heard: Heard[ZoneState] | Heard[VentureState],
+) -> tuple[int, float]:
+    """Return what orders sums of the same nodes, the best one last."""
+    return heard.state.work.nodes, heard.heard_at_s
+
+
 def _lease_order(news: LeaseNews) -> tuple[int, bool, float]:
     return news.fencing_number, news.released, -news.age_s
--- a/mallowspindle/sharing/relays.py
+++ b/mallowspindle/sharing/relays.py
@@ -25,9 +25,9 @@
 def relays_of(zone: str, members: Iterable[MemberInfo]) -> list[str]:
     """Return the names of the relays of a zone, the first one first.
 
-    A node that is leaving is none.
+    Nodes that are leaving relay only in a zone that has no others.
     """
-    names = [
-        info.name for info in members if info.zone == zone and not info.leaving
-    ]
+    present = [info for info in members if info.zone == zone]
+    staying = [info for info in present if not info.leaving]
+    names = [info.name for info in staying or present]
     return rendezvous_order(f'relay {zone}', names)[:_RELAYS]
--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -60,7 +60,8 @@
         self._membership = membership
         self._clock = clock
         self._started_at_s = clock()
-        self._numbers = count()
+        # Numbers of a restarted node go on behind those of its former life.
+        self._numbers = count(own.incarnation)
         self._told: NodeState | None = None
         self._sources: list[WorkSource] = []
         self._lease_source: LeaseSource | None = None
--- a/mallowspindle/tests/sharing/fakes.py
+++ b/mallowspindle/tests/sharing/fakes.py
@@ -86,9 +86,12 @@
 class FakeMesh:
     """The sharing services of a venture of some size."""
 
-    def __init__(self, size: int, zones: int) -> None:
+    def __init__(self, size: int, zones: int, incarnation: int = 1) -> None:
         clock = asyncio.get_running_loop().time
-        infos = [_info(number, number % zones) for number in range(size)]
+        infos = [
+            replace(_info(number, number % zones), incarnation=incarnation)
+            for number in range(size)
+        ]
         self.sent_bytes: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
         self.silent: set[str] = set()
@@ -119,6 +122,15 @@
         self.sent[source] += 1
         self.sent_bytes[source] += size
 
+    def leave(self, zone: str) -> None:
+        """Let all nodes of a zone say that they are leaving."""
+        for membership in self.memberships.values():
+            own = membership.own
+            if own.zone == zone:
+                membership.own = replace(own, leaving=True, beat=own.beat + 1)
+                for other in self.memberships.values():
+                    other.table.merge(membership.own)
+
     def connects(self, source: str, target: str) -> bool:
         """Tell whether a message reaches its target."""
         return target not in self.silent and (source, target) not in self.cut
--- a/mallowspindle/tests/sharing/test_knowledge.py
+++ b/mallowspindle/tests/sharing/test_knowledge.py
@@ -1,5 +1,9 @@
 """What is kept of the states that other nodes tell."""
 
+from dataclasses import replace
+
+import pytest
+
 from mallowspindle.sharing.knowledge import PeerKnowledge
 from mallowspindle.sharing.messages import (
     LeaseNews,
@@ -122,3 +126,27 @@
     known.hear(NodeState('four', 1, 'a', 4, own))
     expected = {'a': {'i-1': 4}, 'b': {'i-2': 1}}
     assert known.collected_work().unreachable == expected
+
+
+def test_the_fresher_of_two_equal_relays_counts() -> None:
+    """Replays a relay that has gone silent beside the one that took over."""
+    clock = FakeClock()
+    known = PeerKnowledge('a', 'one', clock)
+    known.hear(ZoneState('b', 'second', WorkSum(nodes=3)))
+    known.hear(ZoneState('b', 'first', WorkSum(nodes=3)))
+    clock.advance(1.5)
+    known.hear(ZoneState('b', 'second', replace(_WORK, nodes=3)))
+    assert known.peer_work().loads == _WORK.loads
+
+
+def test_the_own_part_is_taken_off_as_it_is_by_then() -> None:
+    """The relay's sum holds what is left of the backlog that it was told."""
+    clock = FakeClock()
+    known = PeerKnowledge('a', 'one', clock)
+    known.note_own(_state('one', 'a', number=4))
+    clock.advance(0.3)
+    told = WorkSum(nodes=2, loads={'i-1': ServerWork(3, 200 + 900)})
+    known.hear(VentureState('two', told, {'one': 4}))
+    others = known.peer_work().loads['i-1']
+    assert others.running == 1
+    assert others.backlog_ms == pytest.approx(900, abs=2)
--- a/mallowspindle/tests/sharing/test_relays.py
+++ b/mallowspindle/tests/sharing/test_relays.py
@@ -8,6 +8,7 @@
 from mallowspindle.peers.codec import OkReply
 from mallowspindle.sharing.messages import (
     LeaseNews,
+    NodeState,
     QuotaSpent,
     ServerWork,
     WorkSum,
@@ -127,3 +128,41 @@
             mesh.nodes[sender].tell_all(StreamRequest('servers'))
             others = mesh.nodes.keys() - {sender}
             await _until(partial(reached.issuperset, others))
+
+
+async def test_a_zone_whose_nodes_all_leave_is_heard() -> None:
+    """Replays a rolling restart that meets all nodes of a zone at once."""
+    mesh = FakeMesh(_SIZE, _ZONES)
+    _provide_work(mesh)
+    async with mesh:
+        await _until(partial(_all_hear, mesh, _SIZE - 1))
+        mesh.leave('zone-0')
+        await asyncio.sleep(2.5)
+        assert _all_hear(mesh, _SIZE - 1)
+
+
+async def _told_numbers(incarnation: int) -> set[int]:
+    """Return the numbers of the states that a node tells in one life."""
+    mesh = FakeMesh(2, 1, incarnation)
+    numbers: set[int] = set()
+    teller, listener = mesh.nodes
+
+    async def note(state: NodeState) -> OkReply:
+        if state.node == teller:
+            numbers.add(state.number)
+        return OkReply()
+
+    async with mesh:
+        mesh.servers[listener].handle(NodeState, note)
+        await asyncio.sleep(1.2)
+    return numbers
+
+
+async def test_a_restarted_node_tells_other_numbers() -> None:
+    """Its state of that number would be taken off a sum of its former life."""
+    former, present = await asyncio.gather(
+        _told_numbers(1_000), _told_numbers(9_000)
+    )
+    assert former
+    assert present
+    assert former.isdisjoint(present)
