Allow for the time on the way in the quota of a large venture

Cause: the time on the way of three messages is in no state's age, and the rate by which states are brought up is that of a second that began before the flood did. Now a node of a large venture counts 0.6 s more of the peers' present rate as used. Small ventures count as before. Open: relays that tell at once while a flood begins.

--- a/mallowspindle/proxy/quotas.py
+++ b/mallowspindle/proxy/quotas.py
@@ -1,6 +1,8 @@
 """Applies the organisations' quotas at this node."""
 
+import time
 from collections import defaultdict
+from collections.abc import Callable
 from functools import partial
 from itertools import repeat
 
@@ -19,17 +21,25 @@
 _LEAST_PAUSE_S = 0.1
 # Stands for the uptime of a node that started long ago.
 _LONG_S = 1e6
+# Time on the way that the sums of a large venture do not show: three messages
+# that may wait 0.1 s each, and the growth within the second of a measured rate.
+_UNSHOWN_LAG_S = 0.6
 _NOTHING_SPENT = QuotaSpent(0, 0, 0)
 
 
 class Quotas:
     """What all nodes together admit, as this one knows it."""
 
-    def __init__(self, sharing: SharingService, window_s: float) -> None:
+    def __init__(
+        self,
+        sharing: SharingService,
+        window_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._sharing = sharing
         self._window_s = window_s
         self._admitted: dict[str, AdmittedWork] = defaultdict(
-            partial(AdmittedWork, window_s)
+            partial(AdmittedWork, window_s, clock)
         )
         sharing.provide(self._own_use)
 
@@ -73,10 +83,10 @@
         spent = self._sharing.peer_work().quota_use.get(
             organisation, _NOTHING_SPENT
         )
-        # The sum has been brought up to the present time.
+        lag_s = 0 if self._sharing.is_small else _UNSHOWN_LAG_S
         return PeerSpans(
-            PeerUse(spent.used, spent.rate_per_s, 0),
-            PeerUse(spent.lately_used, spent.rate_per_s, 0),
+            PeerUse(spent.used, spent.rate_per_s, lag_s),
+            PeerUse(spent.lately_used, spent.rate_per_s, lag_s),
         )
 
     def _own_use(self) -> WorkSum:
