Weigh names in one call

Cause: two changes met. The weight became a function of its own, and the bound on the calls that choosing a server makes (tests/backends/test_cost.py) was passed: 2,053 of 2,000 at 100 servers. Before: the test fails; after: 1,953 calls, it passes.

--- a/mallowspindle/utils/identifiers.py
+++ b/mallowspindle/utils/identifiers.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 from collections.abc import Iterable
+from functools import partial
 
 from xxhash import xxh3_64_intdigest
 
@@ -41,9 +42,7 @@
 
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
     """Return ``names`` by descending rendezvous weight for ``key``."""
-    return sorted(
-        names, key=lambda name: rendezvous_weight(key, name), reverse=True
-    )
+    return sorted(names, key=partial(rendezvous_weight, key), reverse=True)
 
 
 def rendezvous_weight(key: str, name: str) -> int:
