Use the last of the servers at one address

A server that dies without notice keeps its entry for some heartbeats, in which its address may pass to another one. Moves, copies and first attempts still chose the dead one by its entry; each cost a 421, and a copy lay at a server that nobody asked for it. Of the servers of a service at one address only the one that started last gets work. Ruled out: dropping the older entry when another registers (an entry from another writer with a service of its own could push out a live server). Before: the new test gives both; after: the new one alone.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
+from operator import attrgetter
 from typing import Self
 
 from mallowspindle.backends.prefixes import PartMemory
@@ -46,6 +47,7 @@
 # alone may be cut off itself.
 _ENOUGH_FINDERS = 2
 _MS = 1000
+_address_of = attrgetter('server.address')
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +111,15 @@
         """Return the servers that may get new work.
 
         Ejected servers, and those that peers find unreachable, are left out
-        unless none is left.
+        unless none is left. Of servers at one address only the last one is
+        there: one that dies without notice keeps its entry for a while.
         """
+        views = self.views(service_name)
+        if len(set(map(_address_of, views))) < len(views):
+            views = _last_at_each_address(views)
         serving = [
             view
-            for view in self.views(service_name)
+            for view in views
             if not view.server.draining and view.server.server_id not in avoid
         ]
         kept = [view for view in serving if not view.ejected]
@@ -321,6 +327,11 @@
         return spec.engine.cache_tokens if spec and spec.engine else 0
 
 
+def _last_at_each_address(views: list[BackendView]) -> list[BackendView]:
+    by_start = sorted(views, key=lambda view: view.server.started_at_ms)
+    return list({view.server.address: view for view in by_start}.values())
+
+
 def _unheard_s(peers: WorkSum, service_name: str) -> float:
     """Return the reading that peers have sent since they told their work."""
     if not peers.nodes:
--- a/mallowspindle/tests/backends/test_unreachable.py
+++ b/mallowspindle/tests/backends/test_unreachable.py
@@ -143,3 +143,20 @@
     """
     crowd = Crowd(nodes=58, servers=45, zones=5, dead=8)
     assert Simulation(crowd, seed=1).run().lost <= 300
+
+
+def test_an_address_that_passed_on_names_its_last_server() -> None:
+    """Replays inc1: the dead server was the target of moves until it lapsed."""
+    servers = {
+        name: BackendServer(
+            name, 'models', '10.0.0.1:80', 'a', 8, started_at_ms=started_at_ms
+        )
+        for name, started_at_ms in (('new', 2), ('dead', 1))
+    }
+    catalog: Any = SimpleNamespace(servers=servers, configuration=None)
+    sharing: Any = SimpleNamespace(
+        membership=SimpleNamespace(own=SimpleNamespace(zone='a')),
+        peer_work=WorkSum,
+    )
+    usable = BackendsService(catalog, sharing).usable('models', ())
+    assert [view.server.server_id for view in usable] == ['new']
