Ask again when one report names no end, and move streams in later rounds

A server that announces its end was asked once for the time that is left: one lost answer, or a report older than the notice (reports are some hundred milliseconds old), and none of its streams was moved. A stream whose targets were full at the last moment, but which was not stopped, was never tried again. Now up to four reports are asked for, 0.3 s apart, and such a stream is tried in each round. Ruled out: evacuating without a report (servers that are merely restarted finish their work).

--- a/mallowspindle/backends/evacuation.py
+++ b/mallowspindle/backends/evacuation.py
@@ -25,6 +25,10 @@
 _LEAD_S = 1.6
 # Servers that are asked to take a stream; each answers within a transfer.
 _MOST_TARGETS = 3
+# Reports that are asked for until one names the end, and the pause between two:
+# a report is as of some hundred milliseconds ago.
+_MOST_REPORTS = 4
+_REPORT_PAUSE_S = 0.3
 # Pause before the streams that are still there are looked at again.
 _ROUND_S = 0.2
 
@@ -75,11 +79,7 @@
         view = self._backends.find(service_name, server_id)
         if view is None or not view.work:
             return
-        try:
-            left_s = await self._moves.time_left_s(view.server.address)
-        except MoveError as error:
-            log.info('reclaim not confirmed', extra={'error': str(error)})
-            return
+        left_s = await self._time_left_s(view)
         if left_s is None:
             return
         log.info(
@@ -93,12 +93,28 @@
             await self._move_all(view)
             await asyncio.sleep(_ROUND_S)
 
+    async def _time_left_s(self, view: BackendView) -> float | None:
+        """Return when a server is taken away; None if nothing says so.
+
+        Reports are late, and one may be lost: the first is no proof.
+        """
+        for _ in range(_MOST_REPORTS):
+            try:
+                left_s = await self._moves.time_left_s(view.server.address)
+            except MoveError as error:
+                log.info('reclaim not confirmed', extra={'error': str(error)})
+                left_s = None
+            if left_s is not None or not view.work:
+                return left_s
+            await asyncio.sleep(_REPORT_PAUSE_S)
+        return None
+
     async def _move_all(self, view: BackendView) -> None:
         streams = [work for work in view.work if work.streaming]
         # Short memories first: they hold up the others least.
         streams.sort(key=lambda work: work.request.prompt_tokens or 0)
         for work in streams:
-            if work in view.work and work.move is None:
+            if work in view.work and _runs_on(work):
                 await self._move(view, work)
 
     async def _move(self, view: BackendView, work: Work) -> None:
@@ -151,6 +167,14 @@
             log.info('stream moved', extra=_fields(source, target, work))
 
 
+def _runs_on(work: Work) -> bool:
+    """Tell whether a stream is still at its server, and is not moving."""
+    if work.move is None:
+        return True
+    done = work.move.done() and not work.move.cancelled()
+    return done and work.move.result() is None
+
+
 def _settle(work: Work, relocation: Relocation | None) -> None:
     """Tell the exchange where its stream goes on; None if it was not stopped."""
     if work.move is not None and not work.move.done():
--- a/mallowspindle/tests/backends/test_evacuation.py
+++ b/mallowspindle/tests/backends/test_evacuation.py
@@ -1,9 +1,11 @@
 """Where streams go while their server is reclaimed."""
 
 import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from multidict import CIMultiDict
 
 from mallowspindle.backends.evacuation import EvacuationService
@@ -99,7 +101,13 @@
         return Pick(left[0], 0) if left else None
 
 
-async def _evacuate(moves: FakeMoves) -> tuple[Work, BackendView]:
+def _is_settled(work: Work) -> bool:
+    return bool(work.move and work.move.done())
+
+
+async def _evacuate(
+    moves: FakeMoves, is_over: Callable[[Work], bool] = _is_settled
+) -> tuple[Work, BackendView]:
     """Run the evacuation of a server with one stream up to its move."""
     source = _view('one', draining=True)
     work = _work()
@@ -116,7 +124,9 @@
     await evacuation.start()
     watchers[0]()
     async with asyncio.timeout(20):
-        while not (work.move and work.move.done()) and len(moves.calls) < 3:
+        while not is_over(work):
+            if is_over is _is_settled and len(moves.calls) >= 3:
+                break
             await asyncio.sleep(0.01)
     await evacuation.stop()
     return work, source
@@ -184,3 +194,54 @@
     moves.error = NoRoom('full')
     work, _ = await _evacuate(moves)
     assert not await was_stopped(work)
+
+
+class LateReports(FakeMoves):
+    """The first report says nothing of the end, or is lost."""
+
+    def __init__(self, *, lost: bool) -> None:
+        super().__init__()
+        self._lost = lost
+        self._asked = 0
+
+    async def time_left_s(self, address: str) -> float | None:
+        """Return the time up to the reclaim from the second report on."""
+        self._asked += 1
+        if self._asked > 1:
+            return LEFT_S
+        if self._lost:
+            raise MoveError('the connection was reset')
+        return None
+
+
+@pytest.mark.parametrize('lost', [False, True])
+async def test_one_report_that_names_no_end_is_no_proof(lost: bool) -> None:
+    """Replays a report that is older than the notice, and one that is lost."""
+    moves = LateReports(lost=lost)
+    work, _ = await _evacuate(moves)
+    assert _relocation(work).target.server.server_id == 'two'
+
+
+class FullAtFirst(FakeMoves):
+    """Has no room at the last of a first move, and names no memory then."""
+
+    async def move(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> MovedRun:
+        """Refuse the first three moves."""
+        self.calls.append(('move', target_address))
+        if len([call for call in self.calls if call[0] == 'move']) <= 3:
+            raise NoRoom('full')
+        return MovedRun(source_address, 'h1')
+
+
+async def test_a_stream_that_was_not_stopped_is_moved_in_a_later_round() -> (
+    None
+):
+    moves = FullAtFirst()
+    work, _ = await _evacuate(moves, _is_moved)
+    assert _relocation(work).run == MovedRun('one:80', 'h1')
+
+
+def _is_moved(work: Work) -> bool:
+    return bool(work.move and work.move.done() and work.move.result())
