Bound what waits for a slow peer

Issue: lease news, states and heartbeats share the links between entry VMs; one slow peer must not take memory, or its link's time for messages nobody awaits. Cause: each call put its message into the transport's queue and waited only afterwards, so the queue had no bound: 4000 calls of 5 KB to a peer that reads nothing queued 16 MB, all sent later although the calls had timed out. Now a call waits, within its time-out, until most of what was queued before it is sent; one that times out is not sent at all. At most 2000 calls wait for one peer. Other peers have links of their own and are not delayed. Ruled out: a bound by bytes that refuses calls, as bursts then fail although the peer reads. Open: connecting is serial, so calls to a peer that doesn't accept wait for one attempt of 1 s after another; the server's replies have no time-out.

--- a/mallowspindle/peers/connection.py
+++ b/mallowspindle/peers/connection.py
@@ -7,12 +7,20 @@
 from typing import Any
 
 from mallowspindle.peers.codec import peer_codec
-from mallowspindle.peers.errors import PeerError, PeerTimeout
+from mallowspindle.peers.errors import (
+    PeerError,
+    PeerTimeout,
+    PeerUnreachable,
+)
 from mallowspindle.peers.frames import FrameStream
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
 
+# Calls that may wait for one peer, as many as requests in progress at a node
+# by default. More are refused, not queued behind a peer that is blocked.
+_MAX_WAITING = 2000
+
 
 class PeerConnection:
     """Sends calls and gives each the reply of its number."""
@@ -25,6 +33,7 @@
         self._unanswered_since_s: float | None = None
         self._answered = False
         self._lost = False
+        self._writing = asyncio.Lock()
         self._sent_bytes = 0
         self._reader = asyncio.create_task(
             self._read_replies(), name=f'peer link {address}'
@@ -45,6 +54,11 @@
         """Bytes sent on this connection."""
         return self._sent_bytes
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait in this process to be sent."""
+        return self._stream.queued_bytes
+
     @property
     def silent_s(self) -> float:
         """Seconds in which no reply came although a call waited for one."""
@@ -54,6 +68,8 @@
 
     async def call(self, message: object, timeout_s: float) -> Any:
         """Send a message and return the peer's reply."""
+        if len(self._waiting) >= _MAX_WAITING:
+            raise PeerUnreachable(f'{self._address}: too many calls wait')
         number = next(self._numbers)
         reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._waiting[number] = reply
@@ -62,15 +78,23 @@
             self._unanswered_since_s = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
-                self._sent_bytes += await self._stream.write(
-                    [number, *peer_codec.to_wire(message)]
-                )
+                await self._send([number, *peer_codec.to_wire(message)])
                 return await reply
         except TimeoutError as error:
             raise PeerTimeout(f'{self._address} did not answer') from error
         finally:
             self._waiting.pop(number, None)
 
+    async def _send(self, frame: list[Any]) -> None:
+        """Write a frame when those before it have left this process mostly.
+
+        A call that times out before is not sent at all, so that a slow link
+        doesn't carry what nobody waits for.
+        """
+        async with self._writing:
+            await self._stream.drain()
+            self._sent_bytes += self._stream.put(frame)
+
     def close(self, error: PeerError) -> None:
         """End the connection at once; waiting calls fail with ``error``."""
         self._lose(error)
--- a/mallowspindle/peers/frames.py
+++ b/mallowspindle/peers/frames.py
@@ -31,19 +31,33 @@
         except (IncompleteReadError, OSError, CodecError) as error:
             raise PeerError(f'connection lost: {error}') from error
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait in this process."""
+        return self._writer.transport.get_write_buffer_size()
+
     async def write(self, value: Any) -> int:
         """Send one frame and return its size in bytes."""
+        size = self.put(value)
+        await self.drain()
+        return size
+
+    def put(self, value: Any) -> int:
+        """Queue one frame for sending and return its size in bytes."""
         payload = pack(value)
         if len(payload) > self._max_bytes:
             raise PeerError(f'frame of {len(payload)} bytes is over the limit')
         if self._writer.is_closing():
             raise PeerError('connection lost: it is closed')
+        self._writer.write(len(payload).to_bytes(LENGTH_BYTES) + payload)
+        return LENGTH_BYTES + len(payload)
+
+    async def drain(self) -> None:
+        """Wait until most of the queued frames are sent."""
         try:
-            self._writer.write(len(payload).to_bytes(LENGTH_BYTES) + payload)
             await self._writer.drain()
         except OSError as error:
             raise PeerError(f'connection lost: {error}') from error
-        return LENGTH_BYTES + len(payload)
 
     def close(self) -> None:
         """Close the connection."""
--- a/mallowspindle/peers/link.py
+++ b/mallowspindle/peers/link.py
@@ -55,6 +55,11 @@
             return self._closed_bytes
         return self._closed_bytes + self._connection.sent_bytes
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait in this process to be sent."""
+        return self._connection.queued_bytes if self._connection else 0
+
     async def call(self, message: object, timeout_s: float) -> Any:
         """Send a message and return the peer's reply."""
         connection = await self._connected()
--- a/mallowspindle/tests/peers/test_link.py
+++ b/mallowspindle/tests/peers/test_link.py
@@ -22,6 +22,8 @@
 KEY = b'the-shared-key'
 LIMIT_BYTES = 10_000
 TIMEOUT_S = 0.4
+# The 64 KiB at which a transport asks its writers to wait, and some frames.
+MOST_QUEUED_BYTES = 100_000
 SILENCE_LIMIT_S = 2.5
 
 
@@ -178,6 +180,34 @@
     await proxy.stop()
 
 
+async def test_blocked_peer_holds_few_bytes() -> None:
+    """Calls that time out must not stay queued for a peer that reads nothing."""
+    server = PeerServer(Credentials('server', KEY), LIMIT_BYTES)
+
+    async def block(message: ErrorReply) -> OkReply:
+        await asyncio.sleep(60)
+        return OkReply()
+
+    server.handle(ErrorReply, block)
+    port = await server.start('127.0.0.1', 0)
+    link = PeerLink(
+        f'127.0.0.1:{port}', Credentials('client', KEY), LIMIT_BYTES
+    )
+    message = ErrorReply('x' * (LIMIT_BYTES // 2))
+    calls = asyncio.gather(
+        *(link.call(message, TIMEOUT_S) for _ in range(4000)),
+        return_exceptions=True,
+    )
+    queued_bytes = 0
+    while not calls.done():
+        await asyncio.sleep(0)
+        queued_bytes = max(queued_bytes, link.queued_bytes)
+    assert all(isinstance(error, PeerError) for error in await calls)
+    assert queued_bytes < MOST_QUEUED_BYTES
+    await link.close()
+    await server.stop()
+
+
 async def _call_until_answered(link: PeerLink) -> None:
     async with asyncio.timeout(10):
         while True:
