Tell a later loss on to those who know an earlier one

Cause (from reading, not proved): a node that knew a loss through some heartbeat did not tell on the same loss through a later one, so a node that had heard the later heartbeat never believed it. Before: test_later_loss_is_told_on fails by the former rule (not run on it); after: it passes. The tests of the whole membership were not run on this commit, only test_table.py.

--- a/mallowspindle/membership/table.py
+++ b/mallowspindle/membership/table.py
@@ -44,6 +44,7 @@
     heard_on_clock_s: float
     direct: bool = False
     lost: bool = False
+    lost_through: int = -1
 
     def age_s(self) -> float:
         """Seconds since the last news."""
@@ -88,11 +89,14 @@
     def mark_lost(self, lost: LostMember) -> bool:
         """Believe that a member is lost; False if this node knows better."""
         known = self._members.get(lost.name)
-        if known is None or known.lost or self._hears(known):
+        if known is None or self._hears(known):
+            return False
+        if known.lost and lost.beat <= known.lost_through:
             return False
         if known.info.age_order > (lost.incarnation, lost.beat):
             return False
         known.lost = True
+        known.lost_through = lost.beat
         return True
 
     def silent(self) -> list[Member]:
--- a/mallowspindle/tests/membership/test_table.py
+++ b/mallowspindle/tests/membership/test_table.py
@@ -40,6 +40,16 @@
     assert _names(table) == ['b']
 
 
+def test_later_loss_is_told_on() -> None:
+    """Others may have heard the member later and believe only this."""
+    table = MemberTable('a', 60)
+    table.merge(INFO)
+    assert table.mark_lost(LostMember('b', 10, 5))
+    assert not table.mark_lost(LostMember('b', 10, 5))
+    assert table.mark_lost(LostMember('b', 10, 6))
+    assert not table.mark_lost(LostMember('b', 10, 6))
+
+
 def test_newer_news_brings_a_member_back() -> None:
     table = MemberTable('a', 60)
     table.merge(INFO)
