Tell a loss that this node has found itself

Cause: news is not told to the peer that it came from, and the peer without a name, to which losses are told again and again, counted as the source of what this node found itself. So the eight watchers of a lost node marked it, and told nobody. Evidence: 77 nodes in one process, six seconds after a node stopped: all eight watchers take it for lost, all others list it with the beat at which they learned of it. Ruled out: later beats at nodes that are no watchers (they had earlier ones).

--- a/mallowspindle/membership/gossip.py
+++ b/mallowspindle/membership/gossip.py
@@ -49,7 +49,7 @@
         Older news of the key is dropped.
         """
         until_s = time.monotonic() + _TOLD_FOR_S
-        self._items[key] = _Item(news, until_s, {source})
+        self._items[key] = _Item(news, until_s, {source} if source else set())
 
     def drop(self, key: Hashable) -> None:
         """Tell nothing of a key any longer."""
