--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -114,14 +114,13 @@
         unless none is left. Of servers at one address only the last one is
         there: one that dies without notice keeps its entry for a while.
         """
-        views = self.views(service_name)
-        if len(set(map(_address_of, views))) < len(views):
-            views = _last_at_each_address(views)
         serving = [
             view
-            for view in views
+            for view in self.views(service_name)
             if not view.server.draining and view.server.server_id not in avoid
         ]
+        if len(set(map(_address_of, serving))) < len(serving):
+            serving = _last_at_each_address(serving)
         kept = [view for view in serving if not view.ejected]
         doubted = self._doubted()
         if doubted:
--- a/mallowspindle/tests/gateway/observations.py
+++ b/mallowspindle/tests/gateway/observations.py
@@ -3,6 +3,9 @@
 import asyncio
 from typing import Any
 
+import pytest
+from aiohttp import ClientError, ClientResponse
+
 from mallowspindle.standins.gateways import GatewayVenture
 
 EVENTS = 5
@@ -59,3 +62,28 @@
 async def has_run(venture: GatewayVenture, request_id: str) -> bool:
     """Tell whether a request ran at the third model server."""
     return any(run['id'] == request_id for run in await venture.runs('model-3'))
+
+
+async def is_draining(venture: GatewayVenture, server: str) -> bool:
+    """Tell whether the first gateway knows that a server is leaving."""
+    return any(
+        line['server'] == server and line['draining']
+        for line in venture.log_lines('entry-1', 'backend server registered')
+    )
+
+
+def text_of_events(count: int) -> str:
+    """Return a stream of so many events."""
+    return ''.join(
+        f'id: {number}\ndata: t{number}\n\n' for number in range(1, count + 1)
+    )
+
+
+async def read_until_cut(response: ClientResponse) -> str:
+    """Return what came of a stream that must not look whole."""
+    got = b''
+    with pytest.raises(ClientError):
+        async with asyncio.timeout(10):
+            while chunk := await response.content.readany():
+                got += chunk
+    return got.decode()
--- a/mallowspindle/tests/gateway/test_streams.py
+++ b/mallowspindle/tests/gateway/test_streams.py
@@ -5,10 +5,9 @@
 import socket
 import struct
 from functools import partial
-from typing import Any
 
 import pytest
-from aiohttp import ClientError, ClientResponse
+from aiohttp import ClientError
 from multidict import CIMultiDict
 
 from mallowspindle.standins.gateways import GatewayVenture
@@ -18,19 +17,16 @@
     all_runs,
     has_run,
     has_version,
+    is_draining,
+    read_until_cut,
     registered,
+    text_of_events,
 )
 
 _MANY = 70
 _CALLERS = 40
 
 
-def _events(count: int) -> str:
-    return ''.join(
-        f'id: {number}\ndata: t{number}\n\n' for number in range(1, count + 1)
-    )
-
-
 async def test_streams_events(venture: GatewayVenture) -> None:
     status, _, text = await venture.call('entry-1', 'POST', '/letters/x', 'r1')
     assert status == 200
@@ -123,7 +119,7 @@
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
     await venture.set_faults('model-3', cuts=1, cut_after_tokens=20)
-    await venture.wait_until(lambda: _is_draining(venture, 'model-2'))
+    await venture.wait_until(lambda: is_draining(venture, 'model-2'))
     stream = asyncio.create_task(
         venture.call('entry-1', 'POST', '/questions/x', 'r1')
     )
@@ -132,13 +128,6 @@
     assert len(await venture.runs('model-3')) == 1
 
 
-async def _is_draining(venture: GatewayVenture, server: str) -> bool:
-    return any(
-        line['server'] == server and line['draining']
-        for line in venture.log_lines('entry-1', 'backend server registered')
-    )
-
-
 async def test_sigterm_finishes_streams(venture: GatewayVenture) -> None:
     await venture.start_server(
         'model-3', 'models', '--events=20', '--pause-s=0.1'
@@ -170,185 +159,6 @@
     assert await venture.process('entry-1').wait() == 0
 
 
-async def test_streams_move_off_a_reclaimed_server(
-    venture: GatewayVenture,
-) -> None:
-    """A stream that must not run again survives its server's reclaim."""
-    await venture.register('model-1', 'models', state='draining')
-    await venture.register('model-2', 'models', state='draining')
-    await venture.start_server(
-        'model-3', 'models', '--events=200', '--pause-s=0.05'
-    )
-    await venture.wait_until(lambda: registered(venture, 'model-3'))
-    stream = asyncio.create_task(
-        venture.call('entry-1', 'POST', '/questions/x', 'r1')
-    )
-    await venture.wait_until(lambda: has_run(venture, 'r1'))
-    await venture.start_server('model-4', 'models', '--events=200')
-    await venture.wait_until(lambda: registered(venture, 'model-4'))
-    await venture.set_faults('model-3', leaving=True)
-    await venture.register('model-3', 'models', state='draining', spot=True)
-    status, _, text = await stream
-    assert status == 200
-    assert text == _events(200)
-    (run,) = await venture.runs('model-4')
-    address = venture.process('model-3').address
-    assert run['headers']['Kv-From'] == f'{address}/h1'
-
-
-async def _stream_off_a_reclaimed_server(
-    venture: GatewayVenture,
-) -> tuple[str, list[dict[str, Any]]]:
-    """Return the text of such a stream, and the runs of its request."""
-    for name in ('model-1', 'model-2'):
-        await venture.register(name, 'models', state='draining')
-    await venture.wait_until(lambda: registered(venture, 'model-3'))
-    stream = asyncio.create_task(
-        venture.call('entry-1', 'POST', '/questions/x', 'r1')
-    )
-    await venture.wait_until(lambda: has_run(venture, 'r1'))
-    for name in ('model-4', 'model-5'):
-        await venture.start_server(name, 'models', f'--events={_MANY}')
-        await venture.set_faults(name, refuse=100)
-        await venture.wait_until(partial(registered, venture, name))
-    await venture.register('model-3', 'models', state='draining', spot=True)
-    status, _, text = await stream
-    assert status == 200
-    runs = await asyncio.gather(
-        *(venture.runs(f'model-{number}') for number in (3, 4, 5))
-    )
-    return text, [run for part in runs for run in part]
-
-
-async def test_a_moved_stream_that_is_refused_goes_on_where_it_was(
-    venture: GatewayVenture,
-) -> None:
-    """It has run: a server that refuses it must not start it anew."""
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
-    await venture.set_faults('model-3', leaving=True)
-    text, runs = await _stream_off_a_reclaimed_server(venture)
-    assert text == _events(_MANY)
-    address = venture.process('model-3').address
-    handles = [run['headers'].get('Kv-From') for run in runs]
-    assert handles[0] is None
-    assert set(handles[1:]) == {f'{address}/h1'}
-
-
-async def test_a_stream_without_room_elsewhere_stays(
-    venture: GatewayVenture,
-) -> None:
-    """Replays a full fleet: copies are refused before a run is stopped."""
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
-    await venture.set_faults('model-3', leaving=True, no_room=1000)
-    text, runs = await _stream_off_a_reclaimed_server(venture)
-    assert text == _events(_MANY)
-    assert len(runs) == 1
-
-
-async def test_a_stopped_stream_without_room_goes_on_at_its_source(
-    venture: GatewayVenture,
-) -> None:
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
-    await venture.set_faults('model-3', leaving=True, no_room_at_last=1)
-    text, runs = await _stream_off_a_reclaimed_server(venture)
-    assert text == _events(_MANY)
-    assert {run['id'] for run in runs} == {'r1'}
-
-
-async def _pass_address_on(venture: GatewayVenture) -> None:
-    """End the fourth server without notice; a fifth gets its address."""
-    died = venture.process('model-4')
-    await died.kill()
-    port = died.address.rpartition(':')[2]
-    await venture.start_standin(
-        'model-5',
-        'platform_server',
-        '--server-id=model-5',
-        f'--events={_MANY}',
-        f'--port={port}',
-        '--no-resume',
-    )
-    await venture.register('model-5', 'models', zone='b')
-    await venture.wait_until(lambda: registered(venture, 'model-5'))
-
-
-async def _is_misdirected(venture: GatewayVenture, server: str) -> bool:
-    return any(
-        line['server'] == server and line['reason'].endswith('421')
-        for line in venture.log_lines('entry-1', 'attempt not run')
-    )
-
-
-async def test_a_moved_stream_never_begins_anew_where_an_address_passed_on(
-    venture: GatewayVenture,
-) -> None:
-    """The 421 is true of the move's target only: the stream has run."""
-    for name in ('model-1', 'model-2'):
-        await venture.register(name, 'models', state='draining')
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
-    await venture.wait_until(lambda: registered(venture, 'model-3'))
-    stream = asyncio.create_task(
-        venture.call('entry-1', 'POST', '/questions/x', 'r1')
-    )
-    await venture.wait_until(lambda: has_run(venture, 'r1'))
-    await venture.start_server('model-4', 'models')
-    await venture.wait_until(lambda: registered(venture, 'model-4'))
-    await _pass_address_on(venture)
-    await venture.set_faults('model-3', leaving=True)
-    await venture.register('model-3', 'models', state='draining', spot=True)
-    status, _, text = await stream
-    await venture.wait_until(lambda: _is_misdirected(venture, 'model-4'))
-    assert status == 200
-    assert text == _events(_MANY)
-    runs = await venture.runs('model-3') + await venture.runs('model-5')
-    begun = [run for run in runs if 'Kv-From' not in run['headers']]
-    assert len(begun) == 1
-
-
-async def test_a_lost_stream_never_begins_anew_where_its_copy_was(
-    venture: GatewayVenture,
-) -> None:
-    """The server that kept the copy died too; its address passed on."""
-    engine = {'slots': 8, 'kv_capacity_tokens': 10_000, 'backups': True}
-    services = [{'name': 'models', 'max_connections': 100, 'engine': engine}]
-    await venture.configure(version=8, services=services)
-    await venture.wait_until(lambda: has_version(venture, 8))
-    for name in ('model-1', 'model-2'):
-        await venture.register(name, 'models', state='draining')
-    await venture.start_standin(
-        'model-4', 'platform_server', '--server-id=model-4'
-    )
-    await venture.register('model-4', 'models', zone='b')
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
-    await venture.wait_until(lambda: registered(venture, 'model-3'))
-    await venture.wait_until(lambda: registered(venture, 'model-4'))
-    headers = venture.request_headers('r1')
-    async with venture.session.post(
-        venture.url('entry-1', '/questions/x'), headers=headers
-    ) as response:
-        assert response.status == 200
-        (run,) = await venture.runs('model-3')
-        kept_at = venture.process('model-4').address
-        assert run['headers']['Kv-Backup'] == kept_at
-        await _pass_address_on(venture)
-        await venture.process('model-3').kill()
-        got = await _read_until_cut(response)
-    await venture.wait_until(lambda: _is_misdirected(venture, 'model-4'))
-    assert got
-    assert _events(_MANY).startswith(got)
-    assert not await venture.runs('model-5')
-
-
 @pytest.mark.parametrize(
     ('path', 'fault'),
     [
@@ -373,8 +183,8 @@
     async with venture.session.post(
         venture.url('entry-1', path), headers=headers
     ) as response:
-        got = await _read_until_cut(response)
-    assert got == _events(2)
+        got = await read_until_cut(response)
+    assert got == text_of_events(2)
 
 
 async def test_events_without_ids_are_never_repeated(
@@ -389,45 +199,15 @@
         await venture.wait_until(partial(registered, venture, name))
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
-        await venture.wait_until(partial(_is_draining, venture, name))
+        await venture.wait_until(partial(is_draining, venture, name))
     headers = venture.request_headers('r1')
     async with venture.session.post(
         venture.url('entry-1', '/letters/x'), headers=headers
     ) as response:
-        got = await _read_until_cut(response)
+        got = await read_until_cut(response)
     assert got == 'data: t1\n\ndata: t2\n\n'
 
 
-async def test_a_stopped_stream_without_a_length_never_looks_whole(
-    venture: GatewayVenture,
-) -> None:
-    """Its connection ends in the same way as that of a whole answer."""
-    for name in ('model-1', 'model-2'):
-        await venture.register(name, 'models', state='draining')
-    await venture.start_server(
-        'model-3',
-        'models',
-        f'--events={_MANY}',
-        '--pause-s=0.05',
-        '--no-length',
-    )
-    await venture.wait_until(lambda: registered(venture, 'model-3'))
-    stream = asyncio.create_task(
-        venture.call('entry-1', 'POST', '/questions/x', 'r1')
-    )
-    await venture.wait_until(lambda: has_run(venture, 'r1'))
-    await venture.start_server(
-        'model-4', 'models', f'--events={_MANY}', '--no-length'
-    )
-    await venture.wait_until(lambda: registered(venture, 'model-4'))
-    await venture.set_faults('model-3', leaving=True)
-    await venture.register('model-3', 'models', state='draining', spot=True)
-    _, _, text = await stream
-    assert text == _events(_MANY)
-    (run,) = await venture.runs('model-4')
-    assert 'Kv-From' in run['headers']
-
-
 async def test_a_stream_without_a_length_is_whole_only_behind_an_event(
     venture: GatewayVenture,
 ) -> None:
@@ -437,7 +217,7 @@
     await venture.wait_until(lambda: registered(venture, 'model-3'))
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
-        await venture.wait_until(partial(_is_draining, venture, name))
+        await venture.wait_until(partial(is_draining, venture, name))
     _, _, text = await venture.call('entry-1', 'POST', '/questions/x', 'r1')
     assert text == WHOLE_STREAM
     await venture.set_faults('model-3', cuts=1, cut_after_tokens=2)
@@ -445,18 +225,8 @@
     async with venture.session.post(
         venture.url('entry-1', '/questions/x'), headers=headers
     ) as response:
-        got = await _read_until_cut(response)
-    assert got == _events(2)
-
-
-async def _read_until_cut(response: ClientResponse) -> str:
-    """Return what came of a stream that must not look whole."""
-    got = b''
-    with pytest.raises(ClientError):
-        async with asyncio.timeout(10):
-            while chunk := await response.content.readany():
-                got += chunk
-    return got.decode()
+        got = await read_until_cut(response)
+    assert got == text_of_events(2)
 
 
 async def test_a_caller_that_leaves_is_no_failure_of_the_server(
@@ -470,7 +240,7 @@
         await venture.wait_until(partial(registered, venture, name))
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
-        await venture.wait_until(partial(_is_draining, venture, name))
+        await venture.wait_until(partial(is_draining, venture, name))
     for number in range(_CALLERS):
         await _leave_stream(venture, f'r{number}')
     await venture.call('entry-1', 'GET', '/status/x', 'last')
