Wait for the move that is under way, not for a later one

Cause: found by reading. The exchange waited for the move of its stream and then read the result of whatever move the work had by then. A target that is full at last settles the one, and the next target begins another one, also in later rounds since; its result is not set, and the exchange ended by InvalidStateError. Ruled out: the decision itself; the settled move says rightly that the run was not stopped. The two functions that read a work's move are methods of the work now, and keep the move that they wait for. Their tests stand with the view's; the assertions are the same. Before: the new test fails with InvalidStateError; after: it passes.

--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -53,6 +53,29 @@
         self.reading_s = 0
         self.streaming = True
 
+    async def was_stopped(self) -> bool:
+        """Tell whether the run may have been stopped to be moved."""
+        move = await self._settled_move()
+        if move is None:
+            return False
+        return move.cancelled() or move.result() is not None
+
+    async def relocation(self) -> Relocation | None:
+        """Return where the run goes on if it was stopped to be moved."""
+        move = await self._settled_move()
+        return None if move is None or move.cancelled() else move.result()
+
+    async def _settled_move(self) -> asyncio.Future[Relocation | None] | None:
+        """Return the present move once it has ended; None if there is none.
+
+        A caller that leaves must not cancel it, and a later round may begin
+        another one meanwhile.
+        """
+        move = self.move
+        if move is not None:
+            await asyncio.wait([move])
+        return move
+
 
 @dataclass(frozen=True, slots=True)
 class Relocation:
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -152,7 +152,7 @@
                     raise TimeoutError from error
                 outcome = self._lost(error, mark)
             if self._may_go_on(outcome):
-                moved = await relocated(work)
+                moved = await work.relocation()
                 self._relocation = moved or self._copied_run(keeper)
         return outcome
 
@@ -255,7 +255,7 @@
         """Tell whether an end without a length is not that of the run."""
         if answer.framed:
             return False
-        return bool(self._splitter.pending.strip()) or await was_stopped(work)
+        return bool(self._splitter.pending.strip()) or await work.was_stopped()
 
     async def _write(self, head: AnswerHead, events: bytes) -> None:
         """Pass on bytes; ``head`` begins the answer if they are the first."""
@@ -418,21 +418,3 @@
     def _elapsed_ms(self) -> int:
         now_s = asyncio.get_running_loop().time()
         return int((now_s - self._began_at_s) * 1000)
-
-
-async def was_stopped(work: Work) -> bool:
-    """Tell whether a stream may have been stopped to be moved."""
-    if work.move is None:
-        return False
-    move = work.move
-    await asyncio.wait([move])
-    return move.cancelled() or move.result() is not None
-
-
-async def relocated(work: Work) -> Relocation | None:
-    """Return where a stream goes on that was stopped to be moved."""
-    if work.move is None:
-        return None
-    # Waits beside the move: a caller that leaves must not cancel it.
-    await asyncio.wait([work.move])
-    return None if work.move.cancelled() else work.move.result()
--- a/mallowspindle/tests/backends/test_evacuation.py
+++ b/mallowspindle/tests/backends/test_evacuation.py
@@ -14,7 +14,6 @@
 from mallowspindle.backends.view import BackendView, Relocation, Work
 from mallowspindle.border import MoveError, Moves, NoRoom, NoSuchRun
 from mallowspindle.catalog.servers import BackendServer
-from mallowspindle.proxy.exchange import was_stopped
 from mallowspindle.proxy.messages import CallerRequest, MovedRun
 
 LEFT_S = 0.5
@@ -177,7 +176,7 @@
         ('move', 'two:80'),
         ('drop', 'h1'),
     ]
-    assert not await was_stopped(work)
+    assert not await work.was_stopped()
 
 
 async def test_a_move_without_an_answer_may_have_stopped_the_stream() -> None:
@@ -186,14 +185,14 @@
     work, _ = await _evacuate(moves)
     assert work.move is not None
     assert work.move.cancelled()
-    assert await was_stopped(work)
+    assert await work.was_stopped()
 
 
 async def test_a_target_that_is_full_at_last_may_leave_the_stream() -> None:
     moves = FakeMoves()
     moves.error = NoRoom('full')
     work, _ = await _evacuate(moves)
-    assert not await was_stopped(work)
+    assert not await work.was_stopped()
 
 
 class LateReports(FakeMoves):
--- a/mallowspindle/tests/proxy/test_exchange.py
+++ b/mallowspindle/tests/backends/test_view.py
@@ -1,4 +1,4 @@
-"""Exchanges that end while their stream is being moved."""
+"""Runs that are waited for while they move."""
 
 import asyncio
 
@@ -6,7 +6,6 @@
 from multidict import CIMultiDict
 
 from mallowspindle.backends.view import Work
-from mallowspindle.proxy.exchange import relocated
 from mallowspindle.proxy.messages import CallerRequest
 
 
@@ -19,7 +18,7 @@
 
 async def test_a_caller_that_leaves_during_a_move_ends_the_exchange() -> None:
     work = _moving_work()
-    waiting = asyncio.create_task(relocated(work))
+    waiting = asyncio.create_task(work.relocation())
     await asyncio.sleep(0)
     waiting.cancel()
     with pytest.raises(asyncio.CancelledError):
@@ -30,8 +29,19 @@
 
 async def test_a_refused_move_leaves_the_stream_to_be_resumed() -> None:
     work = _moving_work()
-    waiting = asyncio.create_task(relocated(work))
+    waiting = asyncio.create_task(work.relocation())
     await asyncio.sleep(0)
     assert work.move is not None
     work.move.cancel()
     assert await waiting is None
+
+
+async def test_a_later_move_does_not_answer_for_the_one_waited_for() -> None:
+    """Replays a target that is full at last, and the next one right behind."""
+    work = _moving_work()
+    waiting = asyncio.create_task(work.relocation())
+    await asyncio.sleep(0)
+    assert work.move is not None
+    work.move.set_result(None)
+    work.move = asyncio.get_running_loop().create_future()
+    assert await waiting is None
