--- a/mallowspindle/tests/gateway/test_moves.py
+++ b/mallowspindle/tests/gateway/test_moves.py
@@ -16,6 +16,13 @@
 _MANY = 70
 
 
+async def _start_slow_server(venture: GatewayVenture) -> None:
+    """Start the server whose streams last long enough to be moved."""
+    await venture.start_server(
+        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
+    )
+
+
 async def test_streams_move_off_a_reclaimed_server(
     venture: GatewayVenture,
 ) -> None:
@@ -70,9 +77,7 @@
     venture: GatewayVenture,
 ) -> None:
     """It has run: a server that refuses it must not start it anew."""
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
+    await _start_slow_server(venture)
     await venture.set_faults('model-3', leaving=True)
     text, runs = await _stream_off_a_reclaimed_server(venture)
     assert text == text_of_events(_MANY)
@@ -86,9 +91,7 @@
     venture: GatewayVenture,
 ) -> None:
     """Replays a full fleet: copies are refused before a run is stopped."""
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
+    await _start_slow_server(venture)
     await venture.set_faults('model-3', leaving=True, no_room=1000)
     text, runs = await _stream_off_a_reclaimed_server(venture)
     assert text == text_of_events(_MANY)
@@ -98,9 +101,7 @@
 async def test_a_stopped_stream_without_room_goes_on_at_its_source(
     venture: GatewayVenture,
 ) -> None:
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
+    await _start_slow_server(venture)
     await venture.set_faults('model-3', leaving=True, no_room_at_last=1)
     text, runs = await _stream_off_a_reclaimed_server(venture)
     assert text == text_of_events(_MANY)
@@ -137,9 +138,7 @@
     """The 421 is true of the move's target only: the stream has run."""
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
+    await _start_slow_server(venture)
     await venture.wait_until(lambda: registered(venture, 'model-3'))
     stream = asyncio.create_task(
         venture.call('entry-1', 'POST', '/questions/x', 'r1')
@@ -177,9 +176,7 @@
         'model-4', 'platform_server', '--server-id=model-4'
     )
     await venture.register('model-4', 'models', zone='b')
-    await venture.start_server(
-        'model-3', 'models', f'--events={_MANY}', '--pause-s=0.05'
-    )
+    await _start_slow_server(venture)
     await venture.wait_until(lambda: registered(venture, 'model-3'))
     await venture.wait_until(lambda: registered(venture, 'model-4'))
     headers = venture.request_headers('r1')
