--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -1,7 +1,7 @@
 """One request of a caller: pick a server, send, relay, repeat, end."""
 
 import asyncio
-import logging
+from functools import partial
 from itertools import count
 
 from aiohttp import ClientError
@@ -33,11 +33,10 @@
     Relayed,
     Unreachable,
 )
+from mallowspindle.proxy.records import ExchangeLog
 from mallowspindle.proxy.upstream import SendMark
 from mallowspindle.utils.telemetry import meter
 
-log = logging.getLogger(__name__)
-
 _OK = 200
 _SERVER_ERROR = 500
 # Pauses told to callers: how long a full or missing server usually stays so.
@@ -67,7 +66,6 @@
         self._request = request
         self._route = route
         self._organisation = organisation
-        self._began_at_s = began_at_s
         patience_s = request.patience_s
         limit_s = route.timeout_s
         if patience_s is not None:
@@ -76,6 +74,7 @@
         self._service = choose_service(route.shares)
         self._response: StreamResponse | None = None
         self._splitter = EventSplitter(request.last_event_id)
+        self._log = ExchangeLog(request, route, began_at_s, self._splitter)
         self._tried: set[str] = set()
         self._runs = 0
         self._counted = False
@@ -280,42 +279,27 @@
     ) -> None:
         """Log an attempt and keep what it says of the server."""
         attempts_total.add(1, {'outcome': type(outcome).__name__})
-        fields = {
-            'request': self._request.request_id,
-            'route': self._route.name,
-            'server': view.server.server_id,
-            'address': view.server.address,
-            'attempt': number,
-            'last_event': self._splitter.last_event_id,
-            'elapsed_ms': self._elapsed_ms(),
-        }
+        note = partial(self._log.note_attempt, view=view, number=number)
         match outcome:
             case NotRun(reason=reason):
                 if isinstance(outcome, Unreachable):
                     self._context.backends.note_unreachable(view)
                 else:
                     view.note_full(_FULL_PAUSE_S)
-                log.info('attempt not run', extra={**fields, 'reason': reason})
+                note('attempt not run', reason=reason)
             case Unknown() if self._relocation is not None:
-                run = self._relocation.run
-                target = self._relocation.target.server.server_id
-                log.info(
+                note(
                     'stream goes on elsewhere',
-                    extra={
-                        **fields,
-                        'target': target,
-                        'memory_at': run.source_address,
-                    },
+                    target=self._relocation.target.server.server_id,
+                    memory_at=self._relocation.run.source_address,
                 )
             case Unknown(reason=reason):
                 view.note_failure()
-                log.info('attempt lost', extra={**fields, 'reason': reason})
+                note('attempt lost', reason=reason)
             case Answered(head=head) if head.status >= _SERVER_ERROR:
                 self._last_failure = outcome
                 view.note_failure()
-                log.info(
-                    'server failed', extra={**fields, 'status': head.status}
-                )
+                note('server failed', status=head.status)
             case _:
                 view.note_success()
 
@@ -396,25 +380,10 @@
         return self._response
 
     def _log_end(self, ending: str, reason: str) -> None:
-        log.info(
-            'request %s',
-            ending,
-            extra={
-                'request': self._request.request_id,
-                'route': self._route.name,
-                'reason': reason,
-                'runs': self._runs,
-                'tried': sorted(self._tried),
-                'elapsed_ms': self._elapsed_ms(),
-            },
-        )
+        self._log.note_end(ending, reason, self._runs, self._tried)
 
     def _time_left_s(self) -> float:
         return self._ends_at_s - asyncio.get_running_loop().time()
 
     def _is_overdue(self) -> bool:
         return self._time_left_s() <= 0
-
-    def _elapsed_ms(self) -> int:
-        now_s = asyncio.get_running_loop().time()
-        return int((now_s - self._began_at_s) * 1000)
