Log the limits that backend servers state

Nothing is decided by it yet. Unreadable limits are logged and ignored. The header is still passed on to callers as before.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -5,13 +5,18 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from functools import partial
 from operator import attrgetter
 from typing import Self
 
+from mallowspindle.backends.limits import ServerLimits
 from mallowspindle.backends.prefixes import PrefixCacheIndex
-from mallowspindle.backends.view import NO_WORK, BackendView, InFlightRequest
+from mallowspindle.backends.view import (
+    NO_WORK,
+    BackendView,
+    InFlightRequest,
+    Pick,
+)
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
@@ -50,14 +55,6 @@
 _address_of = attrgetter('server.address')
 
 
-@dataclass(frozen=True, slots=True)
-class Pick:
-    """A chosen server and the prefill time of the prompts waiting there."""
-
-    view: BackendView
-    backlog_s: float
-
-
 @service('backends', requires=('catalog', 'sharing'))
 class BackendsService(Service):
     """Chooses a server for each attempt and tracks the work at each server."""
@@ -73,6 +70,7 @@
         self._clock = clock
         self._zone = sharing.membership.own.zone
         self._views: dict[str, BackendView] = {}
+        self._limits = ServerLimits()
         self._meters: dict[str, RateMeter] = defaultdict(
             partial(RateMeter, _DEMAND_SPAN_S, clock)
         )
@@ -88,6 +86,7 @@
     async def start(self) -> None:
         """Start to report this node's work to the peers."""
         self._sharing.register_work_source(self._own_work)
+        self._limits.observe(lambda: self._views.values())
 
     def views(self, service_name: str) -> list[BackendView]:
         """Return the servers of a service, draining ones included."""
@@ -139,6 +138,12 @@
             self._sharing.send_soon()
         view.record_unreachable()
 
+    def record_limit(
+        self, view: BackendView, limit_per_s: float | None
+    ) -> None:
+        """Record the limit that a server has stated; None for no limit."""
+        self._limits.record(view, limit_per_s)
+
     def pick(
         self,
         service_name: str,
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -93,7 +93,11 @@
 
 @dataclass(slots=True, eq=False)
 class BackendView:
-    """A server with this node's requests there and its recent failures."""
+    """A server with this node's requests there and its recent failures.
+
+    ``limit_per_s`` is the number of requests per second that the server accepts
+    from all nodes together; None for no limit.
+    """
 
     server: BackendServer
     prefix_cache: PrefixCacheIndex
@@ -103,6 +107,7 @@
     unreachable_until_s: float = 0
     reachable_until_s: float = 0
     full_until_s: float = 0
+    limit_per_s: float | None = None
     clock: Callable[[], float] = time.monotonic
 
     @property
@@ -184,3 +189,11 @@
     def _note_reachable(self) -> None:
         self.reachable_until_s = self.clock() + UNREACHABLE_S
         self.unreachable_until_s = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """A chosen server and the prefill time of the prompts waiting there."""
+
+    view: BackendView
+    backlog_s: float
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -1,6 +1,8 @@
 """Codec for the headers of requests and responses on the platform."""
 
 import json
+import logging
+import math
 from collections.abc import Iterable, Iterator, Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -15,6 +17,8 @@
     ResponseHead,
 )
 
+log = logging.getLogger(__name__)
+
 _MS = 1000
 _MISDIRECTED = 421
 # Callers accept at most this many addresses.
@@ -131,6 +135,7 @@
             ),
             running=running,
             waiting=waiting,
+            limit_per_s=_decode_limit(headers.get('Server-Limit')),
         )
 
     def decode_zone(self, query: Mapping[str, str]) -> str | None:
@@ -213,3 +218,17 @@
     if not (running.isdecimal() and waiting.isdecimal()):
         return None, None
     return int(running), int(waiting)
+
+
+def _decode_limit(text: str | None) -> float | None:
+    """Return a limit in requests per second; None if absent or malformed."""
+    if text is None:
+        return None
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if math.isfinite(limit_per_s) and limit_per_s >= 0:
+        return limit_per_s
+    log.warning('unreadable limit of a backend server', extra={'text': text})
+    return None
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -8,8 +8,12 @@
 from aiohttp.web import BaseRequest, Response, StreamResponse
 from multidict import CIMultiDict
 
-from mallowspindle.backends.service import Pick
-from mallowspindle.backends.view import BackendView, InFlightRequest, Relocation
+from mallowspindle.backends.view import (
+    BackendView,
+    InFlightRequest,
+    Pick,
+    Relocation,
+)
 from mallowspindle.catalog.configuration import Organisation, Route, RouteKind
 from mallowspindle.outcomes import NotRun, Unknown
 from mallowspindle.policies.admission import (
@@ -151,7 +155,7 @@
                 async with self._context.upstream.send(
                     request.method, url, headers, body, send_state
                 ) as answer:
-                    outcome = await self._receive(answer, in_flight)
+                    outcome = await self._receive(answer, view, in_flight)
             except (ClientError, OSError, TimeoutError) as error:
                 if self._deadline_passed():
                     raise TimeoutError from error
@@ -222,7 +226,10 @@
         return Unreachable(reason, _UNAVAILABLE_RETRY_AFTER_S)
 
     async def _receive(
-        self, answer: MatchedResponse, in_flight: InFlightRequest
+        self,
+        answer: MatchedResponse,
+        view: BackendView,
+        in_flight: InFlightRequest,
     ) -> AttemptOutcome:
         head = self._context.http_codec.decode_response_head(
             answer.status, answer.headers
@@ -230,6 +237,8 @@
         if head.request_id != self._request.request_id:
             answer.close()
             return Unknown(f'answer to another request: {head.request_id}')
+        if not head.misdirected:
+            self._context.backends.record_limit(view, head.limit_per_s)
         if head.not_run:
             await answer.read()
             kind = Unreachable if head.misdirected else NotRun
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -89,7 +89,9 @@
 
     ``not_run`` is true only if the server states that the request has not
     run. ``misdirected`` means that another server has the address.
-    ``headers`` are the headers to forward.
+    ``headers`` are the headers to forward. ``limit_per_s`` is the number of
+    requests per second that the server accepts from all nodes together; None
+    if it states no limit.
     """
 
     status: int
@@ -99,3 +101,4 @@
     headers: CIMultiDict[str]
     running: int | None = None
     waiting: int | None = None
+    limit_per_s: float | None = None
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -14,7 +14,8 @@
     ``cuts`` closes streams after ``cut_after_tokens`` tokens or events and
     ``cross`` answers with the id of another request. ``forgets`` restarts a
     resumed stream at its first event and ``skips`` leaves out the first event
-    that is due.
+    that is due. ``limit_per_s`` is a limit on requests that a server states in
+    its responses.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -33,6 +34,7 @@
     no_room_at_last: int = 0
     forgets: int = 0
     skips: int = 0
+    limit_per_s: float | None = None
 
     def consume(self, name: str) -> bool:
         """Use up one of the counted faults; return False if none remains."""
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -78,6 +78,8 @@
             'Request-Id': request.headers['Request-Id'],
             'Instance-Id': self._id,
         }
+        if self._faults.limit_per_s is not None:
+            headers['Server-Limit'] = str(self._faults.limit_per_s)
         if request.headers.get('Expect-Instance') != self._id:
             return Response(status=_MISDIRECTED_REQUEST, headers=headers)
         if self._faults.consume('refuse'):
--- a/mallowspindle/tests/platform/test_codec.py
+++ b/mallowspindle/tests/platform/test_codec.py
@@ -107,3 +107,23 @@
     assert 'Server-Load' not in head.headers
     malformed = CODEC.decode_response_head(200, _headers(Server_Load='many'))
     assert malformed.running is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    [
+        ('2.5', 2.5),
+        ('0', 0),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('many', None),
+    ],
+)
+def test_server_limit_is_decoded(text: str, limit_per_s: float | None) -> None:
+    head = CODEC.decode_response_head(200, _headers(Server_Limit=text))
+    assert head.limit_per_s == limit_per_s
+
+
+def test_server_without_limit_states_none() -> None:
+    assert CODEC.decode_response_head(200, _headers()).limit_per_s is None
--- a/mallowspindle/tests/platform/test_words.py
+++ b/mallowspindle/tests/platform/test_words.py
@@ -16,6 +16,7 @@
     'Lease-Holder',
     'Fencing-Token',
     'Server-Load',
+    'Server-Limit',
     'Kv-Backup',
     'Kv-From',
     'Last-Event-Id',
