--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -91,6 +91,7 @@
             'target': request.raw_path,
             'headers': dict(request.headers),
             'body': (await request.read()).decode(),
+            'began_at_s': asyncio.get_running_loop().time(),
             'ended': False,
             'stopped': False,
         }
