Divide the room of a quota among the nodes of a large venture

Cause: relays make the sums up to a second old, all nodes see the same room when a flood begins, and all take it. The expected growth of the others' use is that of the second before the flood.

Ruled out: longer lags in the projection refuse load within the quota; fixed shares of the quota did that too (docs/design/platform.md).

Now each node has a credit that grows by the rate which the others expect of it and by an equal part of the room in the time until they know what it admitted. A request beyond the credit is lent and paid back.

--- a/mallowspindle/policies/quota.py
+++ b/mallowspindle/policies/quota.py
@@ -21,11 +21,17 @@
 _BUCKET_S = 0.25
 # Span over which the current rate of a node is measured.
 _RATE_SPAN_S = 1.0
+# Span over which a node's usual rate is averaged: long prompts come rarely.
+_LONG_RATE_SPAN_S = 3.0
 # Length of the shorter span as a fraction of the window. Its rate and burst,
 # plus what restarted nodes admit in the rest of the window, stay within the
 # tolerance that the platform grants.
 _SHORT_SPAN_FRACTION = 0.375
 
+# Maximum credit of all nodes together as a fraction of the quota if there is no
+# room. It is below the tolerance that the platform grants.
+MIN_CREDIT_FRACTION = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class PeerUsage:
@@ -93,6 +99,11 @@
         """Return the current rate."""
         return self._used_within(_RATE_SPAN_S) / _RATE_SPAN_S
 
+    def rate_before(self, age_s: float) -> float:
+        """Return the average rate in a span that ended ``age_s`` ago."""
+        earlier = self._used_within(age_s + _LONG_RATE_SPAN_S)
+        return (earlier - self._used_within(age_s)) / _LONG_RATE_SPAN_S
+
     def time_until_freed_s(self, cost: float) -> float:
         """Return the time until ``cost`` of the oldest work has expired."""
         now_s = self._clock()
@@ -131,13 +142,31 @@
     restarted node has forgotten what it admitted before, so its share of the
     quota for the part of the window before its start counts as used up.
     """
+    return own_used <= room_of_node(
+        terms,
+        peers,
+        reporting_fraction=reporting_fraction,
+        uptimes_s=uptimes_s,
+    )
+
+
+def room_of_node(
+    terms: QuotaTerms,
+    peers: Sequence[PeerUsage],
+    *,
+    reporting_fraction: float,
+    uptimes_s: Sequence[float],
+) -> float:
+    """Return what the peers leave of the quota for this node.
+
+    See ``is_within`` for the arguments.
+    """
     forgotten_s = [max(0, terms.window_s - uptime_s) for uptime_s in uptimes_s]
     forgotten_fraction = sum(forgotten_s) / (len(forgotten_s) * terms.window_s)
-    used = own_used + sum(peer.estimate for peer in peers)
     allowed = terms.window_limit * min(
         reporting_fraction, 1 - forgotten_fraction
     )
-    return used <= allowed
+    return allowed - sum(peer.estimate for peer in peers)
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,3 +201,43 @@
     if not lately_used + sum(use.used for use in short_uses):
         return True
     return fits(terms.short, lately_used + cost, short_uses)
+
+
+class Credit:
+    """What this node may admit before the others know of it.
+
+    In a large venture all nodes may see the same room at once, and each learns
+    late what the others admitted meanwhile. So the room is divided among them:
+    the credit of a node grows by an equal part of the room in each ``lag_s``,
+    the time until the others know what it admitted.
+    """
+
+    def __init__(
+        self, lag_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._lag_s = lag_s
+        self._clock = clock
+        self._credit = 0.0
+        # The first request finds the credit of a node that was idle before.
+        self._updated_at_s = clock() - lag_s
+
+    def take(
+        self, cost: float, known_rate_per_s: float, room: float, floor: float
+    ) -> bool:
+        """Take ``cost``; return False if there is not enough credit.
+
+        The others expect this node to go on at ``known_rate_per_s``, and leave
+        it ``room`` beyond that. Up to ``floor`` is kept even without room. A
+        cost beyond the credit is lent, and paid back by later growth: a request
+        can't be divided.
+        """
+        now_s = self._clock()
+        elapsed_s = now_s - self._updated_at_s
+        self._updated_at_s = now_s
+        growth_per_s = known_rate_per_s + max(0, room) / self._lag_s
+        grown = self._credit + growth_per_s * elapsed_s
+        self._credit = min(grown, max(room, floor))
+        if self._credit <= 0:
+            return False
+        self._credit -= cost
+        return True
--- a/mallowspindle/proxy/quotas.py
+++ b/mallowspindle/proxy/quotas.py
@@ -8,14 +8,17 @@
 
 from mallowspindle.catalog.configuration import Organisation, Quota
 from mallowspindle.policies.quota import (
+    MIN_CREDIT_FRACTION,
     AdmittedWork,
+    Credit,
     PeerUsage,
     PeerUsageSpans,
     QuotaTerms,
     has_room,
+    room_of_node,
 )
 from mallowspindle.sharing.messages import QuotaUse, WorkSum
-from mallowspindle.sharing.service import SharingService
+from mallowspindle.sharing.service import INTERVAL_S, SharingService
 
 # Shortest Retry-After for a caller over its quota.
 _MIN_RETRY_AFTER_S = 0.1
@@ -25,6 +28,9 @@
 # sums do not include: three messages that may wait 0.1 s each, and the growth
 # within the 1 s over which a rate is measured.
 _AGGREGATION_LAG_S = 0.6
+# Time until most nodes of a large venture know what one has admitted: the
+# pauses of two relays. Long prompts are reported at once.
+_CREDIT_LAG_S = 2 * INTERVAL_S
 _NO_QUOTA_SPENT = QuotaUse(0, 0, 0)
 
 
@@ -45,6 +51,9 @@
         self._admitted: dict[str, AdmittedWork] = defaultdict(
             partial(AdmittedWork, window_s, clock)
         )
+        self._credits: dict[str, Credit] = defaultdict(
+            partial(Credit, _CREDIT_LAG_S, clock)
+        )
         sharing.register_work_source(self._own_use)
 
     def admit_or_retry_after_s(
@@ -56,19 +65,51 @@
             return 0
         cost = quota.cost_of(tokens)
         admitted = self._admitted[organisation.name]
-        admissible = has_room(
-            QuotaTerms(quota.rate_per_s, quota.burst, self._window_s),
-            admitted,
-            cost,
-            [self._peer_use(organisation.name)],
+        terms = QuotaTerms(quota.rate_per_s, quota.burst, self._window_s)
+        peer_use = self._peer_use(organisation.name)
+        fits = partial(
+            has_room,
             reporting_fraction=self._sharing.reporting_fraction(),
             uptimes_s=self._uptimes_s(),
         )
-        if admissible:
+        if fits(terms, admitted, cost, [peer_use]) and (
+            self._sharing.is_full_mesh
+            or self._takes_credit(organisation.name, cost, terms, peer_use)
+        ):
             admitted.note(cost)
             return 0
         return self._retry_after_s(quota, cost, admitted)
 
+    def _takes_credit(
+        self,
+        name: str,
+        cost: float,
+        terms: QuotaTerms,
+        peer_use: PeerUsageSpans,
+    ) -> bool:
+        """Take ``cost`` from this node's part of the room."""
+        admitted = self._admitted[name]
+        rooms = [
+            room_of_node(
+                span_terms,
+                [use],
+                reporting_fraction=self._sharing.reporting_fraction(),
+                uptimes_s=self._uptimes_s(),
+            )
+            - used
+            for span_terms, use, used in (
+                (terms, peer_use.window, admitted.used()),
+                (terms.short, peer_use.short, admitted.lately_used()),
+            )
+        ]
+        nodes = self._sharing.peer_work().nodes + 1
+        return self._credits[name].take(
+            cost,
+            admitted.rate_before(_CREDIT_LAG_S),
+            min(rooms) / nodes,
+            terms.window_limit * MIN_CREDIT_FRACTION / nodes,
+        )
+
     def _retry_after_s(
         self, quota: Quota, cost: float, admitted: AdmittedWork
     ) -> float:
--- a/mallowspindle/tests/policies/test_quota.py
+++ b/mallowspindle/tests/policies/test_quota.py
@@ -4,6 +4,7 @@
 
 from mallowspindle.policies.quota import (
     AdmittedWork,
+    Credit,
     PeerUsage,
     PeerUsageSpans,
     QuotaTerms,
@@ -192,3 +193,34 @@
     assert work.time_until_freed_s(100) == pytest.approx(8)
     clock.advance(8.5)
     assert not work.used()
+
+
+def test_credit_grows_by_the_part_of_the_room() -> None:
+    clock = FakeClock()
+    credit = Credit(0.5, clock)
+    assert credit.take(100, 0, 100, 0)
+    assert not credit.take(10, 0, 100, 0)
+    clock.advance(0.1)
+    assert credit.take(25, 0, 100, 0)
+    assert not credit.take(1, 0, 100, 0)
+
+
+def test_credit_lends_what_a_single_request_costs() -> None:
+    clock = FakeClock()
+    credit = Credit(0.5, clock)
+    clock.advance(10)
+    assert credit.take(1000, 0, 100, 0)
+    clock.advance(4)
+    assert not credit.take(1, 0, 100, 0)
+    clock.advance(1)
+    assert credit.take(1, 0, 100, 0)
+
+
+def test_credit_lets_a_node_go_on_at_its_known_rate_without_room() -> None:
+    clock = FakeClock()
+    credit = Credit(0.5, clock)
+    taken = 0
+    for _ in range(100):
+        clock.advance(0.1)
+        taken += 10 * credit.take(10, 50, 0, 20)
+    assert taken == pytest.approx(500, abs=20)
