Follow a store that comes back from an older copy

Once the store has grown past the offset that a node had read, new records are taken for known: a configuration, a revoked key or a drain is missed for good. The fencing number, an offset, is one that another holder had, or one that the platform refuses.

Cause: an offset means something within one era only, and was compared across eras in the followers, in messages between nodes, in conditions of appends and at the platform.

Now the store client gives out positions, one number of era and offset. Every comparison then holds over eras as it stands, also for nodes that were frozen or cut off: a record of a later era is behind all former ones, and a position of a former era has expired. Conditions of a former era are refused, or uncertain if the store came back meanwhile; answers of a former era are dropped. A holder gives up as soon as one of its reads shows the new era.

Open: processes that start in the gap, the native interface's log, a property test.

--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -7,6 +7,7 @@
 
 from mallowspindle.log.errors import RecordsExpired
 from mallowspindle.log.interface import Log
+from mallowspindle.log.positions import era_of
 from mallowspindle.log.records import (
     KeyedRecord,
     KeyedState,
@@ -83,12 +84,18 @@
     """The newest record of each key, and how current this state is."""
 
     def __init__(
-        self, stream: str, source: Log, decode: DecodeKeyed, fold: Fold
+        self,
+        stream: str,
+        source: Log,
+        decode: DecodeKeyed,
+        fold: Fold,
+        note_restored: Callable[[], None] | None = None,
     ) -> None:
         self._stream = stream
         self._log = source
         self._decode = decode
         self._fold = fold
+        self._note_restored = note_restored
         self._records: dict[str, KeyedRecord] = {}
         self._through: int | None = None
         self._current_at_s = 0.0
@@ -244,6 +251,8 @@
         return self._known_end - through > keys * _READ_LATEST_COST
 
     def _replace(self, state: KeyedState) -> None:
+        if self._is_restored(state.end_offset) and self._note_restored:
+            self._note_restored()
         present = {record.key for record in state.records}
         removed = [
             KeyedRecord(record.key, None, state.end_offset)
@@ -256,6 +265,11 @@
         if self._through is None or state.end_offset > self._through:
             self._through = state.end_offset
 
+    def _is_restored(self, end_offset: int) -> bool:
+        """Return whether the log came back from an older copy since a read."""
+        through = self._through
+        return through is not None and era_of(end_offset) > era_of(through)
+
     def _apply(self, records: Sequence[KeyedRecord]) -> None:
         for record in records:
             known = self._records.get(record.key)
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable
 from typing import Self
 
@@ -21,6 +22,7 @@
 from mallowspindle.config.platform import PlatformSettings
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
+from mallowspindle.log.positions import era_of
 from mallowspindle.peers.codec import ErrorReply, OkReply
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.utils.tasks import BackgroundTasks
@@ -53,19 +55,34 @@
         self._servers = ServerState(layout.decode_server)
         self._synchronizers = {
             stream: StreamSynchronizer(
-                StreamFollower(stream, adapter.log, layout.decode_keyed, fold),
+                StreamFollower(
+                    stream,
+                    adapter.log,
+                    layout.decode_keyed,
+                    fold,
+                    note_restored,
+                ),
                 sharing,
                 read_interval_s,
                 self._note_update,
                 self._servers.note_outage,
             )
-            for stream, fold in (
-                (layout.configuration_stream, self._configuration.fold),
-                (layout.servers_stream, self._servers.fold),
+            for stream, fold, note_restored in (
+                (
+                    layout.configuration_stream,
+                    self._configuration.fold,
+                    self._note_restored,
+                ),
+                (
+                    layout.servers_stream,
+                    self._servers.fold,
+                    self._servers.note_restored,
+                ),
             )
         }
         follower = self._synchronizers[layout.configuration_stream].follower
         self._configurations = follower
+        self._restored_at_s = 0.0
         self._watchers: list[Callable[[], None]] = []
         self._configured = asyncio.Event()
         self._tasks = BackgroundTasks()
@@ -93,6 +110,11 @@
         follower = self._configurations
         return not follower.has_gap and follower.age_s < _CURRENT_MAX_AGE_S
 
+    @property
+    def restored_at_s(self) -> float:
+        """Unix time at which the store was found restored from a copy, or 0."""
+        return self._restored_at_s
+
     @property
     def servers(self) -> dict[str, BackendServer]:
         """The registered servers by id."""
@@ -111,6 +133,7 @@
         meter.create_observable_gauge(
             'configuration_age', [self._observe_age], unit='s'
         )
+        meter.create_observable_gauge('store_era', [self._observe_era])
         for stream, synchronizer in self._synchronizers.items():
             self._tasks.spawn(self._run(synchronizer), stream)
         try:
@@ -129,6 +152,9 @@
     def _observe_age(self, options: CallbackOptions) -> list[Observation]:
         return [Observation(self._configurations.age_s)]
 
+    def _observe_era(self, options: CallbackOptions) -> list[Observation]:
+        return [Observation(era_of(self._configurations.through or 0))]
+
     async def _run(self, synchronizer: StreamSynchronizer) -> None:
         while True:
             self._servers.expire_lapsed()
@@ -162,6 +188,10 @@
             synchronizer.follower.apply_update(update)
             self._note_update(update)
 
+    def _note_restored(self) -> None:
+        self._restored_at_s = time.time()
+        self._configuration.note_restored()
+
     def _note_update(self, update: StreamUpdate) -> None:
         if self._configuration.current is not None:
             self._configured.set()
--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -12,6 +12,10 @@
 
 log = logging.getLogger(__name__)
 
+# Removed servers that are remembered. Only those that were removed shortly
+# before the store came back from an older copy can have an entry there again.
+_MAX_REMOVED = 1000
+
 DecodeConfiguration = Callable[[bytes], Configuration]
 DecodeServer = Callable[[str, bytes], BackendServer]
 
@@ -29,6 +33,13 @@
         """The configuration in force; None before the first one."""
         return self._current
 
+    def note_restored(self) -> None:
+        """Note that the store came back from an older copy."""
+        log.info(
+            'store restored, the configuration in force is kept',
+            extra={'version': self._current and self._current.version},
+        )
+
     def fold(self, record: KeyedRecord) -> bool:
         """Put a newer version in force; return whether the record held one."""
         if record.key != self._key or record.value is None:
@@ -70,6 +81,9 @@
         self._servers: dict[str, BackendServer] = {}
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
+        self._removed: dict[str, int] = {}
+        # Position of an entry that may be a leftover in a restored log.
+        self._leftovers: dict[str, int] = {}
 
     @property
     def servers(self) -> dict[str, BackendServer]:
@@ -80,6 +94,16 @@
         """Note that the store is down now."""
         self._grace_until_s = time.monotonic() + self._GRACE_S
 
+    def note_restored(self) -> None:
+        """Note that the store came back from an older copy.
+
+        It may lack the entries of live servers for a moment, and hold entries
+        of servers that were removed.
+        """
+        self.note_outage()
+        absent = self._removed.keys() - self._servers.keys()
+        self._leftovers = dict.fromkeys(absent, -1)
+
     def expire_lapsed(self) -> None:
         """Remove the servers that did not register again in time."""
         now_s = time.monotonic()
@@ -101,9 +125,17 @@
         except UnusableRecord as error:
             log.warning('server entry ignored', extra={'error': str(error)})
             return self._remove(record.key)
+        if self._is_leftover(decoded, record.offset):
+            return False
         returned = self._lapsed.pop(record.key, None) is not None
         known = self._servers.get(record.key)
+        if known is not None and _is_same_start(known, decoded):
+            # Only a restored log says that a draining server is ready again.
+            decoded = replace(
+                decoded, draining=known.draining or decoded.draining
+            )
         self._servers[record.key] = decoded
+        self._removed.pop(record.key, None)
         unchanged = (
             known is not None
             and replace(known, cold_remaining_s=decoded.cold_remaining_s)
@@ -132,8 +164,27 @@
             return True
         return self._remove(server_id)
 
+    def _is_leftover(self, server: BackendServer, position: int) -> bool:
+        """Return whether a removed server's entry was not written again."""
+        first_seen = self._leftovers.get(server.server_id)
+        if first_seen is None:
+            return False
+        if self._removed.get(server.server_id) != server.started_at_ms:
+            return False
+        if first_seen < 0:
+            self._leftovers[server.server_id] = position
+        return first_seen < 0 or position <= first_seen
+
     def _remove(self, server_id: str) -> bool:
-        if self._servers.pop(server_id, None) is None:
+        removed = self._servers.pop(server_id, None)
+        if removed is None:
             return False
+        self._removed[server_id] = removed.started_at_ms
+        if len(self._removed) > _MAX_REMOVED:
+            self._removed.pop(next(iter(self._removed)))
         log.info('backend server gone', extra={'server': server_id})
         return True
+
+
+def _is_same_start(known: BackendServer, decoded: BackendServer) -> bool:
+    return known.started_at_ms == decoded.started_at_ms
--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -19,6 +19,7 @@
     RecordsExpired,
 )
 from mallowspindle.log.interface import Log
+from mallowspindle.log.positions import era_of
 from mallowspindle.log.records import LogPage
 from mallowspindle.sharing.messages import LeaseUpdate
 from mallowspindle.utils.codec import CodecError
@@ -209,13 +210,19 @@
                     DUTIES_STREAM, self._next_offset or 0
                 )
             except RecordsExpired as error:
-                self._next_offset = error.first_offset
+                self._skip_to(error.first_offset)
                 continue
             self._next_offset = page.next_offset
             yield page
             if page.next_offset >= page.end_offset:
                 return
 
+    def _skip_to(self, offset: int) -> None:
+        """Continue to read at ``offset``; a new era ends an own tenure."""
+        if self._next_offset and era_of(offset) > era_of(self._next_offset):
+            self.give_up('the log came back from an older copy')
+        self._next_offset = offset
+
     async def _append(self, record: DutyRecord) -> int | None:
         """Append at the offset read up to; None if others have appended."""
         if self._next_offset is None:
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -64,6 +64,8 @@
         own = sharing.membership.own
         self._section = section
         self._duties = duties
+        self._catalog = catalog
+        self._followed_restore_at_s = 0.0
         self._sharing = sharing
         self._own = own
         self._usage_exchange = UsageExchange(sharing, usage)
@@ -135,6 +137,10 @@
 
     async def _maintain_lease(self) -> None:
         self._note_restarts()
+        if self._followed_restore_at_s != self._catalog.restored_at_s:
+            # The tenure of a holder ends with the log's former era.
+            await self._lease.catch_up()
+            self._followed_restore_at_s = self._catalog.restored_at_s
         if not self._lease.is_holder:
             if not self._lease.may_claim(self._claim_rank() * _CLAIM_STAGGER_S):
                 return
@@ -144,9 +150,21 @@
             self._sent_windows = set(
                 sorted(self._lease.state.reports)[:-_RESENT_WINDOWS]
             )
+            await self._log_again()
         await self._lease.renew()
         await self._log_usage()
 
+    async def _log_again(self) -> None:
+        """Log known reports again that a restored log may have lost."""
+        tenure = self._lease.valid_tenure
+        if tenure is None or not self._catalog.restored_at_s:
+            return
+        for window in sorted(self._lease.state.reports)[-_RESENT_WINDOWS:]:
+            counts = self._lease.state.reports[window]
+            await self._lease.append(
+                UsageReport(tenure.fencing_number, window, counts)
+            )
+
     async def _maintain_fleet(self) -> None:
         tenure = self._lease.valid_tenure
         if tenure is None:
@@ -175,7 +193,7 @@
             time.time() - delay_s
         )
         for window, counts in ended_windows.items():
-            if window in logged:
+            if window in logged or self._may_be_lost(window):
                 continue
             record = UsageReport(tenure.fencing_number, window, counts)
             if await self._lease.append(record):
@@ -183,6 +201,14 @@
                     'usage logged', extra={'window': window, 'counts': counts}
                 )
 
+    def _may_be_lost(self, window: int) -> bool:
+        """Return whether the log may have lost a report of the window.
+
+        A former holder may have sent it, and other counts must not follow.
+        """
+        ended_at_s = (window + 1) * self._section.usage_window_s
+        return ended_at_s <= self._catalog.restored_at_s
+
     async def _send_usage(self) -> None:
         for window, counts in sorted(self._lease.state.reports.items()):
             tenure = self._lease.valid_tenure
--- a/mallowspindle/log/interface.py
+++ b/mallowspindle/log/interface.py
@@ -10,7 +10,9 @@
     """Append-only streams of records, and keyed streams.
 
     Offsets in a stream are consecutive. A keyed stream can also be read as
-    the newest record of each key.
+    the newest record of each key. A log that comes back from an older copy has
+    lost its newest records; its offsets then continue behind all former ones
+    (see ``mallowspindle.log.positions``), and earlier offsets have expired.
     """
 
     @abstractmethod
--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import logging
 import struct
 from collections.abc import Iterator, Mapping, Sequence
 from itertools import count
@@ -24,6 +25,7 @@
     RecordsExpired,
 )
 from mallowspindle.log.interface import Log
+from mallowspindle.log.positions import era_of, offset_of, position_of
 from mallowspindle.log.records import (
     KeyedRecord,
     KeyedState,
@@ -31,6 +33,8 @@
     LogRecord,
 )
 
+log = logging.getLogger(__name__)
+
 # Streams of the store that the platform itself writes.
 SERVERS_STREAM = 'keyed.servers'
 CONFIGURATION_STREAM = 'keyed.op'
@@ -43,6 +47,9 @@
 _LENGTH_PREFIX = struct.Struct('>I')
 _READ_HEADER = struct.Struct('>QQ')
 _PARTITION = '0'
+# A whole number that rises by one each time the store comes back from an older
+# copy. Older platforms do not send it.
+_ERA_HEADER = 'Store-Era'
 _MAX_PAGES = 200
 
 
@@ -89,7 +96,10 @@
 
 
 class StoreLog(Log):
-    """Appends to and reads from the platform's store over HTTP."""
+    """Appends to and reads from the platform's store over HTTP.
+
+    Offsets of the interface are positions, which include the store's era.
+    """
 
     def __init__(
         self, session: ClientSession, address: str, timeout_s: float
@@ -97,6 +107,7 @@
         self._session = session
         self._url = f'http://{address}'
         self._timeout_s = timeout_s
+        self._era = 0
 
     async def append(
         self,
@@ -107,12 +118,13 @@
         """Append records; see ``Log.append``."""
         query = {'topic': stream, 'part': _PARTITION}
         if expected_end is not None:
-            query['at'] = str(expected_end)
+            self._require_current(stream, expected_end)
+            query['at'] = str(offset_of(expected_end))
         body = b''.join(
             _LENGTH_PREFIX.pack(len(payload)) + payload for payload in payloads
         )
         try:
-            status, answer = await self._request(
+            status, answer, era = await self._request(
                 'POST', '/log-append', query, body
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
@@ -122,21 +134,26 @@
                 f'no answer to an append: {error!r}'
             ) from error
         if status != _OK:
-            raise _append_error(stream, status, answer)
-        return int(_validate(_append_answer, answer).offset)
+            raise _append_error(stream, status, answer, era)
+        position = position_of(era, _validate(_append_answer, answer).offset)
+        _require_expected(stream, position, expected_end)
+        return position
 
     async def read(
         self, stream: str, offset: int, wait_s: float = 0
     ) -> LogPage:
         """Read records; see ``Log.read``."""
-        query = {'topic': stream, 'part': _PARTITION, 'from': str(offset)}
+        if era_of(offset) < self._era:
+            raise RecordsExpired(stream, position_of(self._era, 0))
+        query = {
+            'topic': stream,
+            'part': _PARTITION,
+            'from': str(offset_of(offset)),
+        }
         if wait_s:
             query['wait_ms'] = str(int(wait_s * 1000))
-        status, answer = await self._get('/log-read', query, wait_s)
-        if status == _GONE:
-            first = _validate(_first_answer, answer).first
-            raise RecordsExpired(stream, first)
-        _require_ok(status)
+        status, answer, era = await self._get('/log-read', query, wait_s)
+        _require_present(stream, offset, status, answer, era)
         return _decode_page(answer, offset)
 
     async def read_latest(self, stream: str) -> KeyedState:
@@ -145,11 +162,13 @@
         end_offsets: list[int] = []
         query = {'topic': stream, 'part': _PARTITION}
         for _ in range(_MAX_PAGES):
-            status, answer = await self._get('/log-newest', query)
+            status, answer, era = await self._get('/log-newest', query)
             _require_ok(status)
             page = _validate(_newest_page, answer)
-            records.extend(map(_decode_item, page.items))
-            end_offsets.append(page.end)
+            records.extend(_decode_item(item, era) for item in page.items)
+            end_offsets.append(position_of(era, page.end))
+            if era != era_of(end_offsets[0]):
+                raise LogError(f'{stream} changed its era between two pages')
             if not page.has_more or not page.items:
                 # The pages are not one snapshot. The caller reads on from the
                 # end offset of the first page, and so sees the changes that
@@ -158,9 +177,14 @@
             query['after'] = page.items[-1].key
         raise LogError(f'{stream} has more than {_MAX_PAGES} pages of keys')
 
+    def _require_current(self, stream: str, expected_end: int) -> None:
+        """Raise ``AppendConflict`` for an end in a former era."""
+        if era_of(expected_end) < self._era:
+            raise AppendConflict(stream, position_of(self._era, 0))
+
     async def _get(
         self, path: str, query: Mapping[str, str], wait_s: float = 0
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
         try:
             return await self._request('GET', path, query, wait_s=wait_s)
         except (ClientError, TimeoutError) as error:
@@ -173,7 +197,8 @@
         query: Mapping[str, str],
         body: bytes | None = None,
         wait_s: float = 0,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Return the status, the body and the era of an answer."""
         async with self._session.request(
             method,
             f'{self._url}{path}',
@@ -183,7 +208,29 @@
                 total=self._timeout_s + wait_s, sock_connect=self._timeout_s / 2
             ),
         ) as response:
-            return response.status, await response.read()
+            answer = await response.read()
+            era = self._note_era(response.headers.get(_ERA_HEADER))
+            return response.status, answer, era
+
+    def _note_era(self, text: str | None) -> int:
+        """Return the era of an answer, and log it if it is a new one.
+
+        Raise ``LogError`` for an answer of a former era.
+        """
+        if text is None:
+            return self._era
+        if not text.isdecimal():
+            raise LogError(f'unreadable era of the store: {text!r}')
+        era = int(text)
+        if era < self._era:
+            raise LogError(f'answer of the former era {era} of the store')
+        if era > self._era:
+            log.info(
+                'the store is in a new era',
+                extra={'era': era, 'former_era': self._era},
+            )
+            self._era = era
+        return era
 
 
 def decode_keyed(record: LogRecord) -> KeyedRecord:
@@ -194,18 +241,20 @@
     return KeyedRecord(key, payload[1 + length :] or None, record.offset)
 
 
-def _decode_item(item: _NewestItem) -> KeyedRecord:
+def _decode_item(item: _NewestItem, era: int) -> KeyedRecord:
     try:
         value = base64.b64decode(item.value, validate=True)
     except binascii.Error as error:
         raise LogError(f'value of {item.key} is not valid Base64') from error
-    return KeyedRecord(item.key, value or None, item.offset)
+    position = position_of(era, item.offset)
+    return KeyedRecord(item.key, value or None, position)
 
 
 def _decode_page(answer: bytes, offset: int) -> LogPage:
     if len(answer) < _READ_HEADER.size:
         raise LogError('the store sent an incomplete read header')
     end, _ = _READ_HEADER.unpack_from(answer)
+    end_position = position_of(era_of(offset), end)
     records = [
         LogRecord(record_offset, payload)
         for record_offset, payload in zip(
@@ -214,7 +263,7 @@
             strict=False,
         )
     ]
-    return LogPage(offset + len(records), end, records)
+    return LogPage(offset + len(records), end_position, records)
 
 
 def _split_records(answer: bytes, position: int) -> Iterator[bytes]:
@@ -227,14 +276,40 @@
         position += length
 
 
-def _append_error(stream: str, status: int, answer: bytes) -> LogError:
+def _append_error(
+    stream: str, status: int, answer: bytes, era: int
+) -> LogError:
     if status == _PRECONDITION_FAILED:
-        return AppendConflict(stream, _validate(_end_answer, answer).end)
+        end = _validate(_end_answer, answer).end
+        return AppendConflict(stream, position_of(era, end))
     if status in _REJECTED_STATUSES:
         return AppendRefused(f'store answered {status}')
     return AppendUncertain(f'store answered {status}')
 
 
+def _require_present(
+    stream: str, offset: int, status: int, answer: bytes, era: int
+) -> None:
+    """Raise an error unless a read from ``offset`` was answered in its era."""
+    if era != era_of(offset):
+        raise RecordsExpired(stream, position_of(era, 0))
+    if status == _GONE:
+        first = _validate(_first_answer, answer).first
+        raise RecordsExpired(stream, position_of(era, first))
+    _require_ok(status)
+
+
+def _require_expected(
+    stream: str, position: int, expected_end: int | None
+) -> None:
+    """Raise ``AppendUncertain`` if the store appended in a new era.
+
+    The record is then behind others than expected.
+    """
+    if expected_end not in {None, position}:
+        raise AppendUncertain(f'{stream} was appended to in a new era')
+
+
 def _require_ok(status: int) -> None:
     if status != _OK:
         raise LogError(f'expected status 200 from the store, found {status}')
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -223,5 +223,11 @@
         async with self._session.post(url, data=content) as response:
             response.raise_for_status()
 
+    async def restore_store(self, age_s: float) -> None:
+        """Let the store come back from a copy that is ``age_s`` old."""
+        url = f'{self.process("store").url}/operator-restore/{age_s}'
+        async with self._session.post(url) as response:
+            response.raise_for_status()
+
     def _endpoint(self, name: str, listener: str) -> str:
         return self.process(name).endpoint(listener)
--- a/mallowspindle/standins/platform_store.py
+++ b/mallowspindle/standins/platform_store.py
@@ -4,11 +4,18 @@
 import asyncio
 import base64
 import struct
+import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
-from aiohttp.web import Application, Request, Response, json_response
+from aiohttp.web import (
+    Application,
+    Request,
+    Response,
+    StreamResponse,
+    json_response,
+)
 
 from mallowspindle.standins.faults import (
     Faults,
@@ -20,6 +27,7 @@
 _LENGTH_PREFIX = struct.Struct('>I')
 _READ_HEADER = struct.Struct('>QQ')
 _MAX_RECORDS = 500
+_KEYED_PREFIX = 'keyed.'
 
 # Offset and content of the newest record by key.
 NewestRecords = dict[str, tuple[int, bytes]]
@@ -40,12 +48,17 @@
 
 
 class StoreStandin:
-    """An in-memory store with conditional appends and keyed topics."""
+    """An in-memory store with conditional appends and keyed topics.
+
+    Without an ``era`` it names none in its answers.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int | None = 1) -> None:
         self._topics: dict[str, Topic] = defaultdict(Topic)
         self._newest: dict[str, NewestRecords] = defaultdict(dict)
         self._faults = Faults()
+        self._era = era
+        self._history: list[tuple[float, str, bytes]] = []
         self._delayed_appends: set[asyncio.Task[None]] = set()
         self._calls = 0
 
@@ -58,9 +71,41 @@
         app.router.add_post('/operator/{topic}/{key}', self._put)
         app.router.add_post('/operator-trim/{topic}', self._trim)
         app.router.add_get('/calls', self._count_calls)
+        app.router.add_post('/operator-restore/{age_s}', self._restore)
         add_fault_routes(app, self._faults)
+        app.on_response_prepare.append(self._add_era)
         return app
 
+    async def _add_era(
+        self, request: Request, response: StreamResponse
+    ) -> None:
+        if self._era is not None:
+            response.headers['Store-Era'] = str(self._era)
+
+    async def _restore(self, request: Request) -> Response:
+        """Come back from a copy that is ``age_s`` old, in a new era."""
+        copied_at_s = time.monotonic() - float(request.match_info['age_s'])
+        kept = [entry for entry in self._history if entry[0] <= copied_at_s]
+        self._topics.clear()
+        self._newest.clear()
+        self._history = kept
+        self._era = (self._era or 0) + 1
+        for _, name, record in kept:
+            self._put_record(name, record)
+        return Response()
+
+    def _put_record(self, name: str, record: bytes) -> None:
+        topic = self._topics[name]
+        topic.records.append(record)
+        if not name.startswith(_KEYED_PREFIX):
+            return
+        key_end = 1 + record[0]
+        key, content = record[1:key_end].decode(), record[key_end:]
+        if content:
+            self._newest[name][key] = (topic.end - 1, content)
+        else:
+            self._newest[name].pop(key, None)
+
     async def _append(self, request: Request) -> Response:
         payload = await request.read()
         self._calls += 1
@@ -88,7 +133,9 @@
             return json_response({'end': topic.end}, status=412)
         offset = topic.end
         async with topic.appended:
-            topic.records.extend(records)
+            for record in records:
+                self._history.append((time.monotonic(), name, record))
+                self._put_record(name, record)
             topic.appended.notify_all()
         return json_response({'offset': offset, 'end': topic.end})
 
@@ -113,7 +160,7 @@
         await _wait_for_append(
             topic, start, int(request.query.get('wait_ms', '0')) / 1000
         )
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return json_response({'first': topic.first}, status=410)
         first_index = start - topic.first
         page = topic.records[first_index : first_index + _MAX_RECORDS]
@@ -148,10 +195,6 @@
         record = bytes([len(key)]) + key.encode() + content
         offset = self._topics[name].end
         await self._store(name, [record], None)
-        if content:
-            self._newest[name][key] = (offset, content)
-        else:
-            self._newest[name].pop(key, None)
         return json_response({'offset': offset})
 
     async def _trim(self, request: Request) -> Response:
