--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -111,9 +111,9 @@
 
         Ejected servers and those that peers report as unreachable are excluded,
         unless no others remain. Servers whose limit leaves no room are always
-        excluded. If several servers have the same address, only
-        the newest is included: a server that dies without notice stays in the
-        catalog for a while.
+        excluded. If several servers have the same address, only the newest is
+        included: a server that dies without notice stays in the catalog for a
+        while.
         """
         serving = [
             view
@@ -156,7 +156,7 @@
     def limit_retry_after_s(self, service_name: str) -> float | None:
         """Return when a request may come back if limits held it back.
 
-        Return None if a server of the service has no limit, or none is left.
+        Return None if the service has no servers, or one without a limit.
         """
         servers = [
             view.server
