Split demand, candidates and reports of reachability from the backends service

Evidence: the tests of backends and of sharing pass unchanged; none is edited. Why it works: the functions are moved as they were, with what they read from the service given as arguments.

--- /dev/null
+++ b/mallowspindle/backends/candidates.py
@@ -0,0 +1,59 @@
+"""Candidates and placements that the placement policy compares."""
+
+from mallowspindle.backends.view import NO_WORK, BackendView
+from mallowspindle.policies.placement import Candidate, Placement
+from mallowspindle.proxy.messages import CallerRequest
+from mallowspindle.sharing.messages import (
+    PrefillDemand,
+    ServerLoad,
+    WorkSum,
+)
+
+_MS = 1000
+
+
+def placement_of(
+    request: CallerRequest, zone: str, unreported_s: float = 0
+) -> Placement:
+    """Return the placement of a request as seen from a node in ``zone``."""
+    shared_tokens = sum(part.tokens for part in request.prompt[:-1])
+    tokens = request.prompt_tokens or 0
+    return Placement(zone, tokens, shared_tokens, unreported_s)
+
+
+def newest_at_each_address(views: list[BackendView]) -> list[BackendView]:
+    """Return the server that started last at each address."""
+    by_start = sorted(views, key=lambda view: view.server.started_at_ms)
+    return list({view.server.address: view for view in by_start}.values())
+
+
+def unreported_s(peers: WorkSum, service_name: str) -> float:
+    """Estimate the prefill time of what peers sent since their last reports."""
+    if not peers.nodes:
+        return 0
+    peer_demand = peers.demands.get(service_name, PrefillDemand(0))
+    return peer_demand.reading_ms / _MS * peers.ages_s / peers.nodes
+
+
+def candidate_of(
+    view: BackendView,
+    peer_loads: dict[str, ServerLoad],
+    cached_tokens: int = 0,
+    *,
+    is_owner: bool = False,
+) -> Candidate:
+    """Return a server as a candidate for placement, work of peers included."""
+    server = view.server
+    own = view.load()
+    peers = peer_loads.get(server.server_id, NO_WORK)
+    return Candidate(
+        server.server_id,
+        server.zone,
+        server.slots,
+        own.running + peers.running,
+        (own.backlog_ms + peers.backlog_ms) / _MS,
+        cached_tokens,
+        is_owner,
+        view.full,
+        server.cold_remaining_s > 0,
+    )
--- /dev/null
+++ b/mallowspindle/backends/reachability.py
@@ -0,0 +1,51 @@
+"""Reports of servers that accept no connections."""
+
+from collections import Counter
+from collections.abc import Container, Mapping
+
+from mallowspindle.backends.view import BackendView
+
+# Number of nodes that must report a server as unreachable before others avoid
+# it. A single node may be disconnected itself.
+_MIN_REPORTERS = 2
+
+
+def reported_unreachable(
+    zones: Mapping[str, Mapping[str, int]], own_zone: str
+) -> set[str]:
+    """Return the servers that enough peers report as unreachable.
+
+    ``zones`` holds the number of reports by zone of the peers and by server.
+    All nodes of another zone may be disconnected from a server that this
+    zone reaches. So another zone counts as one report, however many of its
+    nodes agree; each node of this zone counts.
+    """
+    if not zones:
+        return set()
+    reporters = Counter(name for counts in zones.values() for name in counts)
+    reporters.update(zones.get(own_zone, {}))
+    reporters.subtract(dict.fromkeys(zones.get(own_zone, {}), 1))
+    return {
+        name for name, count in reporters.items() if count >= _MIN_REPORTERS
+    }
+
+
+def own_report(
+    views: Mapping[str, BackendView], registered: Container[str], zone: str
+) -> dict[str, dict[str, int]]:
+    """Return the registered servers that this node reports as unreachable.
+
+    If it finds more servers unreachable than reachable, it reports none,
+    since it may be disconnected itself.
+    """
+    unreachable = [
+        name
+        for name, view in views.items()
+        if view.unreachable and name in registered
+    ]
+    if not unreachable:
+        return {}
+    reachable = sum(view.reachable for view in views.values())
+    if len(unreachable) > reachable:
+        return {}
+    return {zone: dict.fromkeys(unreachable, 1)}
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -2,15 +2,24 @@
 
 import logging
 import time
-from collections import Counter, defaultdict
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
-from functools import partial
 from operator import attrgetter
 from typing import Self
 
+from mallowspindle.backends.candidates import (
+    candidate_of,
+    newest_at_each_address,
+    placement_of,
+    unreported_s,
+)
+from mallowspindle.backends.demand import DemandMeters
 from mallowspindle.backends.limits import ServerLimits
 from mallowspindle.backends.prefixes import PrefixCacheIndex
+from mallowspindle.backends.reachability import (
+    own_report,
+    reported_unreachable,
+)
 from mallowspindle.backends.view import (
     NO_WORK,
     BackendView,
@@ -23,16 +32,11 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.policies.fleet import Demand
 from mallowspindle.policies.placement import (
-    Candidate,
     Placement,
     choose_server,
 )
-from mallowspindle.policies.prefill import prefill_time_s
-from mallowspindle.policies.rates import RateMeter
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.sharing.messages import (
-    PrefillDemand,
-    ServerLoad,
     WorkSum,
 )
 from mallowspindle.sharing.service import SharingService
@@ -46,11 +50,6 @@
 # Prefill time from which a prompt is reported to the peers at once. Otherwise
 # they might send requests behind it, which would be late.
 _SEND_SOON_PREFILL_S = 0.1
-# Span over which the demand is averaged. It covers a few bursts of prompts.
-_DEMAND_SPAN_S = 6.0
-# Number of nodes that must report a server as unreachable before others avoid
-# it. A single node may be disconnected itself.
-_MIN_REPORTERS = 2
 _MS = 1000
 _address_of = attrgetter('server.address')
 
@@ -71,9 +70,7 @@
         self._zone = sharing.membership.own.zone
         self._views: dict[str, BackendView] = {}
         self._limits = ServerLimits(sharing, clock)
-        self._meters: dict[str, RateMeter] = defaultdict(
-            partial(RateMeter, _DEMAND_SPAN_S, clock)
-        )
+        self._demands = DemandMeters(clock)
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
@@ -121,10 +118,12 @@
             if not view.server.draining and view.server.server_id not in avoid
         ]
         if len(set(map(_address_of, serving))) < len(serving):
-            serving = _newest_at_each_address(serving)
+            serving = newest_at_each_address(serving)
         serving = self._limits.with_room(serving)
         healthy = [view for view in serving if not view.ejected]
-        suspects = self._reported_unreachable()
+        suspects = reported_unreachable(
+            self._sharing.peer_work().unreachable, self._zone
+        )
         if suspects:
             trusted = [
                 view
@@ -179,8 +178,10 @@
         The attempt counts against the limit of the server at once.
         """
         usable = self.usable(service_name, avoid)
-        unreported_s = _unreported_s(self._sharing.peer_work(), service_name)
-        placement = self._placement(request, self._zone, unreported_s)
+        peers = self._sharing.peer_work()
+        placement = placement_of(
+            request, self._zone, unreported_s(peers, service_name)
+        )
         return self._pick_from(usable, request, placement)
 
     def pick_copy_keeper(
@@ -197,41 +198,22 @@
             return None
         peer_loads = self._sharing.peer_work().loads
         chosen = choose_server(
-            [_candidate(view, peer_loads) for view in usable],
-            self._placement(request, running.server.zone),
+            [candidate_of(view, peer_loads) for view in usable],
+            placement_of(request, running.server.zone),
             'copy_keeper',
         )
         return self._views[chosen.server_id]
 
     def note_demand(self, service_name: str, request: CallerRequest) -> None:
         """Add a request to the demand for a service, whether served or not."""
-        cached = 0
-        if request.prompt:
-            views = self.views(service_name)
-            cached = max(
-                (
-                    view.prefix_cache.cached_tokens(request.prompt)
-                    for view in views
-                ),
-                default=0,
-            )
-        prefill_s = prefill_time_s(request.prompt_tokens or 0, cached)
-        self._meters[service_name].note(prefill_s)
+        views = self.views(service_name) if request.prompt else []
+        self._demands.note(service_name, views, request)
 
     def demand(self, service_name: str) -> Demand:
         """Return the demand for a service, over all nodes."""
         peers = self._sharing.peer_work()
-        peer_demand = peers.demands.get(service_name, PrefillDemand(0))
-        own_prefill_load = self._meters[service_name].rate_per_s()
-        views = self.views(service_name)
-        running = sum(
-            view.load().running
-            + peers.loads.get(view.server.server_id, NO_WORK).running
-            for view in views
-        )
-        slots = min((view.server.slots for view in views), default=1)
-        return Demand(
-            own_prefill_load + peer_demand.reading_ms / _MS, running, slots
+        return self._demands.total(
+            service_name, self.views(service_name), peers
         )
 
     @contextmanager
@@ -259,7 +241,7 @@
         owners = self._prefix_owners(usable, request)
         chosen = choose_server(
             [
-                _candidate(
+                candidate_of(
                     view,
                     peer_loads,
                     view.prefix_cache.cached_tokens(request.prompt),
@@ -283,50 +265,6 @@
         server_ids = [view.server.server_id for view in usable]
         return rendezvous_order(key, server_ids)[:_OWNERS_PER_PREFIX]
 
-    def _reported_unreachable(self) -> set[str]:
-        """Return the servers that enough peers report as unreachable.
-
-        All nodes of another zone may be disconnected from a server that this
-        zone reaches. So another zone counts as one report, however many of its
-        nodes agree; each node of this zone counts.
-        """
-        zones = self._sharing.peer_work().unreachable
-        if not zones:
-            return set()
-        reporters = Counter(
-            name for counts in zones.values() for name in counts
-        )
-        reporters.update(zones.get(self._zone, {}))
-        reporters.subtract(dict.fromkeys(zones.get(self._zone, {}), 1))
-        return {
-            name for name, count in reporters.items() if count >= _MIN_REPORTERS
-        }
-
-    def _own_unreachable(self) -> dict[str, dict[str, int]]:
-        """Return the servers that this node reports as unreachable.
-
-        If it finds more servers unreachable than reachable, it reports none,
-        since it may be disconnected itself.
-        """
-        unreachable = [
-            name
-            for name, view in self._views.items()
-            if view.unreachable and name in self._catalog.servers
-        ]
-        if not unreachable:
-            return {}
-        reachable = sum(view.reachable for view in self._views.values())
-        if len(unreachable) > reachable:
-            return {}
-        return {self._zone: dict.fromkeys(unreachable, 1)}
-
-    def _placement(
-        self, request: CallerRequest, zone: str, unreported_s: float = 0
-    ) -> Placement:
-        shared_tokens = sum(part.tokens for part in request.prompt[:-1])
-        tokens = request.prompt_tokens or 0
-        return Placement(zone, tokens, shared_tokens, unreported_s)
-
     def _own_work(self) -> WorkSum:
         return WorkSum(
             loads={
@@ -334,11 +272,10 @@
                 for view in self._views.values()
                 if view.in_flight
             },
-            demands={
-                name: PrefillDemand(int(meter.rate_per_s() * _MS))
-                for name, meter in self._meters.items()
-            },
-            unreachable=self._own_unreachable(),
+            demands=self._demands.own(),
+            unreachable=own_report(
+                self._views, self._catalog.servers, self._zone
+            ),
         )
 
     def _view_of(self, server: BackendServer) -> BackendView:
@@ -368,39 +305,3 @@
         configuration = self._catalog.configuration
         spec = configuration and configuration.services.get(server.service)
         return spec.engine.cache_tokens if spec and spec.engine else 0
-
-
-def _newest_at_each_address(views: list[BackendView]) -> list[BackendView]:
-    by_start = sorted(views, key=lambda view: view.server.started_at_ms)
-    return list({view.server.address: view for view in by_start}.values())
-
-
-def _unreported_s(peers: WorkSum, service_name: str) -> float:
-    """Estimate the prefill time of what peers sent since their last reports."""
-    if not peers.nodes:
-        return 0
-    peer_demand = peers.demands.get(service_name, PrefillDemand(0))
-    return peer_demand.reading_ms / _MS * peers.ages_s / peers.nodes
-
-
-def _candidate(
-    view: BackendView,
-    peer_loads: dict[str, ServerLoad],
-    cached_tokens: int = 0,
-    *,
-    is_owner: bool = False,
-) -> Candidate:
-    server = view.server
-    own = view.load()
-    peers = peer_loads.get(server.server_id, NO_WORK)
-    return Candidate(
-        server.server_id,
-        server.zone,
-        server.slots,
-        own.running + peers.running,
-        (own.backlog_ms + peers.backlog_ms) / _MS,
-        cached_tokens,
-        is_owner,
-        view.full,
-        server.cold_remaining_s > 0,
-    )
