Split the relay of responses from the exchange

What they do is unchanged: the methods are moved as they were, and the constant that both use stands with the outcomes.

Evidence: the 82 tests of proxy and gateway pass unchanged; none is edited.

--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -10,7 +10,6 @@
 
 from mallowspindle.backends.view import (
     BackendView,
-    InFlightRequest,
     Pick,
     Relocation,
 )
@@ -23,17 +22,16 @@
 from mallowspindle.policies.copies import is_worth_copying
 from mallowspindle.policies.splitting import choose_service
 from mallowspindle.proxy import replies
-from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.errors import CallerDisconnected
-from mallowspindle.proxy.events import EventSplitter, OutOfOrder
+from mallowspindle.proxy.events import EventSplitter
 from mallowspindle.proxy.messages import (
     CallerRequest,
     Dispatch,
     MovedRun,
-    ResponseHead,
 )
 from mallowspindle.proxy.outcomes import (
+    UNAVAILABLE_RETRY_AFTER_S,
     Answered,
     AttemptOutcome,
     Diverged,
@@ -41,13 +39,11 @@
     Unreachable,
 )
 from mallowspindle.proxy.records import ExchangeLog
+from mallowspindle.proxy.relaying import ResponseRelay
 from mallowspindle.proxy.upstream import SendState
 from mallowspindle.utils.telemetry import meter
 
-_OK = 200
 _SERVER_ERROR = 500
-# Retry-After if servers are full or unreachable: how long they usually stay so.
-_UNAVAILABLE_RETRY_AFTER_S = 0.4
 # Part of the caller's timeout reserved for sending the response back.
 _RESPONSE_RESERVE_S = 0.02
 # With less time left, a retry is not worth the capacity that it takes.
@@ -80,15 +76,20 @@
             limit_s = min(limit_s, patience_s - _RESPONSE_RESERVE_S)
         self._deadline_s = began_at_s + limit_s
         self._service = choose_service(route.shares)
-        self._response: StreamResponse | None = None
         self._splitter = EventSplitter(request.last_event_id)
+        self._relay = ResponseRelay(
+            context, web_request, request, route, organisation, self._splitter
+        )
         self._log = ExchangeLog(request, route, began_at_s, self._splitter)
         self._tried_servers: set[str] = set()
         self._run_count = 0
-        self._usage_counted = False
         self._last_server_error: Answered | None = None
         self._relocation: Relocation | None = None
 
+    @property
+    def _response(self) -> StreamResponse | None:
+        return self._relay.response
+
     async def run(self, body: bytes) -> StreamResponse:
         """Return the response for the caller; a stream is already sent."""
         self._context.retry_budgets.note_request(self._service)
@@ -147,7 +148,7 @@
         backends = self._context.backends
         if moved.claimed or backends.claim(moved.target):
             return await self._attempt(moved.target, body, moved.run)
-        return NotRun('the server is at its limit', _UNAVAILABLE_RETRY_AFTER_S)
+        return NotRun('the server is at its limit', UNAVAILABLE_RETRY_AFTER_S)
 
     async def _attempt(
         self, view: BackendView, body: bytes, continues: MovedRun | None = None
@@ -164,7 +165,7 @@
                 async with self._context.upstream.send(
                     request.method, url, headers, body, send_state
                 ) as answer:
-                    outcome = await self._receive(answer, view, in_flight)
+                    outcome = await self._relay.receive(answer, view, in_flight)
             except (ClientError, OSError, TimeoutError) as error:
                 if self._deadline_passed():
                     raise TimeoutError from error
@@ -232,86 +233,7 @@
         reason = f'{type(error).__name__}: {error}'
         if send_state.sent:
             return Unknown(reason)
-        return Unreachable(reason, _UNAVAILABLE_RETRY_AFTER_S)
-
-    async def _receive(
-        self,
-        answer: MatchedResponse,
-        view: BackendView,
-        in_flight: InFlightRequest,
-    ) -> AttemptOutcome:
-        head = self._context.http_codec.decode_response_head(
-            answer.status, answer.headers
-        )
-        if head.request_id != self._request.request_id:
-            answer.close()
-            return Unknown(f'answer to another request: {head.request_id}')
-        if not head.misdirected:
-            self._context.backends.record_limit(view, head.limit_per_s)
-        if head.not_run:
-            await answer.read()
-            kind = Unreachable if head.misdirected else NotRun
-            return kind(
-                f'server answered {head.status}', _UNAVAILABLE_RETRY_AFTER_S
-            )
-        if head.status == _OK and self._route.kind is RouteKind.STREAM:
-            return await self._relay(answer, head, in_flight)
-        self._count_usage()
-        body = await answer.read()
-        if answer.truncated:
-            return Unknown('the connection was reset within the answer')
-        return Answered(head, body)
-
-    async def _relay(
-        self,
-        answer: MatchedResponse,
-        head: ResponseHead,
-        in_flight: InFlightRequest,
-    ) -> AttemptOutcome:
-        """Forward complete events to the caller as they arrive."""
-        async for chunk in answer.content.iter_any():
-            in_flight.note_first_event()
-            self._count_usage()
-            try:
-                events = self._splitter.feed(chunk)
-            except OutOfOrder as error:
-                answer.close()
-                return Diverged(str(error))
-            if events:
-                await self._write(head, events)
-        if answer.truncated or await self._ended_early(answer, in_flight):
-            return Unknown('the connection ended within the stream')
-        await self._write(head, self._splitter.pending)
-        return Relayed()
-
-    async def _ended_early(
-        self, answer: MatchedResponse, in_flight: InFlightRequest
-    ) -> bool:
-        """Return whether an unframed response ended before its run did."""
-        if answer.framed:
-            return False
-        return (
-            bool(self._splitter.pending.strip())
-            or await in_flight.was_stopped_for_move()
-        )
-
-    async def _write(self, head: ResponseHead, events: bytes) -> None:
-        """Send events to the caller; the first ones start the response."""
-        try:
-            if self._response is None:
-                response = replies.stream(head)
-                await response.prepare(self._web_request)
-                self._response = response
-            if events:
-                await self._response.write(events)
-        except OSError as error:
-            raise CallerDisconnected from error
-
-    def _count_usage(self) -> None:
-        if self._usage_counted or self._organisation is None:
-            return
-        self._usage_counted = True
-        self._context.usage.count_request(self._organisation.name)
+        return Unreachable(reason, UNAVAILABLE_RETRY_AFTER_S)
 
     def _record_outcome(
         self, view: BackendView, outcome: AttemptOutcome, attempt_number: int
@@ -326,7 +248,7 @@
                 if isinstance(outcome, Unreachable):
                     self._context.backends.record_unreachable(view)
                 else:
-                    view.record_full(_UNAVAILABLE_RETRY_AFTER_S)
+                    view.record_full(UNAVAILABLE_RETRY_AFTER_S)
                 log_outcome('attempt not run', reason=reason)
             case Unknown() if self._relocation is not None:
                 log_outcome(
@@ -382,7 +304,7 @@
         return refusal_retry_after_s(queue)
 
     def _refuse(
-        self, reason: str, retry_after_s: float = _UNAVAILABLE_RETRY_AFTER_S
+        self, reason: str, retry_after_s: float = UNAVAILABLE_RETRY_AFTER_S
     ) -> StreamResponse:
         """End a request that no server accepted.
 
@@ -407,7 +329,7 @@
         if self._tried_servers or self._response is not None:
             return self._fail(replies.timed_out())
         self._log_end('refused', 'no time was left')
-        return replies.refusal(_UNAVAILABLE_RETRY_AFTER_S)
+        return replies.refusal(UNAVAILABLE_RETRY_AFTER_S)
 
     def _fail(self, response: Response) -> StreamResponse:
         """End a request with an unknown outcome, or cut a started response.
--- a/mallowspindle/proxy/outcomes.py
+++ b/mallowspindle/proxy/outcomes.py
@@ -5,6 +5,9 @@
 from mallowspindle.outcomes import NotRun, Unknown
 from mallowspindle.proxy.messages import ResponseHead
 
+# Retry-After if servers are full or unreachable: how long they usually stay so.
+UNAVAILABLE_RETRY_AFTER_S = 0.4
+
 
 @dataclass(frozen=True, slots=True)
 class Answered:
--- /dev/null
+++ b/mallowspindle/proxy/relaying.py
@@ -0,0 +1,133 @@
+"""Receives the responses of servers and forwards streams to the caller."""
+
+from aiohttp.web import BaseRequest, StreamResponse
+
+from mallowspindle.backends.view import BackendView, InFlightRequest
+from mallowspindle.catalog.configuration import Organisation, Route, RouteKind
+from mallowspindle.outcomes import NotRun, Unknown
+from mallowspindle.proxy import replies
+from mallowspindle.proxy.connections import MatchedResponse
+from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.errors import CallerDisconnected
+from mallowspindle.proxy.events import EventSplitter, OutOfOrder
+from mallowspindle.proxy.messages import CallerRequest, ResponseHead
+from mallowspindle.proxy.outcomes import (
+    UNAVAILABLE_RETRY_AFTER_S,
+    Answered,
+    AttemptOutcome,
+    Diverged,
+    Relayed,
+    Unreachable,
+)
+
+_OK = 200
+
+
+class ResponseRelay:
+    """The response to one caller, from all attempts at servers."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        web_request: BaseRequest,
+        request: CallerRequest,
+        route: Route,
+        organisation: Organisation | None,
+        splitter: EventSplitter,
+    ) -> None:
+        self._context = context
+        self._web_request = web_request
+        self._request = request
+        self._route = route
+        self._organisation = organisation
+        self._splitter = splitter
+        self._response: StreamResponse | None = None
+        self._usage_counted = False
+
+    @property
+    def response(self) -> StreamResponse | None:
+        """The stream to the caller; None until it has begun."""
+        return self._response
+
+    async def receive(
+        self,
+        answer: MatchedResponse,
+        view: BackendView,
+        in_flight: InFlightRequest,
+    ) -> AttemptOutcome:
+        """Return the outcome of an attempt; events of streams are forwarded.
+
+        Raise ``CallerDisconnected`` if the caller has left.
+        """
+        head = self._context.http_codec.decode_response_head(
+            answer.status, answer.headers
+        )
+        if head.request_id != self._request.request_id:
+            answer.close()
+            return Unknown(f'answer to another request: {head.request_id}')
+        if not head.misdirected:
+            self._context.backends.record_limit(view, head.limit_per_s)
+        if head.not_run:
+            await answer.read()
+            kind = Unreachable if head.misdirected else NotRun
+            return kind(
+                f'server answered {head.status}', UNAVAILABLE_RETRY_AFTER_S
+            )
+        if head.status == _OK and self._route.kind is RouteKind.STREAM:
+            return await self._relay(answer, head, in_flight)
+        self._count_usage()
+        body = await answer.read()
+        if answer.truncated:
+            return Unknown('the connection was reset within the answer')
+        return Answered(head, body)
+
+    async def _relay(
+        self,
+        answer: MatchedResponse,
+        head: ResponseHead,
+        in_flight: InFlightRequest,
+    ) -> AttemptOutcome:
+        """Forward complete events to the caller as they arrive."""
+        async for chunk in answer.content.iter_any():
+            in_flight.note_first_event()
+            self._count_usage()
+            try:
+                events = self._splitter.feed(chunk)
+            except OutOfOrder as error:
+                answer.close()
+                return Diverged(str(error))
+            if events:
+                await self._write(head, events)
+        if answer.truncated or await self._ended_early(answer, in_flight):
+            return Unknown('the connection ended within the stream')
+        await self._write(head, self._splitter.pending)
+        return Relayed()
+
+    async def _ended_early(
+        self, answer: MatchedResponse, in_flight: InFlightRequest
+    ) -> bool:
+        """Return whether an unframed response ended before its run did."""
+        if answer.framed:
+            return False
+        return (
+            bool(self._splitter.pending.strip())
+            or await in_flight.was_stopped_for_move()
+        )
+
+    async def _write(self, head: ResponseHead, events: bytes) -> None:
+        """Send events to the caller; the first ones start the response."""
+        try:
+            if self._response is None:
+                response = replies.stream(head)
+                await response.prepare(self._web_request)
+                self._response = response
+            if events:
+                await self._response.write(events)
+        except OSError as error:
+            raise CallerDisconnected from error
+
+    def _count_usage(self) -> None:
+        if self._usage_counted or self._organisation is None:
+            return
+        self._usage_counted = True
+        self._context.usage.count_request(self._organisation.name)
