Keep the known limit of a server if a response has an unreadable one

What operators would see: a server in need that once sends a malformed limit gets its full share of requests again, though it has not lifted the limit.

Cause: a malformed limit was decoded like an absent one, which ends the limit. A response now states a limit, states that there is none, or says nothing that can be read; only the first two change what is known.

Evidence: gateway/test_limits.py::test_unreadable_limit_does_not_lift_the_known_one fails with the former decoding and passes now. The codec's test checks the same inputs, and tells malformed from absent besides. The log line now says what was expected, what was found, and at which server and request.

--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -15,6 +15,7 @@
     MovedRun,
     PromptPart,
     ResponseHead,
+    StatedLimit,
 )
 
 log = logging.getLogger(__name__)
@@ -135,7 +136,7 @@
             ),
             running=running,
             waiting=waiting,
-            limit_per_s=_decode_limit(headers.get('Server-Limit')),
+            limit=_decode_limit(headers),
         )
 
     def decode_zone(self, query: Mapping[str, str]) -> str | None:
@@ -220,15 +221,24 @@
     return int(running), int(waiting)
 
 
-def _decode_limit(text: str | None) -> float | None:
-    """Return a limit in requests per second; None if absent or malformed."""
+def _decode_limit(headers: Mapping[str, str]) -> StatedLimit | None:
+    """Return the stated limit; None if it is malformed."""
+    text = headers.get('Server-Limit')
     if text is None:
-        return None
+        return StatedLimit(None)
     try:
         limit_per_s = float(text)
     except ValueError:
         limit_per_s = math.nan
     if math.isfinite(limit_per_s) and limit_per_s >= 0:
-        return limit_per_s
-    log.warning('unreadable limit of a backend server', extra={'text': text})
+        return StatedLimit(limit_per_s)
+    log.warning(
+        'limit of a backend server ignored',
+        extra={
+            'expected': 'requests per second, 0 or more',
+            'found': text,
+            'server': headers.get('Instance-Id'),
+            'request': headers.get('Request-Id'),
+        },
+    )
     return None
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -83,15 +83,25 @@
     copy_keeper: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """What a response states of its server's limit.
+
+    ``per_s`` is the number of requests per second that the server accepts from
+    all nodes together; None if it accepts any number.
+    """
+
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a server's response.
 
     ``not_run`` is true only if the server states that the request has not
     run. ``misdirected`` means that another server has the address.
-    ``headers`` are the headers to forward. ``limit_per_s`` is the number of
-    requests per second that the server accepts from all nodes together; None
-    if it states no limit.
+    ``headers`` are the headers to forward. ``limit`` is None if the response
+    does not tell whether the server has a limit.
     """
 
     status: int
@@ -101,4 +111,4 @@
     headers: CIMultiDict[str]
     running: int | None = None
     waiting: int | None = None
-    limit_per_s: float | None = None
+    limit: StatedLimit | None = None
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -65,8 +65,8 @@
         if head.request_id != self._request.request_id:
             answer.close()
             return Unknown(f'answer to another request: {head.request_id}')
-        if not head.misdirected:
-            self._context.backends.record_limit(view, head.limit_per_s)
+        if head.limit is not None and not head.misdirected:
+            self._context.backends.record_limit(view, head.limit.per_s)
         if head.not_run:
             await answer.read()
             kind = Unreachable if head.misdirected else NotRun
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -34,7 +34,7 @@
     no_room_at_last: int = 0
     forgets: int = 0
     skips: int = 0
-    limit_per_s: float | None = None
+    limit_per_s: float | str | None = None
 
     def consume(self, name: str) -> bool:
         """Use up one of the counted faults; return False if none remains."""
--- a/mallowspindle/tests/gateway/test_limits.py
+++ b/mallowspindle/tests/gateway/test_limits.py
@@ -36,6 +36,26 @@
     await venture.wait_until(partial(is_stated, 2.5, None))
 
 
+async def test_unreadable_limit_does_not_lift_the_known_one(
+    venture: GatewayVenture,
+) -> None:
+    for name in ('shop-1', 'shop-2'):
+        await venture.set_faults(name, limit_per_s=2.5)
+
+    async def has_line(message: str) -> bool:
+        await venture.call('entry-1', 'POST', '/orders/x', 'r1')
+        return bool(venture.log_lines('entry-1', message))
+
+    await venture.wait_until(partial(has_line, _MESSAGE))
+    for name in ('shop-1', 'shop-2'):
+        await venture.set_faults(name, limit_per_s='many')
+    ignored = 'limit of a backend server ignored'
+    await venture.wait_until(partial(has_line, ignored))
+    lines = venture.log_lines('entry-1', _MESSAGE)
+    assert {line['limit_per_s'] for line in lines} == {2.5}
+    assert venture.log_lines('entry-1', ignored)[0]['found'] == 'many'
+
+
 async def test_limited_server_gets_no_more_than_it_accepts_from_all_nodes(
     venture: GatewayVenture,
 ) -> None:
--- a/mallowspindle/tests/platform/test_codec.py
+++ b/mallowspindle/tests/platform/test_codec.py
@@ -5,7 +5,7 @@
 
 from mallowspindle.platform.codec import PlatformHttpCodec
 from mallowspindle.proxy.errors import BadRequest
-from mallowspindle.proxy.messages import Dispatch, PromptPart
+from mallowspindle.proxy.messages import Dispatch, PromptPart, StatedLimit
 
 CODEC = PlatformHttpCodec()
 REQUIRED_HEADERS = {'Host': 'shop.example', 'Request-Id': 'r1'}
@@ -110,20 +110,21 @@
 
 
 @pytest.mark.parametrize(
-    ('text', 'limit_per_s'),
+    ('text', 'limit'),
     [
-        ('2.5', 2.5),
-        ('0', 0),
+        ('2.5', StatedLimit(2.5)),
+        ('0', StatedLimit(0)),
         ('-1', None),
         ('nan', None),
         ('inf', None),
         ('many', None),
     ],
 )
-def test_server_limit_is_decoded(text: str, limit_per_s: float | None) -> None:
+def test_server_limit_is_decoded(text: str, limit: StatedLimit | None) -> None:
     head = CODEC.decode_response_head(200, _headers(Server_Limit=text))
-    assert head.limit_per_s == limit_per_s
+    assert head.limit == limit
 
 
-def test_server_without_limit_states_none() -> None:
-    assert CODEC.decode_response_head(200, _headers()).limit_per_s is None
+def test_server_without_limit_states_that_there_is_none() -> None:
+    head = CODEC.decode_response_head(200, _headers())
+    assert head.limit == StatedLimit(None)
