Report an append whose answer has an unusable era as uncertain

What the holder of the duties would see: an append that the store may have made ended with a general error of the log, against the contract of Log.append, which tells refused from uncertain.

Cause: the check of the era raises while the answer is read, and the append translated the errors of HTTP only. The errors of the era now also say what was expected and what was found.

Evidence: platform/test_store.py::test_an_append_answered_in_a_former_era_is_uncertain fails on the commit before and passes now.

--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -129,9 +129,9 @@
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise AppendRefused(f'store unreachable: {error}') from error
-        except (ClientError, TimeoutError) as error:
+        except (ClientError, LogError, TimeoutError) as error:
             raise AppendUncertain(
-                f'no answer to an append: {error!r}'
+                f'no usable answer to an append to {stream}: {error!r}'
             ) from error
         if status != _OK:
             raise _append_error(stream, status, answer, era)
@@ -168,7 +168,10 @@
             records.extend(_decode_item(item, era) for item in page.items)
             end_offsets.append(position_of(era, page.end))
             if era != era_of(end_offsets[0]):
-                raise LogError(f'{stream} changed its era between two pages')
+                raise LogError(
+                    f'expected all pages of {stream} in era '
+                    f'{era_of(end_offsets[0])}, found one in era {era}'
+                )
             if not page.has_more or not page.items:
                 # The pages are not one snapshot. The caller reads on from the
                 # end offset of the first page, and so sees the changes that
@@ -220,10 +223,15 @@
         if text is None:
             return self._era
         if not text.isdecimal():
-            raise LogError(f'unreadable era of the store: {text!r}')
+            raise LogError(
+                f'expected a whole number in {_ERA_HEADER}, found {text!r}'
+            )
         era = int(text)
         if era < self._era:
-            raise LogError(f'answer of the former era {era} of the store')
+            raise LogError(
+                f'expected an answer of the store of era {self._era} or later, '
+                f'found era {era}'
+            )
         if era > self._era:
             log.info(
                 'the store is in a new era',
@@ -307,7 +315,10 @@
     The record is then behind others than expected.
     """
     if expected_end not in {None, position}:
-        raise AppendUncertain(f'{stream} was appended to in a new era')
+        raise AppendUncertain(
+            f'expected the record at position {expected_end} of {stream}, '
+            f'found it at {position}'
+        )
 
 
 def _require_ok(status: int) -> None:
--- a/mallowspindle/tests/platform/test_store.py
+++ b/mallowspindle/tests/platform/test_store.py
@@ -139,6 +139,16 @@
         log._note_era('new')  # noqa: SLF001
 
 
+async def test_an_append_answered_in_a_former_era_is_uncertain(
+    store: Store,
+) -> None:
+    """The store may have appended the record before it came back."""
+    log = store.log()
+    log._note_era('99')  # noqa: SLF001
+    with pytest.raises(AppendUncertain):
+        await log.append('topic', [b'1'])
+
+
 async def test_a_store_without_eras_counts_offsets_as_before() -> None:
     server = TestServer(StoreStandin(None).app())
     async with server, ClientSession() as session:
