Name shares of limits and restored entries by what they are

A reader who joins today meets turns, places and leftovers that stand for a node's share of a limit, its stagger, and entries of removed servers in a restored store. They carry these names now; the position of a restored entry that is not read yet is None, not -1.

--- a/mallowspindle/backends/limits.py
+++ b/mallowspindle/backends/limits.py
@@ -33,7 +33,7 @@
 _ENDED_RETENTION_S = 30.0
 # For how long the choice of the nodes that use a limited server is kept. It is
 # short compared to the time in which members notice that one is lost.
-_TURN_VALIDITY_S = 0.25
+_SHARE_VALIDITY_S = 0.25
 # Pause before a limited server is used again. When it first states its limit,
 # it has just got more than that, and the limit counts in windows of seconds.
 _FIRST_PAUSE_S = 2.0
@@ -52,8 +52,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Turn:
-    """How this node uses a limited server; without a pace, others use it.
+class _Share:
+    """This node's share of a limit; without a pace, other nodes use it all.
 
     It may send from ``begins_at_s`` on.
     """
@@ -67,7 +67,7 @@
         """Return whether it was chosen lately and for the same limit."""
         return (
             limit_per_s == self.limit_per_s
-            and now_s - self.chosen_at_s <= _TURN_VALIDITY_S
+            and now_s - self.chosen_at_s <= _SHARE_VALIDITY_S
         )
 
 
@@ -88,7 +88,7 @@
         self._own: dict[str, _Statement] = {}
         self._known: dict[str, _Statement] = {}
         self._merged: WorkSum | None = None
-        self._turns: dict[str, _Turn] = {}
+        self._shares: dict[str, _Share] = {}
         self._sent_at_s: dict[str, deque[float]] = defaultdict(
             partial(deque, maxlen=MAX_COUNT)
         )
@@ -103,7 +103,7 @@
         tables: tuple[dict[str, Any], ...] = (
             self._own,
             self._known,
-            self._turns,
+            self._shares,
             self._sent_at_s,
         )
         for table in tables:
@@ -138,18 +138,18 @@
         """
         limit_per_s = self.limit_per_s(server)
         if limit_per_s is None:
-            self._turns.pop(server.server_id, None)
+            self._shares.pop(server.server_id, None)
             return 0
         now_s = self._clock()
-        turn = self._turns.get(server.server_id)
-        if turn is None or not turn.is_valid(limit_per_s, now_s):
-            turn = self._next_turn(server.server_id, limit_per_s)
-            self._turns[server.server_id] = turn
-        if turn.pace is None:
+        share = self._shares.get(server.server_id)
+        if share is None or not share.is_valid(limit_per_s, now_s):
+            share = self._choose_share(server.server_id, limit_per_s)
+            self._shares[server.server_id] = share
+        if share.pace is None:
             return math.inf
         return max(
-            turn.begins_at_s - now_s,
-            turn.pace.wait_s(self._sent_at_s[server.server_id], now_s),
+            share.begins_at_s - now_s,
+            share.pace.wait_s(self._sent_at_s[server.server_id], now_s),
         )
 
     def with_room(self, views: list[BackendView]) -> list[BackendView]:
@@ -172,7 +172,7 @@
         wait_s = min([*waits_s, 1 / total_per_s])
         return max(_MIN_RETRY_AFTER_S, wait_s)
 
-    def _next_turn(self, server_id: str, limit_per_s: float) -> _Turn:
+    def _choose_share(self, server_id: str, limit_per_s: float) -> _Share:
         """Return how this node uses a limited server from now on.
 
         A node that begins to use it waits for its place in the order, so that
@@ -184,13 +184,15 @@
         order = rendezvous_order(f'limit {server_id}', names)[:senders]
         own_name = self._sharing.membership.own.name
         if own_name not in order:
-            return _Turn(limit_per_s, now_s)
+            return _Share(limit_per_s, now_s)
         pace = pace_of_sender(limit_per_s, senders)
-        former = self._turns.get(server_id)
+        former = self._shares.get(server_id)
         if former is not None and former.pace is not None:
-            return _Turn(limit_per_s, now_s, pace, former.begins_at_s)
-        place_s = order.index(own_name) / senders * pace.span_s
-        return _Turn(limit_per_s, now_s, pace, now_s + _FIRST_PAUSE_S + place_s)
+            return _Share(limit_per_s, now_s, pace, former.begins_at_s)
+        stagger_s = order.index(own_name) / senders * pace.span_s
+        return _Share(
+            limit_per_s, now_s, pace, now_s + _FIRST_PAUSE_S + stagger_s
+        )
 
     def _staying_names(self) -> list[str]:
         members = [self._sharing.membership.own, *self._sharing.peers()]
--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -82,8 +82,9 @@
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
         self._removed: dict[str, int] = {}
-        # Position of an entry that may be a leftover in a restored log.
-        self._leftovers: dict[str, int] = {}
+        # Removed servers that may have an entry in a restored log. The position
+        # of that entry is None until it is read.
+        self._restored_entries: dict[str, int | None] = {}
 
     @property
     def servers(self) -> dict[str, BackendServer]:
@@ -102,7 +103,7 @@
         """
         self.note_outage()
         absent = self._removed.keys() - self._servers.keys()
-        self._leftovers = dict.fromkeys(absent, -1)
+        self._restored_entries = dict.fromkeys(absent)
 
     def expire_lapsed(self) -> None:
         """Remove the servers that did not register again in time."""
@@ -125,7 +126,7 @@
         except UnusableRecord as error:
             log.warning('server entry ignored', extra={'error': str(error)})
             return self._remove(record.key)
-        if self._is_leftover(decoded, record.offset):
+        if self._is_restored_entry(decoded, record.offset):
             return False
         returned = self._lapsed.pop(record.key, None) is not None
         known = self._servers.get(record.key)
@@ -164,16 +165,16 @@
             return True
         return self._remove(server_id)
 
-    def _is_leftover(self, server: BackendServer, position: int) -> bool:
-        """Return whether a removed server's entry was not written again."""
-        first_seen = self._leftovers.get(server.server_id)
-        if first_seen is None:
+    def _is_restored_entry(self, server: BackendServer, position: int) -> bool:
+        """Return whether an entry is of a removed server, from the copy."""
+        server_id = server.server_id
+        if server_id not in self._restored_entries:
             return False
-        if self._removed.get(server.server_id) != server.started_at_ms:
+        if self._removed.get(server_id) != server.started_at_ms:
             return False
-        if first_seen < 0:
-            self._leftovers[server.server_id] = position
-        return first_seen < 0 or position <= first_seen
+        if self._restored_entries[server_id] is None:
+            self._restored_entries[server_id] = position
+        return position == self._restored_entries[server_id]
 
     def _remove(self, server_id: str) -> bool:
         removed = self._servers.pop(server_id, None)
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -193,7 +193,7 @@
             time.time() - delay_s
         )
         for window, counts in ended_windows.items():
-            if window in logged or self._may_be_lost(window):
+            if window in logged or self._may_have_lost_report(window):
                 continue
             record = UsageReport(tenure.fencing_number, window, counts)
             if await self._lease.append(record):
@@ -201,7 +201,7 @@
                     'usage logged', extra={'window': window, 'counts': counts}
                 )
 
-    def _may_be_lost(self, window: int) -> bool:
+    def _may_have_lost_report(self, window: int) -> bool:
         """Return whether the log may have lost a report of the window.
 
         A former holder may have sent it, and other counts must not follow.
--- a/mallowspindle/policies/quota.py
+++ b/mallowspindle/policies/quota.py
@@ -222,12 +222,12 @@
         self._updated_at_s = clock() - lag_s
 
     def take(
-        self, cost: float, known_rate_per_s: float, room: float, floor: float
+        self, cost: float, known_rate_per_s: float, room: float, minimum: float
     ) -> bool:
         """Take ``cost``; return False if there is not enough credit.
 
         The others expect this node to go on at ``known_rate_per_s``, and leave
-        it ``room`` beyond that. Up to ``floor`` is kept even without room. A
+        it ``room`` beyond that. Up to ``minimum`` is kept even without room. A
         cost beyond the credit is lent, and paid back by later growth: a request
         can't be divided.
         """
@@ -236,7 +236,7 @@
         self._updated_at_s = now_s
         growth_per_s = known_rate_per_s + max(0, room) / self._lag_s
         grown = self._credit + growth_per_s * elapsed_s
-        self._credit = min(grown, max(room, floor))
+        self._credit = min(grown, max(room, minimum))
         if self._credit <= 0:
             return False
         self._credit -= cost
--- a/mallowspindle/tests/gateway/test_limits.py
+++ b/mallowspindle/tests/gateway/test_limits.py
@@ -59,7 +59,7 @@
 async def test_limited_server_gets_no_more_than_it_accepts_from_all_nodes(
     venture: GatewayVenture,
 ) -> None:
-    """Guards against nodes that ignore a limit or each use all of it (inc1)."""
+    """Guards against nodes that ignore a limit or each use all of it."""
     limit_per_s = 1.0
     await asyncio.gather(
         venture.start_gateway('entry-3'), venture.start_gateway('entry-4', 'b')
