Log the prompt of requests that are lost before their first event

The new line has the shared parts of the prompt, 16 at most, and whether the response had begun. It is capped like every kind of line. No decision changes.

--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -35,6 +35,8 @@
 
     ``prefill_s`` is the expected prefill time, and 0 after the first event.
     ``prefill_starts_at_s`` is when the server should start the prefill.
+    ``responding`` is set when the head of the response arrives and
+    ``streaming`` when the first event does.
     ``move`` is set when a move of the run to another server begins. Its result
     is None if the run was not stopped; it is cancelled if that is unknown.
     """
@@ -42,6 +44,7 @@
     request: CallerRequest
     prefill_s: float
     prefill_starts_at_s: float
+    responding: bool = False
     streaming: bool = False
     move: asyncio.Future[Relocation | None] | None = None
 
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -170,6 +170,8 @@
                 if self._deadline_passed():
                     raise TimeoutError from error
                 outcome = self._classify_error(error, send_state)
+            if isinstance(outcome, Unknown) and not in_flight.streaming:
+                self._log.log_unanswered(view, in_flight)
             if self._can_continue_run(outcome):
                 moved = await in_flight.relocation()
                 self._relocation = moved or self._relocation_to_copy(keeper)
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -4,13 +4,16 @@
 import logging
 from collections.abc import Collection
 
-from mallowspindle.backends.view import BackendView
+from mallowspindle.backends.view import BackendView, InFlightRequest
 from mallowspindle.catalog.configuration import Route
 from mallowspindle.proxy.events import EventSplitter
 from mallowspindle.proxy.messages import CallerRequest
 
 log = logging.getLogger(__name__)
 
+# Bounds the length of a line, since callers choose the number of parts.
+_MAX_LOGGED_PARTS = 16
+
 
 class ExchangeLog:
     """Logs the events of one request with its id, route and elapsed time."""
@@ -47,6 +50,25 @@
             },
         )
 
+    def log_unanswered(
+        self, view: BackendView, in_flight: InFlightRequest
+    ) -> None:
+        """Log that a server was lost before the first event of a response.
+
+        Parts of the prompt that occur at several lost servers may be why they
+        crash.
+        """
+        prompt = self._request.prompt[:-1]
+        log.info(
+            'server lost before the first event',
+            extra={
+                **self._fields(),
+                'server': view.server.server_id,
+                'responding': in_flight.responding,
+                'prompt': [part.part_id for part in prompt[:_MAX_LOGGED_PARTS]],
+            },
+        )
+
     def log_end(
         self,
         ending: str,
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -73,6 +73,7 @@
             return kind(
                 f'server answered {head.status}', UNAVAILABLE_RETRY_AFTER_S
             )
+        in_flight.responding = True
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
             return await self._relay(answer, head, in_flight)
         self._count_usage()
