--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -15,7 +15,8 @@
     ``cross`` answers with the id of another request. ``forgets`` restarts a
     resumed stream at its first event and ``skips`` leaves out the first event
     that is due. ``limit_per_s`` is a limit on requests that a server states in
-    its responses.
+    its responses. A server crashes for ``crash_s`` when it begins a response
+    to a prompt with ``deadly_part``, unless that is the last part.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -35,6 +36,8 @@
     forgets: int = 0
     skips: int = 0
     limit_per_s: float | str | None = None
+    deadly_part: str = ''
+    crash_s: float = 1.5
 
     def consume(self, name: str) -> bool:
         """Use up one of the counted faults; return False if none remains."""
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -61,11 +61,14 @@
         self._has_length = has_length
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
+        self._open_requests: dict[int, Request] = {}
+        self._crashes_at_s: list[float] = []
 
     def app(self) -> Application:
         """Return the HTTP application."""
         app = Application(client_max_size=8_000_000)
         app.router.add_get('/runs', self._list_runs)
+        app.router.add_get('/crashes', self._list_crashes)
         app.router.add_get('/report', self._report)
         app.router.add_post('/kv-move', self._copy_run)
         app.router.add_delete('/kv-handle/{handle}', self._drop_handle)
@@ -74,6 +77,16 @@
         return app
 
     async def _serve(self, request: Request) -> StreamResponse:
+        if self._is_crashed():
+            drop_connection(request)
+            return Response(status=500)
+        self._open_requests[id(request)] = request
+        try:
+            return await self._handle(request)
+        finally:
+            self._open_requests.pop(id(request))
+
+    async def _handle(self, request: Request) -> StreamResponse:
         headers = {
             'Request-Id': request.headers['Request-Id'],
             'Instance-Id': self._id,
@@ -124,6 +137,9 @@
         response = response_class(headers=headers)
         response.content_type = 'text/event-stream'
         await response.prepare(request)
+        if self._is_deadly(request):
+            self._crash()
+            return response
         first = self._first_event(request)
         cut = self._faults.consume('cuts')
         for number in range(first, self._event_count + 1):
@@ -138,6 +154,23 @@
             await response.write(self._format_event(number))
         return response
 
+    def _is_deadly(self, request: Request) -> bool:
+        parts = request.headers.get('Prompt-Prefix', '').split(',')[:-1]
+        part_ids = [part.partition(':')[0] for part in parts]
+        return self._faults.deadly_part in part_ids
+
+    def _is_crashed(self) -> bool:
+        if not self._crashes_at_s:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return now_s < self._crashes_at_s[-1] + self._faults.crash_s
+
+    def _crash(self) -> None:
+        """Drop all connections, and all new ones for a while."""
+        self._crashes_at_s.append(asyncio.get_running_loop().time())
+        for request in self._open_requests.values():
+            drop_connection(request)
+
     def _first_event(self, request: Request) -> int:
         """Return the number of the first event to send."""
         last_received = int(request.headers.get('Last-Event-Id', '0'))
@@ -174,6 +207,9 @@
             report['leaves_ms'] = 1000
         return json_response(report)
 
+    async def _list_crashes(self, request: Request) -> Response:
+        return json_response(self._crashes_at_s)
+
     async def _list_runs(self, request: Request) -> Response:
         return json_response(self._runs)
 
--- /dev/null
+++ b/mallowspindle/tests/gateway/test_deadly_parts.py
@@ -0,0 +1,144 @@
+"""Tests of prompts with a part that crashes the servers."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from itertools import count
+
+import pytest_asyncio
+from aiohttp import ClientError
+
+from mallowspindle.standins.gateways import GatewayVenture
+from mallowspindle.tests.gateway.observations import COMPLETE_STREAM, EVENTS
+
+_GATEWAYS = ('entry-1', 'entry-2', 'entry-3', 'entry-4')
+_SERVERS = tuple(f'model-{number}' for number in range(1, 7))
+_DEADLY_PART = 'dead'
+_SHARED_PART = 'a1'
+# What the operators tolerate: so many requests with the part at servers later
+# than the contact time after so many crashes.
+_TOLERATED_CRASHES = 5
+_TOLERATED_REQUESTS = 3
+_CONTACT_S = 3.0
+# Sound requests begin at least this fraction as often as without crashes.
+_SOUND_FRACTION = 0.5
+_DURATION_S = 9.0
+_CRASH_S = 0.6
+_DEADLY_INTERVAL_S = 0.4
+_SOUND_INTERVAL_S = 0.1
+
+
+@pytest_asyncio.fixture
+async def tainted_venture(
+    venture: GatewayVenture,
+) -> AsyncIterator[GatewayVenture]:
+    """Add gateways and servers that crash on a part; restart those."""
+    await asyncio.gather(
+        venture.start_gateway('entry-3', 'b'),
+        venture.start_gateway('entry-4', 'b'),
+        *(
+            venture.start_server(name, 'models', f'--events={EVENTS}')
+            for name in _SERVERS[2:]
+        ),
+    )
+    for name in _SERVERS:
+        await venture.set_faults(
+            name, deadly_part=_DEADLY_PART, crash_s=_CRASH_S
+        )
+    async with _restarts(venture):
+        yield venture
+
+
+@asynccontextmanager
+async def _restarts(venture: GatewayVenture) -> AsyncIterator[None]:
+    """Register servers that have crashed anew, as started later."""
+
+    async def watch(name: str) -> None:
+        known_crashes = 0
+        while True:
+            crashes = len(await _crashes_at_s(venture, name))
+            if crashes > known_crashes:
+                known_crashes = crashes
+                await venture.register(name, 'models', born=1 + crashes)
+            await asyncio.sleep(0.2)
+
+    tasks = [asyncio.create_task(watch(name)) for name in _SERVERS]
+    yield
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _crashes_at_s(venture: GatewayVenture, name: str) -> list[float]:
+    return list(await venture.get(f'{venture.process(name).url}/crashes'))
+
+
+def _prompt(number: int, *parts: str) -> dict[str, str]:
+    entries = [f'{part}:50' for part in (_SHARED_PART, *parts)]
+    return {
+        'Prompt-Prefix': ','.join([*entries, f'{number:x}:20']),
+        'Token-Count': f'{len(entries) * 50 + 20},10',
+    }
+
+
+async def _send(venture: GatewayVenture, number: int, *parts: str) -> str:
+    """Return how a letter ended, as status or as ``cut``."""
+    gateway = _GATEWAYS[number % len(_GATEWAYS)]
+    prompt = _prompt(number, *parts)
+    request_id = f'request-{number}'
+    try:
+        status, _, text = await venture.call(
+            gateway, 'POST', '/letters/x', request_id, changes=prompt
+        )
+    except ClientError:
+        return 'cut'
+    return 'whole' if text == COMPLETE_STREAM else str(status)
+
+
+async def _send_both(venture: GatewayVenture) -> tuple[Counter[str], float]:
+    """Send deadly and sound letters; return how those of the end fared.
+
+    The second result is the share of sound letters that were whole before the
+    first deadly one.
+    """
+    numbers = count()
+
+    async def send_for(duration_s: float, *parts: str) -> list[str]:
+        interval_s = _DEADLY_INTERVAL_S if parts else _SOUND_INTERVAL_S
+        calls = []
+        for _ in range(int(duration_s / interval_s)):
+            call = _send(venture, next(numbers), *parts)
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(interval_s)
+        return list(await asyncio.gather(*calls))
+
+    before = await send_for(1)
+    sound, _ = await asyncio.gather(
+        send_for(_DURATION_S), send_for(_DURATION_S, _DEADLY_PART)
+    )
+    last_seconds = sound[-int(2 / _SOUND_INTERVAL_S) :]
+    return Counter(last_seconds), before.count('whole') / len(before)
+
+
+async def test_a_deadly_part_does_not_crash_server_after_server(
+    tainted_venture: GatewayVenture,
+) -> None:
+    """Guards against requests that crash servers and are sent on to others."""
+    venture = tainted_venture
+    fates, share_before = await _send_both(venture)
+    crashes_at_s: list[float] = []
+    reached_at_s: list[float] = []
+    for name in _SERVERS:
+        crashes_at_s += await _crashes_at_s(venture, name)
+        reached_at_s += [
+            run['began_at_s']
+            for run in await venture.runs(name)
+            if _DEADLY_PART in run['headers'].get('Prompt-Prefix', '')
+        ]
+    assert crashes_at_s
+    counted_from_s = sorted(crashes_at_s)[:_TOLERATED_CRASHES][-1] + _CONTACT_S
+    late = [at_s for at_s in reached_at_s if at_s > counted_from_s]
+    assert len(late) <= _TOLERATED_REQUESTS
+    share = fates['whole'] / fates.total()
+    assert share >= share_before * _SOUND_FRACTION
