Refuse prompts with a part that crashes servers, at all nodes

Cause: a crash was laid to the server where it showed. The request was sent to the next server, and nothing joined what each node saw of the crashes. Evidence: with the line added in the lost requests whose responses had begun have the same shared parts at all crashed servers, on several nodes; those that waited there have not.

Now nodes keep, by part, the crashes since the part was last answered, join them with the states they exchange anyway, and from three crashes on refuse prompts with the part at once, as not run. A prompt that lacks one of the parts that only occurred together is served, so sound requests that share the others are not refused.

Why it works: the part is the only thing that is in all crashes and in no answer, and sets of crashes and clearances that only grow can be joined in any order.

--- a/mallowspindle/adapter.py
+++ b/mallowspindle/adapter.py
@@ -21,12 +21,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LogLayout:
-    """Streams, keys and decoders of what operators and servers write."""
+    """Streams, keys and codecs of what operators and servers write.
+
+    ``quarantine_stream`` is a keyed stream that this system itself writes.
+    """
 
     configuration_stream: str
     configuration_key: str
     servers_stream: str
+    quarantine_stream: str
     decode_keyed: Callable[[LogRecord], KeyedRecord]
+    encode_keyed: Callable[[str, bytes], bytes]
     decode_configuration: Callable[[bytes], Configuration]
     decode_server: Callable[[str, bytes], BackendServer]
 
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -35,8 +35,8 @@
 
     ``prefill_s`` is the expected prefill time, and 0 after the first event.
     ``prefill_starts_at_s`` is when the server should start the prefill.
-    ``responding`` is set when the head of the response arrives and
-    ``streaming`` when the first event does.
+    ``streaming`` is set when the first event arrives, and ``settled`` once the
+    server has outlived the begin of its response.
     ``move`` is set when a move of the run to another server begins. Its result
     is None if the run was not stopped; it is cancelled if that is unknown.
     """
@@ -44,8 +44,8 @@
     request: CallerRequest
     prefill_s: float
     prefill_starts_at_s: float
-    responding: bool = False
     streaming: bool = False
+    settled: bool = False
     move: asyncio.Future[Relocation | None] | None = None
 
     def remaining_prefill_s(self, now_s: float) -> float:
--- a/mallowspindle/interfaces.py
+++ b/mallowspindle/interfaces.py
@@ -70,6 +70,7 @@
             'mallowspindle.catalog.service',
             'mallowspindle.backends.service',
             'mallowspindle.backends.evacuation',
+            'mallowspindle.quarantine.service',
             'mallowspindle.proxy.service',
             'mallowspindle.duties.service',
         ),
--- a/mallowspindle/platform/service.py
+++ b/mallowspindle/platform/service.py
@@ -25,9 +25,11 @@
 from mallowspindle.platform.servers import decode_server
 from mallowspindle.platform.store import (
     CONFIGURATION_STREAM,
+    QUARANTINE_STREAM,
     SERVERS_STREAM,
     StoreLog,
     decode_keyed,
+    encode_keyed,
 )
 
 # After a reclaim notice, a server has only a few seconds left for moves.
@@ -70,7 +72,9 @@
             configuration_stream=CONFIGURATION_STREAM,
             configuration_key=CONFIGURATION_KEY,
             servers_stream=SERVERS_STREAM,
+            quarantine_stream=QUARANTINE_STREAM,
             decode_keyed=decode_keyed,
+            encode_keyed=encode_keyed,
             decode_configuration=decode_configuration,
             decode_server=decode_server,
         )
--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -38,6 +38,8 @@
 # Streams of the store that the platform itself writes.
 SERVERS_STREAM = 'keyed.servers'
 CONFIGURATION_STREAM = 'keyed.op'
+# Written by this system. The store keeps the newest record of each key.
+QUARANTINE_STREAM = 'keyed.quarantine'
 
 _OK = 200
 _GONE = 410
@@ -47,6 +49,7 @@
 _LENGTH_PREFIX = struct.Struct('>I')
 _READ_HEADER = struct.Struct('>QQ')
 _PARTITION = '0'
+_MAX_KEY_BYTES = 255
 # A whole number that rises by one each time the store comes back from an older
 # copy. Older platforms do not send it.
 _ERA_HEADER = 'Store-Era'
@@ -249,6 +252,15 @@
     return KeyedRecord(key, payload[1 + length :] or None, record.offset)
 
 
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Encode a record of a keyed stream; an empty value drops the key.
+
+    Keys of more than 255 bytes are cut.
+    """
+    encoded = key.encode()[:_MAX_KEY_BYTES]
+    return bytes([len(encoded)]) + encoded + value
+
+
 def _decode_item(item: _NewestItem, era: int) -> KeyedRecord:
     try:
         value = base64.b64decode(item.value, validate=True)
--- a/mallowspindle/proxy/connections.py
+++ b/mallowspindle/proxy/connections.py
@@ -7,6 +7,8 @@
 import asyncio
 import logging
 import re
+from contextvars import ContextVar
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -16,6 +18,23 @@
 
 log = logging.getLogger(__name__)
 
+
+@dataclass(slots=True)
+class SendState:
+    """How far a request has come at a server.
+
+    ``sent`` is whether any byte of it may have been sent, ``responding`` whether
+    the head of a response to it has arrived. The head counts even if the
+    connection is lost before it is processed.
+    """
+
+    sent: bool = False
+    responding: bool = False
+
+
+# The state of the request that the current task sends.
+current_send_state: ContextVar[SendState] = ContextVar('send_state')
+
 # Idle connections are closed before most servers close them, so that a request
 # is seldom sent on a connection that the server is closing. A connection with a
 # shorter or equal server timeout (Keep-Alive header) is not reused.
@@ -38,14 +57,21 @@
         self._expected_id: str | None = None
         self._response_received = True
         self._was_reset = False
+        self._send_state: SendState | None = None
 
     @property
     def was_reset(self) -> bool:
         """Whether the connection ended with an error, not with a close."""
         return self._was_reset
 
-    def expect(self, id_header: str, expected_id: str | None) -> None:
+    def expect(
+        self,
+        id_header: str,
+        expected_id: str | None,
+        send_state: SendState | None = None,
+    ) -> None:
         """Drop responses that carry another id, from now on."""
+        self._send_state = send_state
         self._id_header = id_header
         self._expected_id = expected_id
         self._response_received = False
@@ -84,6 +110,8 @@
         ):
             self.force_close()
         self._response_received = message.code >= 200
+        if self._response_received and self._send_state is not None:
+            self._send_state.responding = True
         super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -118,7 +146,11 @@
         """Send the request and set the id that the response must carry."""
         protocol = conn.protocol
         if isinstance(protocol, MatchingProtocol):
-            protocol.expect(self.id_header, self.headers.get(self.id_header))
+            protocol.expect(
+                self.id_header,
+                self.headers.get(self.id_header),
+                current_send_state.get(None),
+            )
         return await super().send(conn)
 
 
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -12,6 +12,7 @@
 from mallowspindle.policies.budget import BudgetTerms, RetryBudget
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
+from mallowspindle.quarantine.service import QuarantineService
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.usage import UsageCounter
 
@@ -53,6 +54,7 @@
     upstream: Upstream
     quotas: Quotas
     retry_budgets: RetryBudgets
+    quarantine: QuarantineService
     usage: UsageCounter
 
     @classmethod
@@ -73,5 +75,6 @@
             upstream=Upstream(proxy.connect_timeout_s, http_codec.id_header),
             quotas=Quotas(sharing, proxy.quota_window_s),
             retry_budgets=RetryBudgets(terms, sharing),
+            quarantine=kernel.find('quarantine', QuarantineService),
             usage=UsageCounter(settings.duties.usage_window_s),
         )
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -10,6 +10,7 @@
 
 from mallowspindle.backends.view import (
     BackendView,
+    InFlightRequest,
     Pick,
     Relocation,
 )
@@ -22,6 +23,7 @@
 from mallowspindle.policies.copies import is_worth_copying
 from mallowspindle.policies.splitting import choose_service
 from mallowspindle.proxy import replies
+from mallowspindle.proxy.connections import SendState
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.errors import CallerDisconnected
 from mallowspindle.proxy.events import EventSplitter
@@ -40,7 +42,7 @@
 )
 from mallowspindle.proxy.records import ExchangeLog
 from mallowspindle.proxy.relaying import ResponseRelay
-from mallowspindle.proxy.upstream import SendState
+from mallowspindle.quarantine.service import Refusal
 from mallowspindle.utils.telemetry import meter
 
 _SERVER_ERROR = 500
@@ -50,6 +52,7 @@
 _MIN_ATTEMPT_S = 0.05
 
 attempts_total = meter.create_counter('attempts')
+quarantined_total = meter.create_counter('requests_quarantined')
 held_back_total = meter.create_counter('requests_held_back_by_limits')
 
 
@@ -105,16 +108,9 @@
 
     async def _run_attempts(self, body: bytes) -> StreamResponse:
         for attempt_number in count(1):
-            pick = self._context.backends.pick(
-                self._service, self._request, self._tried_servers
-            )
-            if pick is None:
-                return self._refuse_unplaced()
-            retry_after_s = (
-                self._retry_after_s(pick) if attempt_number == 1 else 0
-            )
-            if retry_after_s:
-                return self._refuse('the servers are behind', retry_after_s)
+            pick = self._pick_or_refuse(attempt_number)
+            if isinstance(pick, StreamResponse):
+                return pick
             outcome = await self._try_server(pick.view, body, attempt_number)
             if isinstance(outcome, Relayed):
                 break
@@ -122,6 +118,20 @@
                 return await self._final_response(outcome)
         return self._started_response()
 
+    def _pick_or_refuse(self, attempt_number: int) -> Pick | StreamResponse:
+        """Return the server for the next attempt, or the final response."""
+        backends = self._context.backends
+        refusal = self._context.quarantine.find_refusal(self._request)
+        if refusal is not None:
+            return self._refuse_quarantined(refusal)
+        pick = backends.pick(self._service, self._request, self._tried_servers)
+        if pick is None:
+            return self._refuse_unplaced()
+        retry_after_s = self._retry_after_s(pick) if attempt_number == 1 else 0
+        if retry_after_s:
+            return self._refuse('the servers are behind', retry_after_s)
+        return pick
+
     async def _try_server(
         self, view: BackendView, body: bytes, attempt_number: int
     ) -> AttemptOutcome:
@@ -146,6 +156,10 @@
         self, moved: Relocation, body: bytes
     ) -> AttemptOutcome:
         backends = self._context.backends
+        if self._context.quarantine.find_refusal(self._request) is not None:
+            return NotRun(
+                'its prompt has crashed servers', UNAVAILABLE_RETRY_AFTER_S
+            )
         if moved.claimed or backends.claim(moved.target):
             return await self._attempt(moved.target, body, moved.run)
         return NotRun('the server is at its limit', UNAVAILABLE_RETRY_AFTER_S)
@@ -170,13 +184,27 @@
                 if self._deadline_passed():
                     raise TimeoutError from error
                 outcome = self._classify_error(error, send_state)
-            if isinstance(outcome, Unknown) and not in_flight.streaming:
-                self._log.log_unanswered(view, in_flight)
+            if isinstance(outcome, Unknown) and not in_flight.settled:
+                await self._record_lost(view, in_flight, send_state)
             if self._can_continue_run(outcome):
                 moved = await in_flight.relocation()
                 self._relocation = moved or self._relocation_to_copy(keeper)
         return outcome
 
+    async def _record_lost(
+        self,
+        view: BackendView,
+        in_flight: InFlightRequest,
+        send_state: SendState,
+    ) -> None:
+        """Record that a server was lost before it outlived the prompt."""
+        if not in_flight.streaming:
+            self._log.log_unanswered(view, send_state.responding)
+        if send_state.responding and in_flight.move is None:
+            await self._context.quarantine.record_lost(
+                view.server, self._request
+            )
+
     def _can_continue_run(self, outcome: AttemptOutcome) -> bool:
         """Return whether the run may continue elsewhere from its memory."""
         return (
@@ -317,6 +345,15 @@
         self._log_end('refused', reason)
         return replies.refusal(retry_after_s)
 
+    def _refuse_quarantined(self, refusal: Refusal) -> StreamResponse:
+        """End a request with a part that crashes servers."""
+        quarantined_total.add(1)
+        return self._refuse(
+            f'part {refusal.part_id} of the prompt has crashed servers '
+            f'({refusal.crashes} crashes)',
+            refusal.retry_after_s,
+        )
+
     def _refuse_unplaced(self) -> StreamResponse:
         """End a request for which no server is left."""
         retry_after_s = self._context.backends.limit_retry_after_s(
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Collection
 
-from mallowspindle.backends.view import BackendView, InFlightRequest
+from mallowspindle.backends.view import BackendView
 from mallowspindle.catalog.configuration import Route
 from mallowspindle.proxy.events import EventSplitter
 from mallowspindle.proxy.messages import CallerRequest
@@ -50,9 +50,7 @@
             },
         )
 
-    def log_unanswered(
-        self, view: BackendView, in_flight: InFlightRequest
-    ) -> None:
+    def log_unanswered(self, view: BackendView, responding: bool) -> None:
         """Log that a server was lost before the first event of a response.
 
         Parts of the prompt that occur at several lost servers may be why they
@@ -64,7 +62,7 @@
             extra={
                 **self._fields(),
                 'server': view.server.server_id,
-                'responding': in_flight.responding,
+                'responding': responding,
                 'prompt': [part.part_id for part in prompt[:_MAX_LOGGED_PARTS]],
             },
         )
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -1,5 +1,7 @@
 """Receives the responses of servers and forwards streams to the caller."""
 
+import asyncio
+
 from aiohttp.web import BaseRequest, StreamResponse
 
 from mallowspindle.backends.view import BackendView, InFlightRequest
@@ -21,6 +23,9 @@
 )
 
 _OK = 200
+# A server that crashes because of a prompt does so when it begins to respond,
+# so it has outlived the prompt this time after the first event.
+_SETTLING_TIME_S = 0.5
 
 
 class ResponseRelay:
@@ -73,13 +78,13 @@
             return kind(
                 f'server answered {head.status}', UNAVAILABLE_RETRY_AFTER_S
             )
-        in_flight.responding = True
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
             return await self._relay(answer, head, in_flight)
         self._count_usage()
         body = await answer.read()
         if answer.truncated:
             return Unknown('the connection was reset within the answer')
+        self._settle(in_flight)
         return Answered(head, body)
 
     async def _relay(
@@ -89,7 +94,13 @@
         in_flight: InFlightRequest,
     ) -> AttemptOutcome:
         """Forward complete events to the caller as they arrive."""
+        loop = asyncio.get_running_loop()
+        settled_at_s: float | None = None
         async for chunk in answer.content.iter_any():
+            if settled_at_s is None:
+                settled_at_s = loop.time() + _SETTLING_TIME_S
+            elif loop.time() >= settled_at_s:
+                self._settle(in_flight)
             in_flight.note_first_event()
             self._count_usage()
             try:
@@ -101,9 +112,16 @@
                 await self._write(head, events)
         if answer.truncated or await self._ended_early(answer, in_flight):
             return Unknown('the connection ended within the stream')
+        self._settle(in_flight)
         await self._write(head, self._splitter.pending)
         return Relayed()
 
+    def _settle(self, in_flight: InFlightRequest) -> None:
+        """Record once that the server has outlived the prompt."""
+        if not in_flight.settled:
+            in_flight.settled = True
+            self._context.quarantine.record_answer(self._request)
+
     async def _ended_early(
         self, answer: MatchedResponse, in_flight: InFlightRequest
     ) -> bool:
--- a/mallowspindle/proxy/upstream.py
+++ b/mallowspindle/proxy/upstream.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -21,6 +20,8 @@
     MatchedRequest,
     MatchedResponse,
     MatchingConnector,
+    SendState,
+    current_send_state,
 )
 from mallowspindle.utils.telemetry import hop_span
 
@@ -29,13 +30,6 @@
 )
 
 
-@dataclass(slots=True)
-class SendState:
-    """Whether any byte of a request may have been sent."""
-
-    sent: bool = False
-
-
 class Upstream:
     """Client for backend servers with persistent connections.
 
@@ -80,6 +74,7 @@
         target = URL(url, encoded=True)
         with hop_span('server attempt', SpanKind.CLIENT) as span:
             span.set_attribute('server', target.authority)
+            current_send_state.set(send_state)
             response = await self._session.request(
                 method,
                 target,
--- /dev/null
+++ b/mallowspindle/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence of parts of prompts that crash servers, shared by all nodes."""
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from mallowspindle.sharing.messages import (
+    PartEvidence,
     QuotaUse,
     ServerLimit,
     ServerLoad,
@@ -34,6 +35,7 @@
         ages_s=round(sum(part.ages_s for part in parts), 2),
         unreachable=_summed_counts(part.unreachable for part in parts),
         limits=_newest_limits(part.limits for part in parts),
+        evidence=_joined_evidence(part.evidence for part in parts),
     )
 
 
@@ -76,6 +78,7 @@
         ages_s=_remaining_ages(whole, part),
         unreachable=_subtracted_counts(whole.unreachable, part.unreachable),
         limits=whole.limits,
+        evidence=whole.evidence,
     )
 
 
@@ -105,6 +108,7 @@
             server_id: limit._replace(age_s=round(limit.age_s + age_s, 2))
             for server_id, limit in work.limits.items()
         },
+        evidence=work.evidence,
     )
 
 
@@ -136,6 +140,24 @@
     return newest
 
 
+def _joined_evidence(
+    maps: Iterable[Mapping[str, PartEvidence]],
+) -> dict[str, PartEvidence]:
+    joined: dict[str, PartEvidence] = {}
+    entries = chain.from_iterable(evidence.items() for evidence in maps)
+    for part_id, found in entries:
+        known = joined.get(part_id)
+        joined[part_id] = (
+            found
+            if known is None
+            else PartEvidence(
+                {**known.crashes, **found.crashes},
+                {**known.cleared, **found.cleared},
+            )
+        )
+    return joined
+
+
 def _summed_counts(maps: Iterable[ZoneCounts]) -> dict[str, dict[str, int]]:
     sums_by_zone: defaultdict[str, Counter[str]] = defaultdict(Counter)
     for zone, counts in chain.from_iterable(part.items() for part in maps):
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -45,6 +45,17 @@
     node: str
 
 
+class PartEvidence(NamedTuple):
+    """Crashes of servers that had begun to respond to a part of a prompt.
+
+    ``crashes`` holds the Unix time in ms by crash. ``cleared`` holds those
+    after which a prompt with the part was answered.
+    """
+
+    crashes: dict[str, int]
+    cleared: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class WorkSum:
     """Sum of the work of some entry VMs at one moment.
@@ -54,7 +65,8 @@
     ``ages_s`` is the sum of the ages of all nodes' states. ``unreachable``
     counts, by zone of the nodes and by backend server, the nodes whose recent
     connections to the server failed. ``limits`` holds the newest limit that
-    each backend server has stated.
+    each backend server has stated, and ``evidence`` what speaks for and against
+    parts of prompts.
     """
 
     nodes: int = 0
@@ -65,6 +77,7 @@
     ages_s: float = 0
     unreachable: dict[str, dict[str, int]] = field(default_factory=dict)
     limits: dict[str, ServerLimit] = field(default_factory=dict)
+    evidence: dict[str, PartEvidence] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -22,7 +22,7 @@
     add_fault_routes,
     drop_connection,
 )
-from mallowspindle.standins.server import serve
+from mallowspindle.standins.server import Listener, serve
 
 _MISDIRECTED_REQUEST = 421
 
@@ -61,8 +61,9 @@
         self._has_length = has_length
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
-        self._open_requests: dict[int, Request] = {}
         self._crashes_at_s: list[float] = []
+        self._listener: Listener | None = None
+        self._restart: asyncio.Task[None] | None = None
 
     def app(self) -> Application:
         """Return the HTTP application."""
@@ -76,17 +77,11 @@
         app.router.add_route('*', '/{path:.*}', self._serve)
         return app
 
-    async def _serve(self, request: Request) -> StreamResponse:
-        if self._is_crashed():
-            drop_connection(request)
-            return Response(status=500)
-        self._open_requests[id(request)] = request
-        try:
-            return await self._handle(request)
-        finally:
-            self._open_requests.pop(id(request))
+    def use_listener(self, listener: Listener) -> None:
+        """Use ``listener`` to refuse connections after a crash."""
+        self._listener = listener
 
-    async def _handle(self, request: Request) -> StreamResponse:
+    async def _serve(self, request: Request) -> StreamResponse:
         headers = {
             'Request-Id': request.headers['Request-Id'],
             'Instance-Id': self._id,
@@ -139,7 +134,7 @@
         await response.prepare(request)
         if self._is_deadly(request):
             self._crash()
-            return response
+            await asyncio.sleep(self._faults.crash_s)
         first = self._first_event(request)
         cut = self._faults.consume('cuts')
         for number in range(first, self._event_count + 1):
@@ -159,17 +154,12 @@
         part_ids = [part.partition(':')[0] for part in parts]
         return self._faults.deadly_part in part_ids
 
-    def _is_crashed(self) -> bool:
-        if not self._crashes_at_s:
-            return False
-        now_s = asyncio.get_running_loop().time()
-        return now_s < self._crashes_at_s[-1] + self._faults.crash_s
-
     def _crash(self) -> None:
-        """Drop all connections, and all new ones for a while."""
+        """Drop all connections, and refuse new ones for a while."""
         self._crashes_at_s.append(asyncio.get_running_loop().time())
-        for request in self._open_requests.values():
-            drop_connection(request)
+        if self._listener is not None:
+            pause = self._listener.pause(self._faults.crash_s)
+            self._restart = asyncio.create_task(pause)
 
     def _first_event(self, request: Request) -> int:
         """Return the number of the first event to send."""
@@ -244,7 +234,9 @@
         has_ids=not args.no_ids,
         has_length=not args.no_length,
     )
-    asyncio.run(serve(standin.app(), args.host, args.port))
+    asyncio.run(
+        serve(standin.app(), args.host, args.port, standin.use_listener)
+    )
 
 
 if __name__ == '__main__':
--- a/mallowspindle/tests/catalog/fakes.py
+++ b/mallowspindle/tests/catalog/fakes.py
@@ -96,3 +96,8 @@
     """Decode a record that ``FakeLog.put`` wrote."""
     key, _, content = record.payload.partition(b'=')
     return KeyedRecord(key.decode(), content or None, record.offset)
+
+
+def encode_keyed(key: str, content: bytes) -> bytes:
+    """Encode a record as ``FakeLog.put`` does."""
+    return b'='.join((key.encode(), content))
--- a/mallowspindle/tests/catalog/venture.py
+++ b/mallowspindle/tests/catalog/venture.py
@@ -13,7 +13,11 @@
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.log.interface import Log
 from mallowspindle.log.records import KeyedState, LogPage
-from mallowspindle.tests.catalog.fakes import FakeLog, decode_keyed
+from mallowspindle.tests.catalog.fakes import (
+    FakeLog,
+    decode_keyed,
+    encode_keyed,
+)
 from mallowspindle.tests.sharing.fakes import FakeMesh
 
 CONFIGURATIONS = 'configurations'
@@ -140,7 +144,9 @@
         CONFIGURATIONS,
         KEY,
         SERVERS,
+        'quarantine',
         decode_keyed,
+        encode_keyed,
         _decode_configuration,
         _decode_server,
     )
--- a/mallowspindle/tests/gateway/test_deadly_parts.py
+++ b/mallowspindle/tests/gateway/test_deadly_parts.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from itertools import count
 
 import pytest_asyncio
@@ -55,9 +55,11 @@
     """Register servers that have crashed anew, as started later."""
 
     async def watch(name: str) -> None:
+        crashes = 0
         known_crashes = 0
         while True:
-            crashes = len(await _crashes_at_s(venture, name))
+            with suppress(ClientError):
+                crashes = len(await _crashes_at_s(venture, name))
             if crashes > known_crashes:
                 known_crashes = crashes
                 await venture.register(name, 'models', born=1 + crashes)
@@ -127,6 +129,7 @@
     """Guards against requests that crash servers and are sent on to others."""
     venture = tainted_venture
     fates, share_before = await _send_both(venture)
+    await asyncio.sleep(_CRASH_S)
     crashes_at_s: list[float] = []
     reached_at_s: list[float] = []
     for name in _SERVERS:
