Log the software version of servers and the streams that callers take up

Entries of servers tell the version of the software, requests the one whose response brought the first event. No decision uses them. An entry whose version is not a text is now ignored, like other unreadable ones.

--- a/mallowspindle/catalog/servers.py
+++ b/mallowspindle/catalog/servers.py
@@ -9,6 +9,7 @@
 
     ``started_at_ms`` is the Unix time of its start: a server that restarts
     under the same id has lost its former requests and cache.
+    ``software_version`` is that of the server's software; empty if not stated.
     """
 
     server_id: str
@@ -21,3 +22,4 @@
     cold_remaining_s: float = 0
     reclaimable: bool = False
     model_version: int | None = None
+    software_version: str = ''
--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -153,6 +153,7 @@
                 'zone': decoded.zone,
                 'draining': decoded.draining,
                 'reclaimable': decoded.reclaimable,
+                'software': decoded.software_version,
                 'offset': record.offset,
             },
         )
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -100,6 +100,7 @@
                 _decode_prompt_parts(headers.get('Prompt-Prefix', ''))
             ),
             last_event_id=headers.get('Last-Event-Id'),
+            resumes=headers.get('Resumes'),
         )
 
     def encode_dispatch(
--- a/mallowspindle/platform/servers.py
+++ b/mallowspindle/platform/servers.py
@@ -23,6 +23,8 @@
     zone: str = Field(strict=True)
     slots: int = Field(ge=1, strict=True)
     state: str = Field(strict=True)
+    # Version of the server's software; that of the weights is in ``models``.
+    version: str = Field('', strict=True)
     # Milliseconds until the server is warm; it is slow until then.
     cold_remaining_ms: float = 0
     # Start time of the server, in Unix milliseconds.
@@ -53,5 +55,6 @@
         started_at_ms=entry.born,
         cold_remaining_s=entry.cold_remaining_ms / _MS,
         reclaimable=entry.spot,
+        software_version=entry.version,
         model_version=entry.models[0].version if entry.models else None,
     )
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -130,6 +130,8 @@
         retry_after_s = self._retry_after_s(pick) if attempt_number == 1 else 0
         if retry_after_s:
             return self._refuse('the servers are behind', retry_after_s)
+        if self._request.last_event_id is not None:
+            self._log.log_resumed(pick.view)
         return pick
 
     async def _try_server(
@@ -284,6 +286,9 @@
                 log_outcome(
                     'stream goes on elsewhere',
                     target=self._relocation.target.server.server_id,
+                    target_software=(
+                        self._relocation.target.server.software_version
+                    ),
                     memory_at=self._relocation.run.source_address,
                 )
             case Unknown(reason=reason):
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -20,6 +20,8 @@
 
     ``headers`` are the headers to forward. ``key`` is the caller's API key.
     ``patience_s`` is how long the caller waits, None if not stated.
+    ``resumes`` is the id of the request whose response brought the first event
+    of the stream that the caller takes up.
     """
 
     method: str
@@ -34,6 +36,7 @@
     expected_output_tokens: int | None = None
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
+    resumes: str | None = None
 
     @cached_property
     def path(self) -> str:
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -44,12 +44,26 @@
                 **self._fields(),
                 'server': view.server.server_id,
                 'address': view.server.address,
+                'software': view.server.software_version,
                 'attempt': attempt_number,
                 'last_event': self._splitter.last_event_id,
                 **extra_fields,
             },
         )
 
+    def log_resumed(self, view: BackendView) -> None:
+        """Log where a stream goes on that the caller takes up."""
+        log.info(
+            'stream taken up by its caller',
+            extra={
+                **self._fields(),
+                'resumes': self._request.resumes,
+                'last_event': self._request.last_event_id,
+                'server': view.server.server_id,
+                'software': view.server.software_version,
+            },
+        )
+
     def log_unanswered(self, view: BackendView, responding: bool) -> None:
         """Log that a server was lost before the first event of a response.
 
--- a/mallowspindle/tests/platform/test_words.py
+++ b/mallowspindle/tests/platform/test_words.py
@@ -20,6 +20,7 @@
     'Kv-Backup',
     'Kv-From',
     'Last-Event-Id',
+    'Resumes',
     'log-append',
     'log-read',
     'log-newest',
