--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -138,7 +138,7 @@
         first = self._first_event(request)
         cut = self._faults.consume('cuts')
         for number in range(first, self._event_count + 1):
-            await asyncio.sleep(self._pause_s)
+            await asyncio.sleep(self._pause_s + self._faults.slow_events_s)
             if run['stopped']:
                 drop_connection(request)
                 return response
