Let streams go on only at the software version that began them

Cause: servers of a service were interchangeable. No node read the version in their entries, so second attempts, moves, copies and streams that callers take up went to any server. Ruled out: only our own copies cross (the reported streams are callers' requests); only streams of lost nodes cross (a living node continued one at another version).

Now a Continuation binds a stream to the service and version of the server that sends its first event, and everything that lets a stream go on asks it. While a service has several versions, three peers are told of each stream that callers may take up, so that another node knows where it goes on after its node is lost.

Why it works: the node that delivers the first event is the only one that knows the version, so it tells others before a caller can come back; an organisation's id and the rendezvous order find them again without asking everyone.

--- a/mallowspindle/backends/evacuation.py
+++ b/mallowspindle/backends/evacuation.py
@@ -129,7 +129,10 @@
         avoid = {view.server.server_id}
         for _ in range(_MAX_TARGETS):
             pick = self._backends.pick(
-                view.server.service, stream.request, avoid
+                view.server.service,
+                stream.request,
+                avoid,
+                view.server.software_version,
             )
             if pick is None:
                 return
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -102,10 +102,15 @@
         )
 
     def usable(
-        self, service_name: str, avoid: Collection[str]
+        self,
+        service_name: str,
+        avoid: Collection[str],
+        software_version: str | None = None,
     ) -> list[BackendView]:
         """Return the servers that may get new work.
 
+        With a ``software_version``, only servers of that version are included.
+
         Ejected servers and those that peers report as unreachable are excluded,
         unless no others remain. Servers whose limit leaves no room are always
         excluded. If several servers have the same address, only the newest is
@@ -115,7 +120,9 @@
         serving = [
             view
             for view in self.views(service_name)
-            if not view.server.draining and view.server.server_id not in avoid
+            if not view.server.draining
+            and view.server.server_id not in avoid
+            and software_version in {None, view.server.software_version}
         ]
         if len(set(map(_address_of, serving))) < len(serving):
             serving = newest_at_each_address(serving)
@@ -172,12 +179,14 @@
         service_name: str,
         request: CallerRequest,
         avoid: Collection[str],
+        software_version: str | None = None,
     ) -> Pick | None:
         """Return the server for the next attempt; None if there is none.
 
-        The attempt counts against the limit of the server at once.
+        A stream that has begun goes on only at a server of the same
+        ``software_version``. The attempt counts against the limit of the server at once.
         """
-        usable = self.usable(service_name, avoid)
+        usable = self.usable(service_name, avoid, software_version)
         peers = self._sharing.peer_work()
         placement = placement_of(
             request, self._zone, unreported_s(peers, service_name)
@@ -187,13 +196,20 @@
     def pick_copy_keeper(
         self, running: BackendView, request: CallerRequest
     ) -> BackendView | None:
-        """Return the server that keeps a copy of a run; None if none can."""
+        """Return the server that keeps a copy of a run; None if none can.
+
+        The run can go on there only if it has the same software version.
+        """
         service_name = running.server.service
         configuration = self._catalog.configuration
         spec = configuration and configuration.services.get(service_name)
         if not (spec and spec.engine and spec.engine.supports_kv_backup):
             return None
-        usable = self.usable(service_name, {running.server.server_id})
+        usable = self.usable(
+            service_name,
+            {running.server.server_id},
+            running.server.software_version,
+        )
         if not usable:
             return None
         peer_loads = self._sharing.peer_work().loads
--- a/mallowspindle/interfaces.py
+++ b/mallowspindle/interfaces.py
@@ -71,6 +71,7 @@
             'mallowspindle.backends.service',
             'mallowspindle.backends.evacuation',
             'mallowspindle.quarantine.service',
+            'mallowspindle.streams.service',
             'mallowspindle.proxy.service',
             'mallowspindle.duties.service',
         ),
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -14,6 +14,7 @@
 from mallowspindle.proxy.upstream import Upstream
 from mallowspindle.quarantine.service import QuarantineService
 from mallowspindle.sharing.service import SharingService
+from mallowspindle.streams.service import StreamsService
 from mallowspindle.usage import UsageCounter
 
 log = logging.getLogger(__name__)
@@ -55,6 +56,7 @@
     quotas: Quotas
     retry_budgets: RetryBudgets
     quarantine: QuarantineService
+    streams: StreamsService
     usage: UsageCounter
 
     @classmethod
@@ -76,5 +78,6 @@
             quotas=Quotas(sharing, proxy.quota_window_s),
             retry_budgets=RetryBudgets(terms, sharing),
             quarantine=kernel.find('quarantine', QuarantineService),
+            streams=kernel.find('streams', StreamsService),
             usage=UsageCounter(settings.duties.usage_window_s),
         )
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -25,6 +25,7 @@
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.connections import SendState
 from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.continuation import Continuation, UnknownBegin
 from mallowspindle.proxy.errors import CallerDisconnected
 from mallowspindle.proxy.events import EventSplitter
 from mallowspindle.proxy.messages import (
@@ -80,8 +81,17 @@
         self._deadline_s = began_at_s + limit_s
         self._service = choose_service(route.shares)
         self._splitter = EventSplitter(request.last_event_id)
+        self._continuation = Continuation(
+            context.streams, request, route, organisation
+        )
         self._relay = ResponseRelay(
-            context, web_request, request, route, organisation, self._splitter
+            context,
+            web_request,
+            request,
+            route,
+            organisation,
+            self._splitter,
+            self._continuation,
         )
         self._log = ExchangeLog(request, route, began_at_s, self._splitter)
         self._tried_servers: set[str] = set()
@@ -98,8 +108,9 @@
         self._context.retry_budgets.note_request(self._service)
         self._context.backends.note_demand(self._service, self._request)
         try:
-            async with asyncio.timeout_at(self._deadline_s):
-                return await self._run_attempts(body)
+            with self._continuation:
+                async with asyncio.timeout_at(self._deadline_s):
+                    return await self._run_attempts(body)
         except TimeoutError:
             return self._time_out()
         except CallerDisconnected:
@@ -107,6 +118,10 @@
             return self._response or replies.unknown_outcome()
 
     async def _run_attempts(self, body: bytes) -> StreamResponse:
+        try:
+            self._service = await self._continuation.find_service(self._service)
+        except UnknownBegin as error:
+            return self._refuse(f'the stream can not go on: {error}')
         for attempt_number in count(1):
             pick = self._pick_or_refuse(attempt_number)
             if isinstance(pick, StreamResponse):
@@ -124,7 +139,12 @@
         refusal = self._context.quarantine.find_refusal(self._request)
         if refusal is not None:
             return self._refuse_quarantined(refusal)
-        pick = backends.pick(self._service, self._request, self._tried_servers)
+        pick = backends.pick(
+            self._service,
+            self._request,
+            self._tried_servers,
+            self._continuation.software_version,
+        )
         if pick is None:
             return self._refuse_unplaced()
         retry_after_s = self._retry_after_s(pick) if attempt_number == 1 else 0
@@ -158,6 +178,11 @@
         self, moved: Relocation, body: bytes
     ) -> AttemptOutcome:
         backends = self._context.backends
+        if not self._continuation.allows(moved.target.server):
+            return NotRun(
+                'the server has another software version',
+                UNAVAILABLE_RETRY_AFTER_S,
+            )
         if self._context.quarantine.find_refusal(self._request) is not None:
             return NotRun(
                 'its prompt has crashed servers', UNAVAILABLE_RETRY_AFTER_S
@@ -365,7 +390,9 @@
             self._service
         )
         if retry_after_s is None:
-            return self._refuse('no server is left to try')
+            version = self._continuation.software_version
+            wanted = 'server' if version is None else f'server of {version}'
+            return self._refuse(f'no {wanted} is left to try')
         held_back_total.add(1)
         return self._refuse('the servers are at their limits', retry_after_s)
 
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -10,6 +10,7 @@
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.continuation import Continuation
 from mallowspindle.proxy.errors import CallerDisconnected
 from mallowspindle.proxy.events import EventSplitter, OutOfOrder
 from mallowspindle.proxy.messages import CallerRequest, ResponseHead
@@ -39,6 +40,7 @@
         route: Route,
         organisation: Organisation | None,
         splitter: EventSplitter,
+        continuation: Continuation,
     ) -> None:
         self._context = context
         self._web_request = web_request
@@ -46,8 +48,10 @@
         self._route = route
         self._organisation = organisation
         self._splitter = splitter
+        self._continuation = continuation
         self._response: StreamResponse | None = None
         self._usage_counted = False
+        self._settles_at_s = 0.0
 
     @property
     def response(self) -> StreamResponse | None:
@@ -79,7 +83,7 @@
                 f'server answered {head.status}', UNAVAILABLE_RETRY_AFTER_S
             )
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
-            return await self._relay(answer, head, in_flight)
+            return await self._relay(answer, head, view, in_flight)
         self._count_usage()
         body = await answer.read()
         if answer.truncated:
@@ -91,24 +95,20 @@
         self,
         answer: MatchedResponse,
         head: ResponseHead,
+        view: BackendView,
         in_flight: InFlightRequest,
     ) -> AttemptOutcome:
         """Forward complete events to the caller as they arrive."""
-        loop = asyncio.get_running_loop()
-        settled_at_s: float | None = None
         async for chunk in answer.content.iter_any():
-            if settled_at_s is None:
-                settled_at_s = loop.time() + _SETTLING_TIME_S
-            elif loop.time() >= settled_at_s:
-                self._settle(in_flight)
-            in_flight.note_first_event()
-            self._count_usage()
+            self._note_chunk(in_flight)
             try:
                 events = self._splitter.feed(chunk)
             except OutOfOrder as error:
                 answer.close()
                 return Diverged(str(error))
             if events:
+                if self._response is None:
+                    self._continuation.note_begun(view.server)
                 await self._write(head, events)
         if answer.truncated or await self._ended_early(answer, in_flight):
             return Unknown('the connection ended within the stream')
@@ -116,6 +116,16 @@
         await self._write(head, self._splitter.pending)
         return Relayed()
 
+    def _note_chunk(self, in_flight: InFlightRequest) -> None:
+        """Record the first event, and whether the server has outlived it."""
+        now_s = asyncio.get_running_loop().time()
+        if not in_flight.streaming:
+            in_flight.note_first_event()
+            self._settles_at_s = now_s + _SETTLING_TIME_S
+            self._count_usage()
+        elif now_s >= self._settles_at_s:
+            self._settle(in_flight)
+
     def _settle(self, in_flight: InFlightRequest) -> None:
         """Record once that the server has outlived the prompt."""
         if not in_flight.settled:
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -52,7 +52,17 @@
 request_duration = meter.create_histogram('caller_request_duration', 's')
 
 
-@service('proxy', requires=('border', 'catalog', 'backends', 'sharing'))
+@service(
+    'proxy',
+    requires=(
+        'border',
+        'catalog',
+        'backends',
+        'quarantine',
+        'sharing',
+        'streams',
+    ),
+)
 class ProxyService(Service):
     """Serves callers and lists the entry VMs that they should use."""
 
--- /dev/null
+++ b/mallowspindle/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began a stream, known at several nodes."""
