Bound the bytes of a response that never ends

What callers saw (stand-ins, four of the six cases of gateway/test_endless_responses.py): an answer or an event without end was read for the whole timeout of the route, 2 to 10 s, then 504. Now a body of over 8 MB or an event of over 1 MB closes the connection at once, as a lost attempt, and requests that may run again do.

--- a/mallowspindle/proxy/events.py
+++ b/mallowspindle/proxy/events.py
@@ -9,6 +9,14 @@
 _DATA_LINE = re.compile(rb'^data', re.MULTILINE)
 
 
+# Events hold some tokens each. A server in trouble may send bytes without end.
+_MAX_EVENT_BYTES = 1_000_000
+
+
+class OversizedEvent(Exception):
+    """An event is longer than any that a server would send."""
+
+
 class OutOfOrder(Exception):
     """A continuation's first event does not follow the last one emitted."""
 
@@ -50,12 +58,16 @@
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that ``chunk`` completes, unchanged.
 
-        Raises ``OutOfOrder`` if a continuation repeats or skips events.
+        Raises ``OutOfOrder`` if a continuation repeats or skips events, and
+        ``OversizedEvent`` if an event does not end.
         """
         buffered = self._pending + chunk
         found = _COMPLETE_EVENTS.match(buffered)
         end = found.end() if found else 0
         self._pending = buffered[end:]
+        if len(self._pending) > _MAX_EVENT_BYTES:
+            self._pending = b''
+            raise OversizedEvent(f'an event has over {_MAX_EVENT_BYTES} bytes')
         events = buffered[:end]
         if events:
             self._record_events(events)
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -12,7 +12,7 @@
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.continuation import Continuation
 from mallowspindle.proxy.errors import CallerDisconnected
-from mallowspindle.proxy.events import EventSplitter, OutOfOrder
+from mallowspindle.proxy.events import EventSplitter, OutOfOrder, OversizedEvent
 from mallowspindle.proxy.messages import CallerRequest, ResponseHead
 from mallowspindle.proxy.outcomes import (
     UNAVAILABLE_RETRY_AFTER_S,
@@ -27,6 +27,9 @@
 # A server that crashes because of a prompt does so when it begins to respond,
 # so it has outlived the prompt this time after the first event.
 _SETTLING_TIME_S = 0.5
+# A whole answer is kept in memory. This is twice the default limit on the bodies
+# of callers, and little compared to the memory of a node.
+_MAX_BODY_BYTES = 8_000_000
 
 
 class ResponseRelay:
@@ -77,7 +80,7 @@
         if head.limit is not None and not head.misdirected:
             self._context.backends.record_limit(view, head.limit.per_s)
         if head.not_run:
-            await answer.read()
+            await _read_body(answer)
             kind = Unreachable if head.misdirected else NotRun
             return kind(
                 f'server answered {head.status}', UNAVAILABLE_RETRY_AFTER_S
@@ -85,7 +88,9 @@
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
             return await self._relay(answer, head, view, in_flight)
         self._count_usage()
-        body = await answer.read()
+        body = await _read_body(answer)
+        if body is None:
+            return Unknown(f'the answer has over {_MAX_BODY_BYTES} bytes')
         if answer.truncated:
             return Unknown('the connection was reset within the answer')
         self._settle(in_flight)
@@ -106,6 +111,9 @@
             except OutOfOrder as error:
                 answer.close()
                 return Diverged(str(error))
+            except OversizedEvent as error:
+                answer.close()
+                return Unknown(str(error))
             if events:
                 if self._response is None:
                     self._continuation.note_begun(view.server)
@@ -160,3 +168,16 @@
             return
         self._usage_counted = True
         self._context.usage.count_request(self._organisation.name)
+
+
+async def _read_body(answer: MatchedResponse) -> bytes | None:
+    """Return the body; None if it is too long, and the connection is closed."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in answer.content.iter_any():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > _MAX_BODY_BYTES:
+            answer.close()
+            return None
+    return b''.join(chunks)
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -17,7 +17,8 @@
     that is due. ``limit_per_s`` is a limit on requests that a server states in
     its responses. A server crashes for ``crash_s`` when it begins a response
     to a prompt with ``deadly_part``, unless that is the last part.
-    ``slow_events_s`` is a pause before each event.
+    ``slow_events_s`` is a pause before each event. ``endless`` names where
+    bytes come without end: in the ``head``, a ``body`` or an ``event``.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -38,6 +39,7 @@
     skips: int = 0
     limit_per_s: float | str | None = None
     slow_events_s: float = 0
+    endless: str = ''
     deadly_part: str = ''
     crash_s: float = 1.5
 
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -25,6 +25,8 @@
 from mallowspindle.standins.server import Listener, serve
 
 _MISDIRECTED_REQUEST = 421
+_ENDLESS_LINES = 20_000
+_ENDLESS_PAUSE_S = 0.002
 
 
 class StreamWithoutLength(StreamResponse):
@@ -62,6 +64,7 @@
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
         self._crashes_at_s: list[float] = []
+        self._endless_bytes = 0
         self._listener: Listener | None = None
         self._restart: asyncio.Task[None] | None = None
 
@@ -70,6 +73,7 @@
         app = Application(client_max_size=8_000_000)
         app.router.add_get('/runs', self._list_runs)
         app.router.add_get('/crashes', self._list_crashes)
+        app.router.add_get('/endless-bytes', self._count_endless_bytes)
         app.router.add_get('/report', self._report)
         app.router.add_post('/kv-move', self._copy_run)
         app.router.add_delete('/kv-handle/{handle}', self._drop_handle)
@@ -114,6 +118,8 @@
     ) -> StreamResponse:
         if self._faults.consume('lose_answers'):
             drop_connection(request)
+        if self._faults.endless:
+            return await self._send_without_end(request, headers)
         headers['Response-Signature'] = f'{self._id}-signature'
         if self._faults.consume('truncate'):
             return Response(status=500, headers=headers, text='failed')
@@ -122,6 +128,26 @@
             return Response(headers=headers, text=f'answer of {self._id}')
         return await self._stream(request, headers, run)
 
+    async def _send_without_end(
+        self, request: Request, headers: dict[str, str]
+    ) -> StreamResponse:
+        """Send bytes until the gateway closes the connection."""
+        response = StreamWithoutLength(headers=headers)
+        transport = request.transport
+        if self._faults.endless == 'head':
+            lines = [f'{name}: {text}\r\n' for name, text in headers.items()]
+            head = ''.join(lines)
+            if transport is not None:
+                transport.write(f'HTTP/1.1 200 OK\r\n{head}'.encode())
+        else:
+            await response.prepare(request)
+        part = b'x: y\r\n' if self._faults.endless == 'head' else b'data: x\n'
+        while transport is not None and not transport.is_closing():
+            transport.write(part * _ENDLESS_LINES)
+            self._endless_bytes += len(part) * _ENDLESS_LINES
+            await asyncio.sleep(_ENDLESS_PAUSE_S)
+        return response
+
     async def _stream(
         self, request: Request, headers: dict[str, str], run: dict[str, Any]
     ) -> StreamResponse:
@@ -200,6 +226,9 @@
     async def _list_crashes(self, request: Request) -> Response:
         return json_response(self._crashes_at_s)
 
+    async def _count_endless_bytes(self, request: Request) -> Response:
+        return json_response(self._endless_bytes)
+
     async def _list_runs(self, request: Request) -> Response:
         return json_response(self._runs)
 
