Take a stream without a length or an event for broken off

What callers saw (stand-ins): a server that crashes as it begins a response without a length closes its connection, and the caller got a complete, empty stream with status 200. Cause: such a response is complete if its connection closes between two events, and no event at all was taken for that. The test test_a_crash_before_the_first_event_never_looks_like_an_answer failed with a status of 200 for each such prompt; now they get 502, and 503 once the part is refused. The end of a short stream without a length clears parts only if the server still listens.

--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -106,24 +106,34 @@
         """Forward complete events to the caller as they arrive."""
         async for chunk in answer.content.iter_any():
             self._note_chunk(in_flight)
-            try:
-                events = self._splitter.feed(chunk)
-            except OutOfOrder as error:
+            events = self._feed(chunk)
+            if isinstance(events, Unknown):
                 answer.close()
-                return Diverged(str(error))
-            except OversizedEvent as error:
-                answer.close()
-                return Unknown(str(error))
+                return events
             if events:
                 if self._response is None:
                     self._continuation.note_begun(view.server)
                 await self._write(head, events)
         if answer.truncated or await self._ended_early(answer, in_flight):
             return Unknown('the connection ended within the stream')
-        self._settle(in_flight)
+        if answer.framed:
+            self._settle(in_flight)
+        elif not in_flight.settled:
+            await self._context.quarantine.record_unframed_end(
+                view.server, self._request
+            )
         await self._write(head, self._splitter.pending)
         return Relayed()
 
+    def _feed(self, chunk: bytes) -> bytes | Unknown:
+        """Return the events that a chunk completes, or why it is unusable."""
+        try:
+            return self._splitter.feed(chunk)
+        except OutOfOrder as error:
+            return Diverged(str(error))
+        except OversizedEvent as error:
+            return Unknown(str(error))
+
     def _note_chunk(self, in_flight: InFlightRequest) -> None:
         """Record the first event, and whether the server has outlived it."""
         now_s = asyncio.get_running_loop().time()
@@ -143,11 +153,17 @@
     async def _ended_early(
         self, answer: MatchedResponse, in_flight: InFlightRequest
     ) -> bool:
-        """Return whether an unframed response ended before its run did."""
+        """Return whether an unframed response ended before its run did.
+
+        It ends by closing the connection, as it does if the server crashes.
+        """
         if answer.framed:
             return False
+        has_event = self._response is not None
+        is_new = self._request.last_event_id is None
         return (
-            bool(self._splitter.pending.strip())
+            (is_new and not has_event)
+            or bool(self._splitter.pending.strip())
             or await in_flight.was_stopped_for_move()
         )
 
--- a/mallowspindle/quarantine/evidence.py
+++ b/mallowspindle/quarantine/evidence.py
@@ -133,6 +133,13 @@
         due_ms = trial_due_ms(self._suspects[part_id])
         return due_ms / _MS - self._unix_clock()
 
+    def has_crashes(self, part_ids: Iterable[str]) -> bool:
+        """Return whether crashes speak against one of the parts."""
+        return any(
+            part_id in self._parts and self._parts[part_id].crashes
+            for part_id in part_ids
+        )
+
     def crash_age_s(self, crash_id: str) -> float | None:
         """Return the age of a recorded crash; None if it is not recorded."""
         times_ms = [
--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -155,6 +155,18 @@
         if changed:
             self._sharing.send_soon()
 
+    async def record_unframed_end(
+        self, server: BackendServer, request: CallerRequest
+    ) -> None:
+        """Record a response whose end looks like that of a crashed server.
+
+        Only if crashes speak against its prompt, it matters which one it was.
+        """
+        if not self._table.has_crashes(_shared_parts(request)):
+            return
+        if await self._is_listening(server.address):
+            self.record_answer(request)
+
     async def record_lost(
         self, server: BackendServer, request: CallerRequest
     ) -> None:
--- a/mallowspindle/tests/gateway/test_deadly_parts.py
+++ b/mallowspindle/tests/gateway/test_deadly_parts.py
@@ -1,16 +1,23 @@
 """Tests of prompts with a part that crashes the servers."""
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 from itertools import count
 
 import pytest_asyncio
 from aiohttp import ClientError
 
 from mallowspindle.standins.gateways import GatewayVenture
-from mallowspindle.tests.gateway.observations import COMPLETE_STREAM, EVENTS
+from mallowspindle.tests.gateway.observations import (
+    COMPLETE_STREAM,
+    EVENTS,
+    is_draining,
+    is_registered,
+)
 
 _GATEWAYS = ('entry-1', 'entry-2', 'entry-3', 'entry-4')
 _SERVERS = tuple(f'model-{number}' for number in range(1, 7))
@@ -27,6 +34,10 @@
 _CRASH_S = 0.6
 _DEADLY_INTERVAL_S = 0.4
 _SOUND_INTERVAL_S = 0.1
+# Enough for three crashes, also if some find no server, and for the servers to
+# be back after each one.
+_PROMPTS = 12
+_APART_S = 0.4
 
 
 @pytest_asyncio.fixture
@@ -87,6 +98,12 @@
 async def _send(venture: GatewayVenture, number: int, *parts: str) -> str:
     """Return how a letter ended, as status or as ``cut``."""
     gateway = _GATEWAYS[number % len(_GATEWAYS)]
+    return await _send_to(venture, gateway, number, *parts)
+
+
+async def _send_to(
+    venture: GatewayVenture, gateway: str, number: int, *parts: str
+) -> str:
     prompt = _prompt(number, *parts)
     request_id = f'request-{number}'
     try:
@@ -145,3 +162,35 @@
     assert len(late) <= _TOLERATED_REQUESTS
     share = fates['whole'] / fates.total()
     assert share >= share_before * _SOUND_FRACTION
+
+
+async def test_a_crash_before_the_first_event_never_looks_like_an_answer(
+    venture: GatewayVenture,
+) -> None:
+    """A response without a length ends with its connection, and so does a crash.
+
+    It must not clear the part either.
+    """
+    for name in _SERVERS[:2]:
+        await venture.register(name, 'models', state='draining')
+    names = ('model-3', 'model-4', 'model-5', 'model-6')
+    for name in names:
+        await venture.start_server(
+            name, 'models', f'--events={EVENTS}', '--no-length'
+        )
+        await venture.set_faults(name, deadly_part=_DEADLY_PART, crash_s=0.2)
+        await venture.wait_until(partial(is_registered, venture, name))
+    for name in _SERVERS[:2]:
+        await venture.wait_until(partial(is_draining, venture, name))
+    fates = []
+    for number in range(_PROMPTS):
+        fates.append(await _send_to(venture, 'entry-1', number, _DEADLY_PART))
+        await asyncio.sleep(_APART_S)
+    assert set(fates) == {'502', '503'}
+    # Both parts of these prompts are in all crashes.
+    refused = re.compile('part (a1|dead) of the prompt has crashed servers')
+    reasons = [
+        line['reason']
+        for line in venture.log_lines('entry-1', 'request refused')
+    ]
+    assert any(map(refused.match, reasons))
