--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -226,8 +226,17 @@
             return
         self._merged = work
         if work.evidence:
+            before = set(self._table.suspects)
             changed = self._table.merge(work.evidence)
-            self._log_changes('evidence of peers', changed, 'peers')
+            refused = before ^ self._table.suspects.keys()
+            self._log_changes(
+                'evidence of peers',
+                {
+                    part_id: changed[part_id]
+                    for part_id in refused & changed.keys()
+                },
+                'peers',
+            )
 
     def _begin_trial(self, part_id: str) -> bool:
         if not self._table.is_trial_due(part_id):
