Add commands to list refused parts of prompts and to clear one

Operators could see refused parts in logs and metrics only, and had to wait for a trial if they knew a part to be sound. `mallowspindle quarantine list` and `clear` call a daemon as its peers do, with the shared key of its settings. A cleared part is also dropped from the log, so that it is not refused again when all nodes restart; before, the record of a part that had been answered stayed. Both commands are part of test_a_deadly_part_does_not_crash_server_after_server.

--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Self
 
@@ -15,8 +15,14 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.log.errors import LogError
 from mallowspindle.log.interface import Log
+from mallowspindle.peers.codec import ErrorReply, OkReply
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.quarantine.evidence import EvidenceTable
+from mallowspindle.quarantine.messages import (
+    QuarantineClear,
+    QuarantineList,
+    QuarantineQuery,
+)
 from mallowspindle.quarantine.reachability import accepts_connections
 from mallowspindle.quarantine.records import decode_evidence, encode_evidence
 from mallowspindle.sharing.messages import PartEvidence, WorkSum
@@ -125,6 +131,9 @@
         """Exchange evidence with peers and read what is logged."""
         self._sharing.register_work_source(self._own_work)
         meter.create_observable_gauge('quarantined_parts', [self._observe])
+        server = self._sharing.membership.server
+        server.handle(QuarantineQuery, self._answer_query)
+        server.handle(QuarantineClear, self._handle_clear)
         self._tasks.spawn(self._load(), 'quarantine')
 
     async def stop(self) -> None:
@@ -150,10 +159,7 @@
 
     def record_answer(self, request: CallerRequest) -> None:
         """Record that a server outlived its response to a prompt."""
-        changed = self._table.record_answer(_shared_parts(request))
-        self._log_changes('part of a prompt cleared', changed, 'own answer')
-        if changed:
-            self._sharing.send_soon()
+        self._clear(_shared_parts(request), 'own answer')
 
     async def record_unframed_end(
         self, server: BackendServer, request: CallerRequest
@@ -197,15 +203,32 @@
         # Other requests wait for the same check, and callers may leave.
         await asyncio.wait([unconfirmed.check])
 
-    def clear(self, part_id: str) -> bool:
-        """Clear a part at all nodes; return False if nothing speaks against it.
-
-        Operators use it for a part that they know to be sound.
-        """
-        changed = self._table.record_answer([part_id])
-        self._log_changes('part of a prompt cleared', changed, 'operator')
+    def _clear(self, part_ids: Iterable[str], source: str) -> bool:
+        """Clear parts; return False if nothing speaks against them."""
+        suspects = set(self._table.suspects)
+        changed = self._table.record_answer(part_ids)
+        self._log_changes('part of a prompt cleared', changed, source)
+        if changed:
+            self._sharing.send_soon()
+        for part_id in suspects & changed.keys():
+            self._save_part(part_id, PartEvidence({}, {}))
         return bool(changed)
 
+    async def _answer_query(self, query: QuarantineQuery) -> QuarantineList:
+        return QuarantineList(
+            {
+                part_id: dict(crashes)
+                for part_id, crashes in self._table.suspects.items()
+            }
+        )
+
+    async def _handle_clear(
+        self, order: QuarantineClear
+    ) -> OkReply | ErrorReply:
+        if self._clear([order.part_id], 'operator'):
+            return OkReply()
+        return ErrorReply(f'nothing speaks against part {order.part_id}')
+
     async def _confirm_crash(self, crash_id: str, address: str) -> None:
         # A server that still accepts connections has only lost one.
         is_listening = await self._is_listening(address)
@@ -218,7 +241,7 @@
         self._log_changes('part of a prompt suspected', changed, 'own crash')
         if changed:
             self._sharing.send_soon()
-            self._save(changed)
+            self._save(changed.keys())
 
     def _merge_peers(self) -> None:
         work = self._sharing.peer_work()
@@ -258,17 +281,20 @@
         self._merge_peers()
         return WorkSum(evidence=self._table.shared())
 
-    def _save(self, changed: Iterable[str]) -> None:
+    def _save(self, changed: Collection[str]) -> None:
         suspects = self._table.suspects
-        for part_id in changed:
-            if self._store is not None and part_id in suspects:
-                evidence = PartEvidence(dict(suspects[part_id]), {})
-                self._tasks.spawn(
-                    self._save_part(self._store, part_id, evidence),
-                    'quarantine record',
-                )
-
-    async def _save_part(
+        for part_id in suspects.keys() & changed:
+            evidence = PartEvidence(dict(suspects[part_id]), {})
+            self._save_part(part_id, evidence)
+
+    def _save_part(self, part_id: str, evidence: PartEvidence) -> None:
+        if self._store is not None:
+            self._tasks.spawn(
+                self._append(self._store, part_id, evidence),
+                'quarantine record',
+            )
+
+    async def _append(
         self, store: QuarantineStore, part_id: str, evidence: PartEvidence
     ) -> None:
         try:
--- a/mallowspindle/tests/gateway/test_deadly_parts.py
+++ b/mallowspindle/tests/gateway/test_deadly_parts.py
@@ -1,12 +1,15 @@
 """Tests of prompts with a part that crashes the servers."""
 
 import asyncio
+import json
 import re
+import sys
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from functools import partial
 from itertools import count
+from pathlib import Path
 
 import pytest_asyncio
 from aiohttp import ClientError
@@ -147,6 +150,7 @@
     venture = tainted_venture
     fates, share_before = await _send_both(venture)
     await asyncio.sleep(_CRASH_S)
+    await _check_operators_commands(venture)
     crashes_at_s: list[float] = []
     reached_at_s: list[float] = []
     for name in _SERVERS:
@@ -164,6 +168,45 @@
     assert share >= share_before * _SOUND_FRACTION
 
 
+async def _check_operators_commands(venture: GatewayVenture) -> None:
+    """List and clear the part with the operators' commands."""
+    settings = venture.write_settings(
+        'entry-1', venture.gateway_settings('entry-1', 'a')
+    )
+    status, listed = await _run_command(
+        venture, 'list', '--settings', settings, '--output', 'json'
+    )
+    assert status == 0
+    (row,) = json.loads(listed)
+    assert row['part'] == _DEADLY_PART
+    assert row['crashes'] >= 3
+    clear = ('clear', _DEADLY_PART, '--settings', settings)
+    assert await _run_command(venture, *clear) == (0, 'dead: cleared\n')
+    status, _ = await _run_command(venture, *clear)
+    assert status == 1
+    status, listed = await _run_command(
+        venture, 'list', '--settings', settings, '--output', 'json'
+    )
+    assert json.loads(listed) == []
+
+
+async def _run_command(
+    venture: GatewayVenture, *arguments: str | Path
+) -> tuple[int | None, str]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'mallowspindle',
+        'quarantine',
+        *arguments,
+        '--node',
+        venture.process('entry-1').endpoint('peers'),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    printed, _ = await process.communicate()
+    return process.returncode, printed.decode()
+
+
 async def test_a_crash_before_the_first_event_never_looks_like_an_answer(
     venture: GatewayVenture,
 ) -> None:
