Try parts that can not be told apart with one request, not one each

Each of them would get its own trial, on different nodes, and trials count among the requests that operators tolerate. Now it is the same part whatever the order; the policy test fails before with the parts in reverse.

--- a/mallowspindle/policies/quarantine.py
+++ b/mallowspindle/policies/quarantine.py
@@ -59,6 +59,7 @@
 ) -> str | None:
     """Return the part for which a prompt is refused; None if it is not.
 
+    It is the same one for all prompts with the parts that can't be told apart.
     ``suspects`` holds the crashes of the parts for which ``is_suspect`` holds.
     """
     present = [part_id for part_id in part_ids if part_id in suspects]
@@ -70,5 +71,5 @@
             if crashes <= other_crashes.keys()
         }
         if indistinguishable.issubset(present):
-            return part_id
+            return min(indistinguishable)
     return None
--- a/mallowspindle/tests/policies/test_quarantine.py
+++ b/mallowspindle/tests/policies/test_quarantine.py
@@ -26,6 +26,7 @@
 ):
     suspects = {'a': _CRASHES, 'b': _CRASHES}
     assert find_refused_part(('a', 'b', 'c'), suspects) == 'a'
+    assert find_refused_part(('c', 'b', 'a'), suspects) == 'a'
     assert find_refused_part(('a', 'c'), suspects) is None
 
 
