Log refused parts once the log is back, and read them until it answers

If the log was down when a part was found, its record was lost, and a node that started while the log was down gave up reading after five tries. After a restart of all nodes the part then crashed servers again: in simulated time 5 requests with it reached servers, 3 are tolerated (test_parts_stay_refused_if_all_nodes_restart[12], failed before). Now a node writes what is known of a part as soon as the log takes it, for up to a minute, and reads until the log answers.

--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Self
 
@@ -44,8 +44,10 @@
 _MIN_RETRY_AFTER_S = 10.0
 # A server that is lost again after this time has crashed a second time.
 _SHORTEST_RESTART_S = 0.5
-_LOAD_PAUSE_S = 1.0
-_LOAD_TRIES = 5
+# Pause between two tries to reach the log, and the number of tries to write to
+# it. The log is away for some seconds; meanwhile the peers keep the evidence.
+_LOG_PAUSE_S = 1.0
+_SAVE_TRIES = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,7 +213,7 @@
         if changed:
             self._sharing.send_soon()
         for part_id in suspects & changed.keys():
-            self._save_part(part_id, PartEvidence({}, {}))
+            self._save(part_id)
         return bool(changed)
 
     async def _answer_query(self, query: QuarantineQuery) -> QuarantineList:
@@ -241,7 +243,8 @@
         self._log_changes('part of a prompt suspected', changed, 'own crash')
         if changed:
             self._sharing.send_soon()
-            self._save(changed.keys())
+            for part_id in self._table.suspects.keys() & changed.keys():
+                self._save(part_id)
 
     def _merge_peers(self) -> None:
         work = self._sharing.peer_work()
@@ -281,44 +284,41 @@
         self._merge_peers()
         return WorkSum(evidence=self._table.shared())
 
-    def _save(self, changed: Collection[str]) -> None:
-        suspects = self._table.suspects
-        for part_id in suspects.keys() & changed:
-            evidence = PartEvidence(dict(suspects[part_id]), {})
-            self._save_part(part_id, evidence)
-
-    def _save_part(self, part_id: str, evidence: PartEvidence) -> None:
+    def _save(self, part_id: str) -> None:
         if self._store is not None:
             self._tasks.spawn(
-                self._append(self._store, part_id, evidence),
-                'quarantine record',
+                self._save_to(self._store, part_id), 'quarantine record'
             )
 
-    async def _append(
-        self, store: QuarantineStore, part_id: str, evidence: PartEvidence
-    ) -> None:
-        try:
-            await store.save(part_id, evidence)
-        except LogError as error:
-            # The peers have the evidence; it is lost only if all restart.
-            log.info(
-                'quarantine not logged',
-                extra={'part': part_id, 'error': str(error)},
-            )
+    async def _save_to(self, store: QuarantineStore, part_id: str) -> None:
+        """Log what is known of a part by the time the log takes it."""
+        for _ in range(_SAVE_TRIES):
+            crashes = self._table.suspects.get(part_id, {})
+            try:
+                return await store.save(
+                    part_id, PartEvidence(dict(crashes), {})
+                )
+            except LogError as error:
+                log.info(
+                    'quarantine not logged',
+                    extra={'part': part_id, 'error': str(error)},
+                )
+            await asyncio.sleep(_LOG_PAUSE_S)
 
     async def _load(self) -> None:
+        """Read the logged evidence as soon as the log is reached."""
         if self._store is None:
             return
-        for _ in range(_LOAD_TRIES):
+        while True:
             try:
                 evidence = await self._store.load()
             except LogError as error:
                 log.info('quarantine not read', extra={'error': str(error)})
-                await asyncio.sleep(_LOAD_PAUSE_S)
-            else:
-                changed = self._table.merge(evidence)
-                self._log_changes('part of a prompt suspected', changed, 'log')
-                return
+                await asyncio.sleep(_LOG_PAUSE_S)
+                continue
+            changed = self._table.merge(evidence)
+            self._log_changes('part of a prompt suspected', changed, 'log')
+            return
 
     def _log_changes(
         self, message: str, changed: Mapping[str, PartEvidence], source: str
--- a/mallowspindle/tests/quarantine/test_service.py
+++ b/mallowspindle/tests/quarantine/test_service.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mallowspindle.log.errors import LogError
 from mallowspindle.quarantine.service import QuarantineStore
 from mallowspindle.sharing.messages import PartEvidence
 from mallowspindle.tests.quarantine.crowd import SYSTEM_PART, Crowd
@@ -23,17 +24,24 @@
 
 
 class _MemoryStore(QuarantineStore):
-    """Keeps the logged evidence in memory."""
+    """Keeps the logged evidence in memory; fails while it is ``down``."""
 
     def __init__(self) -> None:
         self._records: dict[str, PartEvidence] = {}
+        self.down = False
 
     async def load(self) -> dict[str, PartEvidence]:
+        self._check()
         return dict(self._records)
 
     async def save(self, part_id: str, evidence: PartEvidence) -> None:
+        self._check()
         self._records[part_id] = evidence
 
+    def _check(self) -> None:
+        if self.down:
+            raise LogError('the log is down')
+
 
 def _parts_refused(crowd: Crowd) -> list[Mapping[str, object]]:
     return [node.suspects for node in crowd.nodes.values()]
@@ -125,7 +133,10 @@
     assert simulate(play()) == 0
 
 
-def test_parts_stay_refused_if_all_nodes_restart() -> None:
+@pytest.mark.parametrize('outage_s', [0, 12])
+def test_parts_stay_refused_if_all_nodes_restart(outage_s: float) -> None:
+    """The log may be down when the part is found, and at the restart."""
+
     async def play() -> int:
         store = _MemoryStore()
         async with FakeMesh(8, _ZONES) as mesh:
@@ -133,13 +144,20 @@
             crowd.deadly = {'deadly'}
             await crowd.start()
             await crowd.run(_BEFORE_S, 9)
+            store.down = outage_s > 0
             await crowd.run(10, 9, 0.2)
+            await asyncio.sleep(max(0, outage_s - 10))
+            store.down = False
+            await crowd.run(3, 9, 0.2)
             await crowd.settle()
         async with FakeMesh(8, _ZONES, incarnation=2) as mesh:
             restarted = Crowd(mesh, 9, store)
             restarted.deadly = {'deadly'}
+            store.down = outage_s > 0
             await restarted.start()
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(outage_s)
+            store.down = False
+            await asyncio.sleep(_CONTACT_S)
             await restarted.run(10, 9, 0.2)
             await restarted.settle()
             return len(restarted.reached_at_s)
