Tell the stand-in of the evacuation's test about software versions

The evacuation asks for a target of the stream's version since; FakeBackends.pick did not take it, so the ten tests of test_evacuation.py waited for moves that never came. It now also checks that the version asked for is that of the source.

--- a/mallowspindle/tests/backends/test_evacuation.py
+++ b/mallowspindle/tests/backends/test_evacuation.py
@@ -96,9 +96,14 @@
         return self._source
 
     def pick(
-        self, service_name: str, request: CallerRequest, avoid: set[str]
+        self,
+        service_name: str,
+        request: CallerRequest,
+        avoid: set[str],
+        software_version: str | None = None,
     ) -> Pick | None:
-        """Return the next target."""
+        """Return the next target of the version that is asked for."""
+        assert software_version == self._source.server.software_version
         available = [
             view for view in self.targets if view.server.server_id not in avoid
         ]
