Correct the reason for the number of crashes, and wrap a docstring

The comment said that a request has one repeat, which is a matter of its route. Comment and docstring only; formatter, linters and the tests of the policy and the evidence pass.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -184,7 +184,8 @@
         """Return the server for the next attempt; None if there is none.
 
         A stream that has begun goes on only at a server of the same
-        ``software_version``. The attempt counts against the limit of the server at once.
+        ``software_version``. The attempt counts against the limit of the server
+        at once.
         """
         usable = self.usable(service_name, avoid, software_version)
         peers = self._sharing.peer_work()
--- a/mallowspindle/policies/quarantine.py
+++ b/mallowspindle/policies/quarantine.py
@@ -17,8 +17,8 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-# Number of crashes from which a part is refused. A request has one repeat, so
-# that no single request gets a part refused.
+# Number of crashes from which a part is refused. Two may be chance: a request
+# and its repeat may both be at servers that crash for another reason.
 CRASHES_TO_REFUSE = 3
 # Crashes that are closer together have one cause, such as the loss of a zone.
 _SAME_MOMENT_MS = 100
