Log which request was lost at a server

A lookup crashed server after server, and no line told whether it was the same one: the id of a request is new each time. The line 'server lost before the first event' now has the path, and a fingerprint of method, host, target, organisation and body. The digest is computed only when a server is lost.

--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from aiohttp.web import BaseRequest, Response, StreamResponse
 from opentelemetry.trace import SpanKind
@@ -91,10 +91,15 @@
             if retry_after_s:
                 _log_refusal(request, configuration, 'over quota')
                 return replies.over_quota(retry_after_s)
+        admitted = replace(
+            request,
+            organisation=organisation.name if organisation else None,
+            body=body.payload,
+        )
         exchange = Exchange(
             self._context,
             web_request,
-            request,
+            admitted,
             route,
             organisation,
             began_at_s,
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -2,9 +2,13 @@
 
 from dataclasses import dataclass
 from functools import cached_property
+from hashlib import blake2b
 
 from multidict import CIMultiDict
 
+# Large enough that no two requests of a venture share a digest by chance.
+_FINGERPRINT_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -21,7 +25,9 @@
     ``headers`` are the headers to forward. ``key`` is the caller's API key.
     ``patience_s`` is how long the caller waits, None if not stated.
     ``resumes`` is the id of the request whose response brought the first event
-    of the stream that the caller takes up.
+    of the stream that the caller takes up. ``organisation`` is the owner of the
+    key and ``body`` the complete body, both unknown until the request is
+    admitted.
     """
 
     method: str
@@ -37,12 +43,25 @@
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
     resumes: str | None = None
+    organisation: str | None = None
+    body: bytes = b''
 
     @cached_property
     def path(self) -> str:
         """The target without its query string."""
         return self.target.partition('?')[0]
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """A digest that is the same when the caller sends the request again."""
+        digest = blake2b(digest_size=_FINGERPRINT_BYTES)
+        host = self.host.partition(':')[0].lower()
+        for field in (self.method, host, self.target, self.organisation or ''):
+            # A length before each field keeps fields from running together.
+            digest.update(f'{len(field)}:{field}'.encode())
+        digest.update(self.body)
+        return f'request:{digest.hexdigest()}'
+
     @property
     def tokens(self) -> int | None:
         """The tokens that count against a quota; None if not stated."""
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -67,8 +67,8 @@
     def log_unanswered(self, view: BackendView, responding: bool) -> None:
         """Log that a server was lost before the first event of a response.
 
-        Parts of the prompt that occur at several lost servers may be why they
-        crash.
+        A request or parts of a prompt that occur at several lost servers may
+        be why they crash.
         """
         prompt = self._request.prompt[:-1]
         log.info(
@@ -77,6 +77,8 @@
                 **self._fields(),
                 'server': view.server.server_id,
                 'responding': responding,
+                'path': self._request.path,
+                'fingerprint': self._request.fingerprint,
                 'prompt': [part.part_id for part in prompt[:_MAX_LOGGED_PARTS]],
             },
         )
