--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -16,7 +16,8 @@
     resumed stream at its first event and ``skips`` leaves out the first event
     that is due. ``limit_per_s`` is a limit on requests that a server states in
     its responses. A server crashes for ``crash_s`` when it begins a response
-    to a prompt with ``deadly_part``, unless that is the last part.
+    to a prompt with ``deadly_part``, unless that is the last part, and
+    ``deadly_run_s`` after it has begun to run a request to ``deadly_target``.
     ``slow_events_s`` is a pause before each event. ``endless`` names where
     bytes come without end: in the ``head``, a ``body`` or an ``event``.
     """
@@ -41,6 +42,8 @@
     slow_events_s: float = 0
     endless: str = ''
     deadly_part: str = ''
+    deadly_target: str = ''
+    deadly_run_s: float = 0.06
     crash_s: float = 1.5
 
     def consume(self, name: str) -> bool:
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -116,6 +116,10 @@
     async def _answer(
         self, request: Request, headers: dict[str, str], run: dict[str, Any]
     ) -> StreamResponse:
+        if request.raw_path == self._faults.deadly_target:
+            await asyncio.sleep(self._faults.deadly_run_s)
+            self._crash()
+            await asyncio.sleep(self._faults.crash_s)
         if self._faults.consume('lose_answers'):
             drop_connection(request)
         if self._faults.endless:
--- a/mallowspindle/tests/gateway/test_deadly_parts.py
+++ b/mallowspindle/tests/gateway/test_deadly_parts.py
@@ -6,7 +6,6 @@
 import sys
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
 from functools import partial
 from itertools import count
 from pathlib import Path
@@ -15,6 +14,7 @@
 from aiohttp import ClientError
 
 from mallowspindle.standins.gateways import GatewayVenture
+from mallowspindle.tests.gateway.crashes import crashes_at_s, restarts
 from mallowspindle.tests.gateway.observations import (
     COMPLETE_STREAM,
     EVENTS,
@@ -60,36 +60,10 @@
         await venture.set_faults(
             name, deadly_part=_DEADLY_PART, crash_s=_CRASH_S
         )
-    async with _restarts(venture):
+    async with restarts(venture, 'models', _SERVERS):
         yield venture
 
 
-@asynccontextmanager
-async def _restarts(venture: GatewayVenture) -> AsyncIterator[None]:
-    """Register servers that have crashed anew, as started later."""
-
-    async def watch(name: str) -> None:
-        crashes = 0
-        known_crashes = 0
-        while True:
-            with suppress(ClientError):
-                crashes = len(await _crashes_at_s(venture, name))
-            if crashes > known_crashes:
-                known_crashes = crashes
-                await venture.register(name, 'models', born=1 + crashes)
-            await asyncio.sleep(0.2)
-
-    tasks = [asyncio.create_task(watch(name)) for name in _SERVERS]
-    yield
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
-async def _crashes_at_s(venture: GatewayVenture, name: str) -> list[float]:
-    return list(await venture.get(f'{venture.process(name).url}/crashes'))
-
-
 def _prompt(number: int, *parts: str) -> dict[str, str]:
     entries = [f'{part}:50' for part in (_SHARED_PART, *parts)]
     return {
@@ -151,17 +125,17 @@
     fates, share_before = await _send_both(venture)
     await asyncio.sleep(_CRASH_S)
     await _check_operators_commands(venture)
-    crashes_at_s: list[float] = []
+    crashed_at_s: list[float] = []
     reached_at_s: list[float] = []
     for name in _SERVERS:
-        crashes_at_s += await _crashes_at_s(venture, name)
+        crashed_at_s += await crashes_at_s(venture, name)
         reached_at_s += [
             run['began_at_s']
             for run in await venture.runs(name)
             if _DEADLY_PART in run['headers'].get('Prompt-Prefix', '')
         ]
-    assert crashes_at_s
-    counted_from_s = sorted(crashes_at_s)[:_TOLERATED_CRASHES][-1] + _CONTACT_S
+    assert crashed_at_s
+    counted_from_s = sorted(crashed_at_s)[:_TOLERATED_CRASHES][-1] + _CONTACT_S
     late = [at_s for at_s in reached_at_s if at_s > counted_from_s]
     assert len(late) <= _TOLERATED_REQUESTS
     share = fates['whole'] / fates.total()
