--- a/mallowspindle/tests/gateway/test_deadly_parts.py
+++ b/mallowspindle/tests/gateway/test_deadly_parts.py
@@ -85,7 +85,7 @@
     request_id = f'request-{number}'
     try:
         status, _, text = await venture.call(
-            gateway, 'POST', '/letters/x', request_id, changes=prompt
+            gateway, 'POST', f'/letters/{number}', request_id, changes=prompt
         )
     except ClientError:
         return 'cut'
