Log and count the services that a node does not reach

A node that was cut off from all servers wrote nothing that told so: each connection that failed read like the loss of one server. Placement and responses are unchanged.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -15,6 +15,7 @@
 )
 from mallowspindle.backends.demand import DemandMeters
 from mallowspindle.backends.limits import ServerLimits
+from mallowspindle.backends.links import ServerLinks
 from mallowspindle.backends.prefixes import PrefixCacheIndex
 from mallowspindle.backends.reachability import (
     own_report,
@@ -71,6 +72,7 @@
         self._views: dict[str, BackendView] = {}
         self._limits = ServerLimits(sharing, clock)
         self._demands = DemandMeters(clock)
+        self._links = ServerLinks(self.views, sharing.send_soon, clock)
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
@@ -84,6 +86,19 @@
         """Start to report this node's work to the peers."""
         self._sharing.register_work_source(self._own_work)
         self._limits.start()
+        self._links.start()
+
+    async def stop(self) -> None:
+        """Stop to try servers that are not reached."""
+        await self._links.stop()
+
+    def record_lost_connection(self, view: BackendView) -> None:
+        """Record a server that accepts no connection or broke one off."""
+        self._links.record_lost(view)
+
+    def record_answering(self, view: BackendView) -> None:
+        """Record that a server has begun to answer this node."""
+        self._links.record_answering(view.server.service)
 
     def views(self, service_name: str) -> list[BackendView]:
         """Return the servers of a service, draining ones included."""
--- a/mallowspindle/catalog/servers.py
+++ b/mallowspindle/catalog/servers.py
@@ -1,7 +1,12 @@
 """Entries under which backend servers register themselves."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+# Number of servers of the same service, and of others, that are tried to tell
+# whether a node is disconnected.
+_OTHERS_TO_TRY = 2
+
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -23,3 +28,24 @@
     reclaimable: bool = False
     model_version: int | None = None
     software_version: str = ''
+
+
+def other_servers(
+    servers: Iterable[BackendServer], lost_address: str
+) -> list[str]:
+    """Return addresses of servers of the same service and of others.
+
+    All servers of one service may have crashed under the same request.
+    """
+    servers = list(servers)
+    services = {
+        server.service for server in servers if server.address == lost_address
+    }
+    by_service: dict[bool, list[str]] = {True: [], False: []}
+    for server in servers:
+        if server.address != lost_address and not server.draining:
+            by_service[server.service in services].append(server.address)
+    return [
+        *by_service[True][:_OTHERS_TO_TRY],
+        *by_service[False][:_OTHERS_TO_TRY],
+    ]
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -209,6 +209,7 @@
                 if self._deadline_passed():
                     raise TimeoutError from error
                 outcome = self._classify_error(error, send_state)
+                self._context.backends.record_lost_connection(view)
             if isinstance(outcome, Unknown) and not in_flight.settled:
                 await self._record_lost(view, in_flight, send_state)
             if self._can_continue_run(outcome):
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -71,6 +71,7 @@
 
         Raise ``CallerDisconnected`` if the caller has left.
         """
+        self._context.backends.record_answering(view)
         head = self._context.http_codec.decode_response_head(
             answer.status, answer.headers
         )
--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -16,7 +16,7 @@
 from opentelemetry.metrics import CallbackOptions, Observation
 
 from mallowspindle.adapter import AdapterService
-from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.servers import BackendServer, other_servers
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
@@ -29,10 +29,6 @@
     QuarantineList,
     QuarantineQuery,
 )
-from mallowspindle.quarantine.reachability import (
-    accepts_connections,
-    other_servers,
-)
 from mallowspindle.quarantine.store import (
     QuarantineStore,
     load_when_reached,
@@ -40,6 +36,7 @@
 )
 from mallowspindle.sharing.messages import PartEvidence, WorkSum
 from mallowspindle.sharing.service import SharingService
+from mallowspindle.utils.connections import accepts_connections
 from mallowspindle.utils.identifiers import rendezvous_order
 from mallowspindle.utils.tasks import BackgroundTasks
 from mallowspindle.utils.telemetry import meter
--- a/mallowspindle/tests/quarantine/crowd.py
+++ b/mallowspindle/tests/quarantine/crowd.py
@@ -9,9 +9,8 @@
 
 from multidict import CIMultiDict
 
-from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.servers import BackendServer, other_servers
 from mallowspindle.proxy.messages import CallerRequest, PromptPart
-from mallowspindle.quarantine.reachability import other_servers
 from mallowspindle.quarantine.service import QuarantineService
 from mallowspindle.quarantine.store import QuarantineStore
 from mallowspindle.tests.sharing.fakes import FakeMesh
