--- /dev/null
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -0,0 +1,233 @@
+"""Entry VMs in one process that reach the servers, or are cut off from them."""
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
+
+from aiohttp import ClientError, ClientSession
+
+from mallowspindle.backends.service import BackendsService
+from mallowspindle.catalog.configuration import (
+    CallerLimits,
+    Configuration,
+    Organisation,
+    Route,
+    RouteKind,
+    BackendService,
+    TrafficShare,
+)
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.service import CatalogService
+from mallowspindle.config.platform import ProxySection
+from mallowspindle.platform.codec import PlatformHttpCodec
+from mallowspindle.policies.budget import BudgetTerms
+from mallowspindle.proxy.callers import CallerServer
+from mallowspindle.proxy.context import ProxyContext, RetryBudgets
+from mallowspindle.proxy.gate import AdmissionGate
+from mallowspindle.proxy.quotas import Quotas
+from mallowspindle.proxy.upstream import Upstream
+from mallowspindle.quarantine.service import QuarantineService
+from mallowspindle.standins.platform_server import ServerStandin
+from mallowspindle.standins.server import Listener
+from mallowspindle.streams.service import StreamsService
+from mallowspindle.tests.sharing.fakes import FakeMesh
+from mallowspindle.usage import UsageCounter
+
+HOST = 'shop.example'
+KEY = 'key-of-farm'
+EVENTS = 3
+_TIMEOUT_S = 2.0
+_SERVERS = (('models', EVENTS), ('shop', 0))
+_SERVERS_EACH = 2
+
+
+def _route(name: str, service: str, kind: RouteKind, attempts: int) -> Route:
+    return Route(
+        name,
+        HOST,
+        f'/{name}/',
+        kind,
+        (TrafficShare(service, 1),),
+        timeout_s=_TIMEOUT_S,
+        objective_s=1,
+        max_attempts=attempts,
+        resumable=kind is RouteKind.STREAM,
+    )
+
+
+CONFIGURATION = Configuration(
+    1,
+    (
+        _route('letters', 'models', RouteKind.STREAM, 2),
+        _route('orders', 'shop', RouteKind.UNSAFE, 1),
+        _route('status', 'shop', RouteKind.SAFE, 2),
+    ),
+    services={name: BackendService(name, 100) for name, _ in _SERVERS},
+    organisations=(Organisation('farm', frozenset((KEY,))),),
+)
+
+
+class Node:
+    """One entry VM; ``catalog.servers`` is what it knows of the servers."""
+
+    def __init__(self, mesh: FakeMesh, name: str) -> None:
+        sharing = mesh.nodes[name]
+        self.name = name
+        self.servers: dict[str, BackendServer] = {}
+        self.catalog = cast(
+            CatalogService,
+            SimpleNamespace(
+                configuration=CONFIGURATION,
+                servers=self.servers,
+                is_current=True,
+                watch=lambda watcher: None,
+            ),
+        )
+        self.backends = BackendsService(self.catalog, sharing)
+        self.quotas = Quotas(sharing, 8)
+        self.usage = UsageCounter(5)
+        self.streams = StreamsService(self.catalog, sharing)
+        self.quarantine = QuarantineService(sharing)
+        self.upstream = Upstream(0.2, 'Request-Id')
+        self.address = ''
+        self._sharing = sharing
+
+    def context(self) -> ProxyContext:
+        """Return the services and policies of the node's proxy."""
+        return ProxyContext(
+            config=ProxySection.model_validate({}),
+            catalog=self.catalog,
+            backends=self.backends,
+            http_codec=PlatformHttpCodec(),
+            upstream=self.upstream,
+            quotas=self.quotas,
+            retry_budgets=RetryBudgets(BudgetTerms(0.2, 10, 50), self._sharing),
+            quarantine=self.quarantine,
+            streams=self.streams,
+            usage=self.usage,
+        )
+
+    async def start(self, stack: AsyncExitStack) -> None:
+        """Listen for callers."""
+        for each in (self.backends, self.streams, self.quarantine):
+            await each.start()
+            stack.push_async_callback(each.stop)
+        server = CallerServer(AdmissionGate(self.context()).handle)
+        listener = await asyncio.get_running_loop().create_server(
+            server, '127.0.0.1', 0
+        )
+        stack.push_async_callback(self.upstream.close)
+        stack.push_async_callback(server.shutdown, 0.1)
+        stack.callback(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+
+class CutVenture:
+    """Nodes before model and shop servers, some of them cut off."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._stack = AsyncExitStack()
+        self._entries: dict[str, BackendServer] = {}
+        self.nodes: list[Node] = []
+        self.mesh: FakeMesh | None = None
+        self._sent = 0
+
+    async def __aenter__(self) -> 'CutVenture':
+        mesh = await self._stack.enter_async_context(FakeMesh(self._size, 2))
+        self.mesh = mesh
+        self._session = await self._stack.enter_async_context(ClientSession())
+        for service, events in _SERVERS:
+            for number in range(_SERVERS_EACH):
+                await self._start_server(f'{service}-{number}', service, events)
+        for name in mesh.nodes:
+            node = Node(mesh, name)
+            node.servers.update(self._entries)
+            await node.start(self._stack)
+            self.nodes.append(node)
+            self._announce(mesh, node)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._stack.aclose()
+
+    def cut(self, nodes: list[Node], *, silent: bool) -> None:
+        """Cut nodes off from all servers: no answer, or connections refused."""
+        for node in nodes:
+            for name, entry in self._entries.items():
+                address = self._dead_address(silent=silent)
+                node.servers[name] = replace(entry, address=address)
+
+    def heal(self, nodes: list[Node]) -> None:
+        """Let nodes reach the servers again."""
+        for node in nodes:
+            node.servers.update(self._entries)
+
+    async def send(self, node: Node, path: str) -> int:
+        """Send a request once; return its status, 0 for a broken answer."""
+        self._sent += 1
+        headers = {
+            'Host': HOST,
+            'Request-Id': f'request-{self._sent}',
+            'Deadline-Ms': '2000',
+            'Authorization': f'Token {KEY}',
+        }
+        method = 'GET' if path.startswith('/status/') else 'POST'
+        url = f'http://{node.address}{path}'
+        try:
+            async with self._session.request(
+                method, url, headers=headers
+            ) as response:
+                text = await response.text()
+        except ClientError:
+            return 0
+        if path.startswith('/letters/') and response.status == 200:
+            return 200 if text.count('data:') == EVENTS else 0
+        return response.status
+
+    async def runs(self) -> list[dict[str, Any]]:
+        """Return all runs at all servers."""
+        found: list[dict[str, Any]] = []
+        for entry in self._entries.values():
+            url = f'http://{entry.address}/runs'
+            async with self._session.get(url) as response:
+                found += await response.json()
+        return found
+
+    async def _start_server(self, name: str, service: str, events: int) -> None:
+        standin = ServerStandin(name, events, 0.01)
+        listener = Listener(standin.app(), '127.0.0.1', 0)
+        port = await listener.start()
+        self._stack.push_async_callback(listener.close)
+        self._entries[name] = BackendServer(
+            name, service, f'127.0.0.1:{port}', 'zone-0', 50
+        )
+
+    def _announce(self, mesh: FakeMesh, node: Node) -> None:
+        membership = mesh.memberships[node.name]
+        membership.own = replace(
+            membership.own, http_address=node.address, beat=2
+        )
+        for other in mesh.memberships.values():
+            if other is not membership:
+                other.table.merge(membership.own)
+
+    def _dead_address(self, *, silent: bool) -> str:
+        """Return an address that answers no connection, or refuses it."""
+        listener = socket.socket()
+        self._stack.callback(listener.close)
+        listener.bind(('127.0.0.1', 0))
+        host, port = listener.getsockname()
+        if silent:
+            # With its queue full, further connections get no answer.
+            listener.listen(0)
+            for _ in range(2):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((host, port))
+                self._stack.callback(filler.close)
+        return f'{host}:{port}'
