Pass requests on through a peer if no server of their service is reached

Cause: each connection that failed was laid to its server. The node ejected one server after the other, 0.5 s each, refused its callers, and stayed named to them, though every peer reached the servers. Class: a node's own fault is taken for the fault of what it looks at.

Now a service of which two servers fail one after the other, with no answer in between, is taken for not reached; the node tells its peers and tries servers every 0.5 s. Until one is reached, requests go to the callers' port of a peer that reaches the service: one hop at most, proved with the shared key, counted once. If the servers are gone, peers say the same and nobody passes anything on. Such a node reports no server of the service to others, and is not named to callers unless half of the nodes are like it. Connections to servers that acknowledge nothing for 2.5 s are ended.

--- a/mallowspindle/adapter.py
+++ b/mallowspindle/adapter.py
@@ -54,6 +54,15 @@
     ) -> CIMultiDict[str]:
         """Return the headers with which the request is sent to a server."""
 
+    @abstractmethod
+    def encode_relay(
+        self,
+        request: CallerRequest,
+        time_left_s: float,
+        last_event_id: str | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers with which the request is sent to a peer."""
+
     @abstractmethod
     def decode_response_head(
         self, status: int, headers: CIMultiDictProxy[str]
--- a/mallowspindle/backends/links.py
+++ b/mallowspindle/backends/links.py
@@ -80,6 +80,8 @@
             chosen = random.sample(addresses, count)
             if any(await asyncio.gather(*map(self._is_listening, chosen))):
                 self.record_answering(service_name)
+                for view in self._views_of(service_name):
+                    view.end_ejection()
                 return
             await asyncio.sleep(_PROBE_PAUSE_S)
 
--- a/mallowspindle/backends/reachability.py
+++ b/mallowspindle/backends/reachability.py
@@ -31,17 +31,23 @@
 
 
 def own_report(
-    views: Mapping[str, BackendView], registered: Container[str], zone: str
+    views: Mapping[str, BackendView],
+    registered: Container[str],
+    zone: str,
+    not_reached: Container[str] = (),
 ) -> dict[str, dict[str, int]]:
     """Return the registered servers that this node reports as unreachable.
 
     If it finds more servers unreachable than reachable, it reports none,
-    since it may be disconnected itself.
+    since it may be disconnected itself. Nor does it report servers of the
+    services in ``not_reached``, from which it is disconnected.
     """
     unreachable = [
         name
         for name, view in views.items()
-        if view.unreachable and name in registered
+        if view.unreachable
+        and name in registered
+        and view.server.service not in not_reached
     ]
     if not unreachable:
         return {}
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -72,7 +72,7 @@
         self._views: dict[str, BackendView] = {}
         self._limits = ServerLimits(sharing, clock)
         self._demands = DemandMeters(clock)
-        self._links = ServerLinks(self.views, sharing.send_soon, clock)
+        self._links = ServerLinks(self.views, self._tell_peers, clock)
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
@@ -92,6 +92,17 @@
         """Stop to try servers that are not reached."""
         await self._links.stop()
 
+    def not_reached(self) -> list[str]:
+        """Return the services of which this node reaches no server."""
+        return self._links.not_reached()
+
+    def nodes_not_reaching(self) -> set[str]:
+        """Return the nodes that reach no server of some service."""
+        return {
+            *self._sharing.peer_work().not_reached,
+            *self._own_not_reached(),
+        }
+
     def record_lost_connection(self, view: BackendView) -> None:
         """Record a server that accepts no connection or broke one off."""
         self._links.record_lost(view)
@@ -306,10 +317,21 @@
             },
             demands=self._demands.own(),
             unreachable=own_report(
-                self._views, self._catalog.servers, self._zone
+                self._views,
+                self._catalog.servers,
+                self._zone,
+                self._links.not_reached(),
             ),
+            not_reached=self._own_not_reached(),
         )
 
+    def _tell_peers(self) -> None:
+        self._sharing.send_soon()
+
+    def _own_not_reached(self) -> dict[str, list[str]]:
+        services = self._links.not_reached()
+        return {self._sharing.membership.own.name: services} if services else {}
+
     def _view_of(self, server: BackendServer) -> BackendView:
         view = self._views.get(server.server_id)
         if view is not None and view.server is server:
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -181,6 +181,12 @@
         self.unreachable_until_s = self.clock() + UNREACHABLE_S
         self.reachable_until_s = 0
 
+    def end_ejection(self) -> None:
+        """Use the server again: not it, but this node was disconnected."""
+        self.failures = 0
+        self.ejected_until_s = 0
+        self.unreachable_until_s = 0
+
     def record_full(self, pause_s: float) -> None:
         """Mark the server as full for ``pause_s``."""
         self.full_until_s = self.clock() + pause_s
--- a/mallowspindle/entry/addresses.py
+++ b/mallowspindle/entry/addresses.py
@@ -1,6 +1,6 @@
 """Selects the addresses of entry VMs that callers should use."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.utils.identifiers import rendezvous_order
@@ -13,7 +13,10 @@
 
 
 def addresses_for(
-    zone: str, own: MemberInfo, live: list[MemberInfo]
+    zone: str,
+    own: MemberInfo,
+    live: list[MemberInfo],
+    disconnected: Collection[str] = (),
 ) -> list[str]:
     """Return HTTP addresses, those of the zone first.
 
@@ -22,14 +25,11 @@
     All nodes of the zone are listed, since callers pick one at random. A short
     list is extended with nodes of other zones. They are chosen by rendezvous
     hashing of the zone, so that zones get different nodes and keep them while
-    they are live. Members that are leaving or not yet serving are left out.
+    they are live. Members that are leaving or not yet serving are left out, and
+    so are ``disconnected`` ones, unless they are half of the members or more:
+    the others could not take all callers.
     """
-    members = {own.name: own, **{info.name: info for info in live}}
-    usable = {
-        name: info
-        for name, info in members.items()
-        if info.http_address and not info.leaving
-    }
+    usable = _usable([*live, own], disconnected)
     local_members = [info for info in usable.values() if info.zone == zone]
     other_zone_names = [
         name for name, info in usable.items() if info.zone != zone
@@ -45,5 +45,20 @@
     return [info.http_address for info in ranked[:_MAX_ADDRESSES]]
 
 
+def _usable(
+    members: Iterable[MemberInfo], disconnected: Collection[str]
+) -> dict[str, MemberInfo]:
+    """Return the members that callers may use, by name."""
+    usable = {
+        info.name: info
+        for info in members
+        if info.http_address and not info.leaving
+    }
+    connected = usable.keys() - set(disconnected)
+    if len(connected) <= len(usable) / 2:
+        return usable
+    return {name: usable[name] for name in connected}
+
+
 def _sort_by_load(infos: Iterable[MemberInfo]) -> list[MemberInfo]:
     return sorted(infos, key=lambda info: (info.in_progress, info.name))
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -121,6 +121,25 @@
         )
         return headers
 
+    def encode_relay(
+        self,
+        request: CallerRequest,
+        time_left_s: float,
+        last_event_id: str | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers with which the request is sent to a peer.
+
+        They are those with which the caller would send it there.
+        """
+        headers = request.headers.copy()
+        headers['Host'] = request.host
+        headers['Deadline-Ms'] = str(int(time_left_s * _MS))
+        if request.key is not None:
+            headers['Authorization'] = f'{_AUTH_SCHEME}{request.key}'
+        if last_event_id is not None:
+            headers['Last-Event-Id'] = last_event_id
+        return headers
+
     def decode_response_head(
         self, status: int, headers: CIMultiDictProxy[str]
     ) -> ResponseHead:
--- a/mallowspindle/proxy/connections.py
+++ b/mallowspindle/proxy/connections.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 import re
+import socket
 from contextvars import ContextVar
 from dataclasses import dataclass
 from functools import partial
@@ -42,6 +43,23 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
+# A connection whose other end acknowledges nothing is ended after this time, so
+# that one that hangs is noticed. Sound servers may fall silent for a second.
+_SILENCE_TIMEOUT_S = 2.5
+_KEEPALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    # Decides about unacknowledged bytes, and about keep-alive probes whatever
+    # their count.
+    (
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        int(_SILENCE_TIMEOUT_S * 1000),
+    ),
+)
+
+
 class MatchingProtocol(ResponseHandler):
     """Passes on responses to the current request and drops all others.
 
@@ -114,6 +132,14 @@
             self._send_state.responding = True
         super().feed_data(data, size)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let the kernel end a connection whose other end is silent."""
+        super().connection_made(transport)
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            for level, option, number in _KEEPALIVE_OPTIONS:
+                sock.setsockopt(level, option, number)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record whether the connection ended with an error."""
         self._was_reset = exc is not None
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -10,6 +10,7 @@
 from mallowspindle.config.platform import PlatformSettings, ProxySection
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.policies.budget import BudgetTerms, RetryBudget
+from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
 from mallowspindle.quarantine.service import QuarantineService
@@ -58,6 +59,11 @@
     quarantine: QuarantineService
     streams: StreamsService
     usage: UsageCounter
+    peers: PeerRelays
+
+    def nodes_not_reaching(self) -> set[str]:
+        """Return the nodes that reach no server of some service."""
+        return self.backends.nodes_not_reaching()
 
     @classmethod
     def from_kernel(cls, kernel: Kernel) -> Self:
@@ -80,4 +86,5 @@
             quarantine=kernel.find('quarantine', QuarantineService),
             streams=kernel.find('streams', StreamsService),
             usage=UsageCounter(settings.duties.usage_window_s),
+            peers=PeerRelays(sharing, settings.peers.shared_key.encode()),
         )
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -28,6 +28,7 @@
 from mallowspindle.proxy.continuation import Continuation, UnknownBegin
 from mallowspindle.proxy.errors import CallerDisconnected
 from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.hops import PeerHop
 from mallowspindle.proxy.messages import (
     CallerRequest,
     Dispatch,
@@ -38,12 +39,13 @@
     Answered,
     AttemptOutcome,
     Diverged,
+    PeerAnswered,
     Relayed,
     Unreachable,
+    outcome_of_error,
 )
 from mallowspindle.proxy.records import ExchangeLog
 from mallowspindle.proxy.relaying import ResponseRelay
-from mallowspindle.quarantine.service import Refusal
 from mallowspindle.utils.telemetry import meter
 
 _SERVER_ERROR = 500
@@ -94,6 +96,9 @@
             self._continuation,
         )
         self._log = ExchangeLog(request, route, began_at_s, self._splitter)
+        self._hop = PeerHop(
+            context, request, self._relay, self._splitter, self._log
+        )
         self._tried_servers: set[str] = set()
         self._run_count = 0
         self._last_server_error: Answered | None = None
@@ -105,8 +110,9 @@
 
     async def run(self, body: bytes) -> StreamResponse:
         """Return the response for the caller; a stream is already sent."""
-        self._context.retry_budgets.note_request(self._service)
-        self._context.backends.note_demand(self._service, self._request)
+        if self._request.relayed_by is None:
+            self._context.retry_budgets.note_request(self._service)
+            self._context.backends.note_demand(self._service, self._request)
         try:
             with self._continuation:
                 async with asyncio.timeout_at(self._deadline_s):
@@ -123,22 +129,36 @@
         except UnknownBegin as error:
             return self._refuse(f'the stream can not go on: {error}')
         for attempt_number in count(1):
-            pick = self._pick_or_refuse(attempt_number)
-            if isinstance(pick, StreamResponse):
-                return pick
-            outcome = await self._try_server(pick.view, body, attempt_number)
+            outcome = await self._attempt_once(body, attempt_number)
+            if isinstance(outcome, StreamResponse):
+                return outcome
             if isinstance(outcome, Relayed):
                 break
             if not self._may_retry(outcome):
                 return await self._final_response(outcome)
         return self._started_response()
 
+    async def _attempt_once(
+        self, body: bytes, attempt_number: int
+    ) -> AttemptOutcome | StreamResponse:
+        """Return the outcome of an attempt, or the final response."""
+        refusal = self._context.quarantine.find_refusal(self._request)
+        if refusal is not None:
+            quarantined_total.add(1)
+            return self._refuse(refusal.reason, refusal.retry_after_s)
+        peer = self._hop.choose_peer(self._service)
+        if peer is not None:
+            outcome = await self._hop.send(peer, body, self._time_left_s())
+            self._run_count += isinstance(outcome, Unknown)
+            return outcome
+        pick = self._pick_or_refuse(attempt_number)
+        if isinstance(pick, StreamResponse):
+            return pick
+        return await self._try_server(pick.view, body, attempt_number)
+
     def _pick_or_refuse(self, attempt_number: int) -> Pick | StreamResponse:
         """Return the server for the next attempt, or the final response."""
         backends = self._context.backends
-        refusal = self._context.quarantine.find_refusal(self._request)
-        if refusal is not None:
-            return self._refuse_quarantined(refusal)
         pick = backends.pick(
             self._service,
             self._request,
@@ -208,8 +228,10 @@
             except (ClientError, OSError, TimeoutError) as error:
                 if self._deadline_passed():
                     raise TimeoutError from error
-                outcome = self._classify_error(error, send_state)
+                outcome = outcome_of_error(error, sent=send_state.sent)
                 self._context.backends.record_lost_connection(view)
+                if isinstance(outcome, Unreachable):
+                    self._hop.note_failed_connection()
             if isinstance(outcome, Unknown) and not in_flight.settled:
                 await self._record_lost(view, in_flight, send_state)
             if self._can_continue_run(outcome):
@@ -283,14 +305,6 @@
         run = MovedRun(keeper.server.address, self._request.request_id)
         return Relocation(keeper, run)
 
-    def _classify_error(
-        self, error: Exception, send_state: SendState
-    ) -> AttemptOutcome:
-        reason = f'{type(error).__name__}: {error}'
-        if send_state.sent:
-            return Unknown(reason)
-        return Unreachable(reason, UNAVAILABLE_RETRY_AFTER_S)
-
     def _record_outcome(
         self, view: BackendView, outcome: AttemptOutcome, attempt_number: int
     ) -> None:
@@ -329,6 +343,8 @@
         if self._time_left_s() < _MIN_ATTEMPT_S:
             return False
         match outcome:
+            case PeerAnswered():
+                return False
             case NotRun():
                 allowed = True
             case Answered(head=head):
@@ -348,6 +364,8 @@
 
     async def _final_response(self, outcome: AttemptOutcome) -> StreamResponse:
         match outcome:
+            case PeerAnswered() if outcome.promises_not_run and self._run_count:
+                return self._fail(replies.unknown_outcome())
             case Answered(head=head, body=body) if self._response is None:
                 return replies.complete_answer(head, body)
             case NotRun(reason=reason):
@@ -374,11 +392,6 @@
         self._log_end('refused', reason)
         return replies.refusal(retry_after_s)
 
-    def _refuse_quarantined(self, refusal: Refusal) -> StreamResponse:
-        """End a request that crashes servers, or whose prompt does."""
-        quarantined_total.add(1)
-        return self._refuse(refusal.reason, refusal.retry_after_s)
-
     def _refuse_unplaced(self) -> StreamResponse:
         """End a request for which no server is left."""
         retry_after_s = self._context.backends.limit_retry_after_s(
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -53,6 +53,7 @@
         except BadRequest as error:
             log.info('bad request', extra={'reason': str(error)})
             return replies.bad_request(str(error))
+        request = self._context.peers.accept(request)
         with hop_span('caller request', SpanKind.SERVER) as span:
             span.set_attribute('request', request.request_id)
             response = await self._admit(
@@ -84,7 +85,8 @@
         if isinstance(body, Response):
             _log_refusal(request, configuration, f'status {body.status}')
             return body
-        if organisation is not None:
+        # The peer that passed a request on has counted it.
+        if organisation is not None and request.relayed_by is None:
             retry_after_s = self._context.quotas.admit_or_retry_after_s(
                 organisation, request.tokens
             )
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -27,7 +27,8 @@
     ``resumes`` is the id of the request whose response brought the first event
     of the stream that the caller takes up. ``organisation`` is the owner of the
     key and ``body`` the complete body, both unknown until the request is
-    admitted.
+    admitted. ``relayed_by`` is the peer that passed the request on, None if it
+    came from its caller.
     """
 
     method: str
@@ -45,6 +46,7 @@
     resumes: str | None = None
     organisation: str | None = None
     body: bytes = b''
+    relayed_by: str | None = None
 
     @cached_property
     def path(self) -> str:
--- a/mallowspindle/proxy/outcomes.py
+++ b/mallowspindle/proxy/outcomes.py
@@ -7,6 +7,7 @@
 
 # Retry-After if servers are full or unreachable: how long they usually stay so.
 UNAVAILABLE_RETRY_AFTER_S = 0.4
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,16 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAnswered(Answered):
+    """A peer has answered for this node; its answer is final."""
+
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether the peer states that the request has not run."""
+        return self.head.status in _NOT_RUN_STATUSES
+
+
 @dataclass(frozen=True, slots=True)
 class Relayed:
     """The complete response has been forwarded to the caller."""
@@ -32,4 +43,15 @@
     """The server's events do not continue those sent to the caller."""
 
 
+def outcome_of_error(error: Exception, *, sent: bool) -> Unknown | Unreachable:
+    """Return the outcome of an attempt whose connection failed.
+
+    ``sent`` is whether any byte of the request may have been sent.
+    """
+    reason = f'{type(error).__name__}: {error}'
+    if sent:
+        return Unknown(reason)
+    return Unreachable(reason, UNAVAILABLE_RETRY_AFTER_S)
+
+
 AttemptOutcome = Answered | Relayed | NotRun | Unknown
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -64,6 +64,18 @@
             },
         )
 
+    def log_relayed(self, peer: str, outcome: object) -> None:
+        """Log that a peer handled a request, since this node can't reach it."""
+        log.info(
+            'request passed on through a peer',
+            extra={
+                **self._fields(),
+                'peer': peer,
+                'outcome': type(outcome).__name__,
+                'reason': getattr(outcome, 'reason', None),
+            },
+        )
+
     def log_unanswered(self, view: BackendView, responding: bool) -> None:
         """Log that a server was lost before the first event of a response.
 
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -19,6 +19,7 @@
     Answered,
     AttemptOutcome,
     Diverged,
+    PeerAnswered,
     Relayed,
     Unreachable,
 )
@@ -97,6 +98,34 @@
         self._settle(in_flight)
         return Answered(head, body)
 
+    async def receive_from_peer(
+        self, answer: MatchedResponse
+    ) -> AttemptOutcome:
+        """Return the outcome of a request that a peer has passed on.
+
+        The peer counts its use, and tells others of the stream.
+        """
+        head = self._context.http_codec.decode_response_head(
+            answer.status, answer.headers
+        )
+        if head.request_id not in {None, self._request.request_id}:
+            answer.close()
+            return Unknown(f'answer to another request: {head.request_id}')
+        if head.status != _OK or self._route.kind is not RouteKind.STREAM:
+            body = await _read_body(answer)
+            if body is None:
+                return Unknown(f'the answer has over {_MAX_BODY_BYTES} bytes')
+            return PeerAnswered(head, body)
+        async for chunk in answer.content.iter_any():
+            events = self._feed(chunk)
+            if isinstance(events, Unknown):
+                answer.close()
+                return events
+            if events:
+                await self._write(head, events)
+        await self._write(head, self._splitter.pending)
+        return Relayed()
+
     async def _relay(
         self,
         answer: MatchedResponse,
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -211,7 +211,7 @@
         zone = http_codec.decode_zone(web_request.query) or own.zone
         live = self._membership.table.live()
         body = http_codec.encode_addresses(
-            addresses_for(zone, own, live),
+            addresses_for(zone, own, live, self._context.nodes_not_reaching()),
             self._context.config.address_validity_s,
         )
         return Response(body=body, content_type='application/json')
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -39,6 +39,9 @@
         unreachable=_summed_counts(part.unreachable for part in parts),
         limits=_newest_limits(part.limits for part in parts),
         evidence=_joined_evidence(part.evidence for part in parts),
+        not_reached=dict(
+            chain.from_iterable(part.not_reached.items() for part in parts)
+        ),
     )
 
 
@@ -82,6 +85,11 @@
         unreachable=_subtracted_counts(whole.unreachable, part.unreachable),
         limits=whole.limits,
         evidence=whole.evidence,
+        not_reached={
+            name: services
+            for name, services in whole.not_reached.items()
+            if name not in part.not_reached
+        },
     )
 
 
@@ -112,6 +120,7 @@
             for server_id, limit in work.limits.items()
         },
         evidence=work.evidence,
+        not_reached=work.not_reached,
     )
 
 
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -66,7 +66,8 @@
     counts, by zone of the nodes and by backend server, the nodes whose recent
     connections to the server failed. ``limits`` holds the newest limit that
     each backend server has stated, and ``evidence`` what speaks for and against
-    parts of prompts and requests.
+    parts of prompts and requests. ``not_reached`` holds, by node, the services
+    of which the node reaches no server.
     """
 
     nodes: int = 0
@@ -78,6 +79,7 @@
     unreachable: dict[str, dict[str, int]] = field(default_factory=dict)
     limits: dict[str, ServerLimit] = field(default_factory=dict)
     evidence: dict[str, PartEvidence] = field(default_factory=dict)
+    not_reached: dict[str, list[str]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/tests/entry/test_addresses.py
+++ b/mallowspindle/tests/entry/test_addresses.py
@@ -86,3 +86,13 @@
     assert sorted(addresses) == sorted(
         info.http_address for info in (own, *others)
     )
+
+
+@pytest.mark.parametrize(('disconnected', 'named'), [(1, 3), (2, 4), (3, 4)])
+def test_nodes_that_reach_no_server_are_not_named_if_most_do(
+    disconnected: int, named: int
+) -> None:
+    members = [_member(f'n{number}', 'a') for number in range(4)]
+    own, *live = members
+    names = [info.name for info in members[:disconnected]]
+    assert len(addresses_for('a', own, live, names)) == named
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -11,12 +11,11 @@
 
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.catalog.configuration import (
-    CallerLimits,
+    BackendService,
     Configuration,
     Organisation,
     Route,
     RouteKind,
-    BackendService,
     TrafficShare,
 )
 from mallowspindle.catalog.servers import BackendServer
@@ -27,6 +26,7 @@
 from mallowspindle.proxy.callers import CallerServer
 from mallowspindle.proxy.context import ProxyContext, RetryBudgets
 from mallowspindle.proxy.gate import AdmissionGate
+from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
 from mallowspindle.quarantine.service import QuarantineService
@@ -108,6 +108,7 @@
             quarantine=self.quarantine,
             streams=self.streams,
             usage=self.usage,
+            peers=PeerRelays(self._sharing, b'a key'),
         )
 
     async def start(self, stack: AsyncExitStack) -> None:
--- a/mallowspindle/tests/proxy/test_gate.py
+++ b/mallowspindle/tests/proxy/test_gate.py
@@ -17,6 +17,8 @@
 from mallowspindle.platform.codec import PlatformHttpCodec
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.gate import AdmissionGate
+from mallowspindle.proxy.peers import PeerRelays
+from mallowspindle.sharing.service import SharingService
 
 ROUTE = Route(
     'orders',
@@ -36,7 +38,11 @@
     catalog = SimpleNamespace(
         configuration=CONFIGURATION, is_current=is_current
     )
-    context = SimpleNamespace(catalog=catalog, http_codec=PlatformHttpCodec())
+    context = SimpleNamespace(
+        catalog=catalog,
+        http_codec=PlatformHttpCodec(),
+        peers=PeerRelays(cast(SharingService, None), b'a key'),
+    )
     headers = {
         'Host': 'shop.example',
         'Request-Id': 'r1',
