Compute digests of requests only while crashes speak against one

An answer clears the crashes of its request, but the entry stays for 20 min so that peers learn of it, and each answer went on to cost a digest of its body. Only requests with crashes count now.

--- a/mallowspindle/quarantine/evidence.py
+++ b/mallowspindle/quarantine/evidence.py
@@ -243,7 +243,9 @@
         for kept in self._parts.values():
             _keep_newest(kept.crashes)
             _keep_newest(kept.cleared)
-        self._request_count = len(requests)
+        self._request_count = sum(
+            bool(self._parts[request_id].crashes) for request_id in requests
+        )
         self._suspect_parts = self._suspects_among(parts)
         self._suspect_requests = {
             request_id: crashes
--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -335,11 +335,7 @@
         if rendezvous_order(f'quarantine {part_id}', names)[:1] != [own_name]:
             return False
         self._tried_at_s[part_id] = now_s
-        log.info(
-            '%s tried again',
-            _noun(part_id),
-            extra={'part': part_id},
-        )
+        log.info('%s tried again', _noun(part_id), extra={'part': part_id})
         return True
 
     def _own_work(self) -> WorkSum:
