Test requests whose peer, server or caller ends on the way through a peer

A stream goes on through another peer, an order is unknown and ran once, the work ends when the caller leaves, and a request is counted once.

--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from types import SimpleNamespace
@@ -94,6 +95,24 @@
         self.upstream = Upstream(0.2, 'Request-Id')
         self.address = ''
         self._sharing = sharing
+        self._caller_server: CallerServer | None = None
+
+    def connections(self) -> int:
+        """Return the number of connections of callers and peers."""
+        server = self._caller_server
+        return len(server.connections) if server else 0
+
+    def break_connections(self) -> None:
+        """Reset all connections of callers and peers."""
+        if self._caller_server is not None:
+            for connection in self._caller_server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+
+    def begun(self) -> Counter[str]:
+        """Return the requests that count as begun here, by organisation."""
+        windows = self.usage.windows().values()
+        return sum(map(Counter, windows), Counter())
 
     def context(self) -> ProxyContext:
         """Return the services and policies of the node's proxy."""
@@ -117,6 +136,7 @@
             await each.start()
             stack.push_async_callback(each.stop)
         server = CallerServer(AdmissionGate(self.context()).handle)
+        self._caller_server = server
         listener = await asyncio.get_running_loop().create_server(
             server, '127.0.0.1', 0
         )
@@ -190,6 +210,14 @@
             return 200 if text.count('data:') == EVENTS else 0
         return response.status
 
+    async def set_faults(self, service: str, **faults: float) -> None:
+        """Set faults of all servers of a service."""
+        for entry in self._entries.values():
+            if entry.service == service:
+                url = f'http://{entry.address}/faults'
+                async with self._session.post(url, json=faults) as response:
+                    response.raise_for_status()
+
     async def runs(self) -> list[dict[str, Any]]:
         """Return all runs at all servers."""
         found: list[dict[str, Any]] = []
--- /dev/null
+++ b/mallowspindle/tests/proxy/test_relayed_requests.py
@@ -0,0 +1,95 @@
+"""Requests on their way through a peer, when something ends in between."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+import pytest_asyncio
+
+from mallowspindle.tests.proxy.nodes import CutVenture, Node
+
+_SLOW_S = 0.2
+_PATIENCE_S = 3.0
+
+
+@pytest_asyncio.fixture
+async def venture() -> AsyncIterator[CutVenture]:
+    """Start four nodes, the first of which reaches no server."""
+    async with CutVenture(4) as venture:
+        cut = venture.nodes[:1]
+        venture.cut(cut, silent=False)
+        for path in ('/status/1', '/letters/1'):
+            await venture.send(cut[0], path)
+        assert len(cut[0].backends.not_reached()) == 2
+        for node in venture.nodes:
+            # The next request opens the only connection to a peer.
+            node.break_connections()
+        await asyncio.sleep(0.05)
+        yield venture
+
+
+async def _relaying_peer(venture: CutVenture, path: str) -> Node:
+    """Wait until a server runs a request; return the peer that sent it."""
+    async with asyncio.timeout(_PATIENCE_S):
+        while not await _runs_of(venture, path):
+            await asyncio.sleep(0.01)
+    return next(node for node in venture.nodes[1:] if node.connections())
+
+
+async def _runs_of(venture: CutVenture, path: str) -> list[dict[str, Any]]:
+    return [run for run in await venture.runs() if run['target'] == path]
+
+
+async def test_a_stream_goes_on_through_another_peer(
+    venture: CutVenture,
+) -> None:
+    await venture.set_faults('models', slow_events_s=_SLOW_S)
+    call = asyncio.create_task(venture.send(venture.nodes[0], '/letters/2'))
+    peer = await _relaying_peer(venture, '/letters/2')
+    peer.break_connections()
+    assert await call == 200
+
+
+async def test_an_order_lost_with_its_peer_may_have_run(
+    venture: CutVenture,
+) -> None:
+    await venture.set_faults('shop', slow_s=_SLOW_S)
+    call = asyncio.create_task(venture.send(venture.nodes[0], '/orders/2'))
+    peer = await _relaying_peer(venture, '/orders/2')
+    peer.break_connections()
+    assert await call == 502
+    assert len(await _runs_of(venture, '/orders/2')) == 1
+
+
+async def test_a_caller_that_leaves_ends_the_work_behind_the_peer(
+    venture: CutVenture,
+) -> None:
+    """The server notices at its next event; a whole run takes 3 s."""
+    await venture.set_faults('models', slow_events_s=1)
+    call = asyncio.create_task(venture.send(venture.nodes[0], '/letters/3'))
+    await _relaying_peer(venture, '/letters/3')
+    call.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await call
+    async with asyncio.timeout(2):
+        while not all(
+            run['ended'] for run in await _runs_of(venture, '/letters/3')
+        ):
+            await asyncio.sleep(0.05)
+
+
+async def test_a_relayed_request_is_counted_once(venture: CutVenture) -> None:
+    before = _begun(venture)
+    for number in range(6):
+        await venture.send(venture.nodes[0], f'/status/{number}')
+    assert (_begun(venture) - before)['farm'] == 6
+
+
+def _begun(venture: CutVenture) -> Counter[str]:
+    """Return the requests that all nodes count as begun, by organisation."""
+    total: Counter[str] = Counter()
+    for node in venture.nodes:
+        total.update(node.begun())
+    return total
