--- a/mallowspindle/quarantine/evidence.py
+++ b/mallowspindle/quarantine/evidence.py
@@ -64,9 +64,10 @@
 class EvidenceTable:
     """Crashes and answers by part or request, joined with what peers know.
 
-    Requests are kept beside parts, under their fingerprints. An answer clears a part of the crashes that this node knows by then. Since
-    crashes and clearances are only added, nodes agree whatever order their
-    messages arrive in.
+    Requests are kept beside parts, under their fingerprints. An answer clears a
+    part of the crashes that this node knows by then. Since crashes and
+    clearances are only added, nodes agree whatever order their messages arrive
+    in.
     """
 
     def __init__(
