Send nothing new to servers that say in responses that they are leaving

What callers see: requests go on to a server that has said it leaves, until its entry says so; one whose entry never does cuts them when it goes. The header Server-Leaving was not read.

The header goes on to callers as before.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -14,6 +14,7 @@
     unreported_s,
 )
 from mallowspindle.backends.demand import DemandMeters
+from mallowspindle.backends.departures import LeavingServers
 from mallowspindle.backends.limits import ServerLimits
 from mallowspindle.backends.links import ServerLinks
 from mallowspindle.backends.prefixes import PrefixCacheIndex
@@ -36,7 +37,7 @@
     Placement,
     choose_server,
 )
-from mallowspindle.proxy.messages import CallerRequest
+from mallowspindle.proxy.messages import CallerRequest, ResponseHead
 from mallowspindle.sharing.messages import (
     WorkSum,
 )
@@ -72,6 +73,7 @@
         self._views: dict[str, BackendView] = {}
         self._limits = ServerLimits(sharing, clock)
         self._demands = DemandMeters(clock)
+        self._leaving = LeavingServers(catalog, sharing, clock)
         self._links = ServerLinks(self.views, self._tell_peers, clock)
 
     @classmethod
@@ -143,6 +145,7 @@
         included: a server that dies without notice stays in the catalog for a
         while.
         """
+        self._leaving.merge_peers()
         serving = [
             view
             for view in self.views(service_name)
@@ -172,11 +175,12 @@
             self._sharing.send_soon()
         view.record_unreachable()
 
-    def record_limit(
-        self, view: BackendView, limit_per_s: float | None
-    ) -> None:
-        """Record the limit that a server has stated; None for no limit."""
-        self._limits.record(view.server, limit_per_s)
+    def record_statements(self, view: BackendView, head: ResponseHead) -> None:
+        """Record what a server says of itself in a response."""
+        if head.limit is not None:
+            self._limits.record(view.server, head.limit.per_s)
+        if head.leaving:
+            self._leaving.record(view.server)
 
     def claim(self, view: BackendView) -> bool:
         """Count a request to a server; return False if its limit forbids it."""
@@ -323,6 +327,7 @@
                 self._links.not_reached(),
             ),
             not_reached=self._own_not_reached(),
+            leaving=self._leaving.own(),
         )
 
     def _tell_peers(self) -> None:
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -120,6 +120,12 @@
         """The registered servers by id."""
         return self._servers.servers
 
+    def note_leaving(self, server_id: str, started_at_ms: int) -> None:
+        """Treat a server as draining that has said so in a response."""
+        if self._servers.note_leaving(server_id, started_at_ms):
+            for watcher in self._watchers:
+                watcher()
+
     def watch(self, watcher: Callable[[], None]) -> None:
         """Call ``watcher`` after each change."""
         self._watchers.append(watcher)
--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -105,6 +105,25 @@
         absent = self._removed.keys() - self._servers.keys()
         self._restored_entries = dict.fromkeys(absent)
 
+    def note_leaving(self, server_id: str, started_at_ms: int) -> bool:
+        """Mark a server as draining; return whether this is new.
+
+        A server that has started again since is not meant.
+        """
+        known = self._servers.get(server_id)
+        if (
+            known is None
+            or known.draining
+            or known.started_at_ms != started_at_ms
+        ):
+            return False
+        self._servers[server_id] = replace(known, draining=True)
+        log.info(
+            'backend server says that it is leaving',
+            extra={'server': server_id, 'service': known.service},
+        )
+        return True
+
     def expire_lapsed(self) -> None:
         """Remove the servers that did not register again in time."""
         now_s = time.monotonic()
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -157,6 +157,7 @@
             running=running,
             waiting=waiting,
             limit=_decode_limit(headers),
+            leaving=headers.get('Server-Leaving', '').strip() == '1',
         )
 
     def decode_zone(self, query: Mapping[str, str]) -> str | None:
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -136,7 +136,8 @@
     ``not_run`` is true only if the server states that the request has not
     run. ``misdirected`` means that another server has the address.
     ``headers`` are the headers to forward. ``limit`` is None if the response
-    does not tell whether the server has a limit.
+    does not tell whether the server has a limit. ``leaving`` is whether the
+    server says that it is leaving.
     """
 
     status: int
@@ -147,3 +148,4 @@
     running: int | None = None
     waiting: int | None = None
     limit: StatedLimit | None = None
+    leaving: bool = False
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -79,8 +79,8 @@
         if head.request_id != self._request.request_id:
             answer.close()
             return Unknown(f'answer to another request: {head.request_id}')
-        if head.limit is not None and not head.misdirected:
-            self._context.backends.record_limit(view, head.limit.per_s)
+        if not head.misdirected:
+            self._context.backends.record_statements(view, head)
         if head.not_run:
             await _read_body(answer)
             kind = Unreachable if head.misdirected else NotRun
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -42,6 +42,9 @@
         not_reached=dict(
             chain.from_iterable(part.not_reached.items() for part in parts)
         ),
+        leaving=dict(
+            chain.from_iterable(part.leaving.items() for part in parts)
+        ),
     )
 
 
@@ -90,6 +93,7 @@
             for name, services in whole.not_reached.items()
             if name not in part.not_reached
         },
+        leaving=whole.leaving,
     )
 
 
@@ -121,6 +125,7 @@
         },
         evidence=work.evidence,
         not_reached=work.not_reached,
+        leaving=work.leaving,
     )
 
 
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -67,7 +67,9 @@
     connections to the server failed. ``limits`` holds the newest limit that
     each backend server has stated, and ``evidence`` what speaks for and against
     parts of prompts and requests. ``not_reached`` holds, by node, the services
-    of which the node reaches no server.
+    of which the node reaches no server. ``leaving`` holds the servers that say
+    in their responses that they are leaving, with their start as Unix time in
+    ms.
     """
 
     nodes: int = 0
@@ -80,6 +82,7 @@
     limits: dict[str, ServerLimit] = field(default_factory=dict)
     evidence: dict[str, PartEvidence] = field(default_factory=dict)
     not_reached: dict[str, list[str]] = field(default_factory=dict)
+    leaving: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -18,6 +18,8 @@
     its responses. A server crashes for ``crash_s`` when it begins a response
     to a prompt with ``deadly_part``, unless that is the last part, and
     ``deadly_run_s`` after it has begun to run a request to ``deadly_target``.
+    ``says_leaving`` adds to all responses that the server is leaving, and
+    ``turn_away`` refuses requests with this text as the time to come back.
     ``slow_events_s`` is a pause before each event. ``endless`` names where
     bytes come without end: in the ``head``, a ``body`` or an ``event``.
     """
@@ -39,6 +41,8 @@
     forgets: int = 0
     skips: int = 0
     limit_per_s: float | str | None = None
+    says_leaving: bool = False
+    turn_away: str = ''
     slow_events_s: float = 0
     endless: str = ''
     deadly_part: str = ''
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -64,6 +64,7 @@
         self._faults = Faults()
         self._runs: list[dict[str, Any]] = []
         self._crashes_at_s: list[float] = []
+        self._turned_away_at_s: list[float] = []
         self._endless_bytes = 0
         self._listener: Listener | None = None
         self._restart: asyncio.Task[None] | None = None
@@ -73,6 +74,7 @@
         app = Application(client_max_size=8_000_000)
         app.router.add_get('/runs', self._list_runs)
         app.router.add_get('/crashes', self._list_crashes)
+        app.router.add_get('/turned-away', self._list_turned_away)
         app.router.add_get('/endless-bytes', self._count_endless_bytes)
         app.router.add_get('/report', self._report)
         app.router.add_post('/kv-move', self._copy_run)
@@ -94,6 +96,13 @@
             headers['Server-Limit'] = str(self._faults.limit_per_s)
         if request.headers.get('Expect-Instance') != self._id:
             return Response(status=_MISDIRECTED_REQUEST, headers=headers)
+        if self._faults.says_leaving:
+            headers['Server-Leaving'] = '1'
+        if self._faults.turn_away:
+            self._turned_away_at_s.append(asyncio.get_running_loop().time())
+            headers['Not-Executed'] = '1'
+            headers['Retry-After'] = self._faults.turn_away
+            return Response(status=503, headers=headers)
         if self._faults.consume('refuse'):
             headers['Not-Executed'] = '1'
             return Response(status=503, headers=headers)
@@ -230,6 +239,9 @@
     async def _list_crashes(self, request: Request) -> Response:
         return json_response(self._crashes_at_s)
 
+    async def _list_turned_away(self, request: Request) -> Response:
+        return json_response(self._turned_away_at_s)
+
     async def _count_endless_bytes(self, request: Request) -> Response:
         return json_response(self._endless_bytes)
 
--- a/mallowspindle/tests/catalog/test_state.py
+++ b/mallowspindle/tests/catalog/test_state.py
@@ -114,3 +114,17 @@
     servers.fold(_entry(0))
     servers.fold(KeyedRecord('one', None, 1))
     assert not servers.servers
+
+
+def test_a_server_that_says_it_leaves_stays_draining_until_it_restarts() -> (
+    None
+):
+    state = ServerState(decode_server)
+    state.fold(_entry(1, born=1))
+    assert state.note_leaving('one', 1)
+    assert not state.note_leaving('one', 1)
+    state.fold(_entry(2, born=1))
+    assert state.servers['one'].draining
+    state.fold(_entry(3, born=2))
+    assert not state.servers['one'].draining
+    assert not state.note_leaving('one', 1)
--- a/mallowspindle/tests/platform/test_words.py
+++ b/mallowspindle/tests/platform/test_words.py
@@ -17,6 +17,7 @@
     'Fencing-Token',
     'Server-Load',
     'Server-Limit',
+    'Server-Leaving',
     'Kv-Backup',
     'Kv-From',
     'Last-Event-Id',
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -85,6 +85,7 @@
                 servers=self.servers,
                 is_current=True,
                 watch=lambda watcher: None,
+                note_leaving=self._note_leaving,
             ),
         )
         self.backends = BackendsService(self.catalog, sharing)
@@ -97,6 +98,10 @@
         self._sharing = sharing
         self._caller_server: CallerServer | None = None
 
+    def _note_leaving(self, server_id: str, started_at_ms: int) -> None:
+        known = self.servers[server_id]
+        self.servers[server_id] = replace(known, draining=True)
+
     def connections(self) -> int:
         """Return the number of connections of callers and peers."""
         server = self._caller_server
@@ -218,6 +223,18 @@
                 async with self._session.post(url, json=faults) as response:
                     response.raise_for_status()
 
+    async def turned_away_at_s(self, name: str) -> list[float]:
+        """Return when a server has turned requests away, on the loop's clock."""
+        url = f'http://{self._entries[name].address}/turned-away'
+        async with self._session.get(url) as response:
+            return list(await response.json())
+
+    async def set_server_faults(self, name: str, **faults: object) -> None:
+        """Set faults of one server."""
+        url = f'http://{self._entries[name].address}/faults'
+        async with self._session.post(url, json=faults) as response:
+            response.raise_for_status()
+
     async def runs(self) -> list[dict[str, Any]]:
         """Return all runs at all servers."""
         found: list[dict[str, Any]] = []
