Keep the pause that a server asks for when it turns a request away

What callers see: a server that answers 503 with Retry-After went on to get requests from the same node at once, repeats and others. The header was not read.

Now the node sends the server nothing until then: no requests, repeats, moved streams or copies. Seconds with decimals, dates, and nonsense (ignored, with a line) are told apart; an hour is the most. If all servers of a service ask for a pause, callers are refused at once with the time of the first that ends.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -140,8 +140,8 @@
         With a ``software_version``, only servers of that version are included.
 
         Ejected servers and those that peers report as unreachable are excluded,
-        unless no others remain. Servers whose limit leaves no room are always
-        excluded. If several servers have the same address, only the newest is
+        unless no others remain. Servers whose limit leaves no room, and those that
+        asked for a pause, are always excluded. If several servers have the same address, only the newest is
         included: a server that dies without notice stays in the catalog for a
         while.
         """
@@ -150,6 +150,7 @@
             view
             for view in self.views(service_name)
             if not view.server.draining
+            and not (view.paused_until_s and view.pause_left_s)
             and view.server.server_id not in avoid
             and software_version in {None, view.server.software_version}
         ]
@@ -181,28 +182,41 @@
             self._limits.record(view.server, head.limit.per_s)
         if head.leaving:
             self._leaving.record(view.server)
+        if head.pause_s:
+            view.pause(head.pause_s)
+            log.info(
+                'backend server asks for a pause',
+                extra={
+                    'server': view.server.server_id,
+                    'pause_s': head.pause_s,
+                },
+            )
 
     def claim(self, view: BackendView) -> bool:
-        """Count a request to a server; return False if its limit forbids it."""
-        if self._limits.wait_s(view.server):
+        """Count a request to a server; return False if it may not get one."""
+        if view.pause_left_s or self._limits.wait_s(view.server):
             return False
         self._limits.note_sent(view.server)
         return True
 
     def limit_retry_after_s(self, service_name: str) -> float | None:
-        """Return when a request may come back if limits held it back.
+        """Return when a request may come back that servers want no more of.
 
-        Return None if the service has no servers, or one without a limit.
+        Return None if the service has no servers, or one that has no limit and
+        has asked for no pause.
         """
-        servers = [
-            view.server
+        views = [
+            view
             for view in self.views(service_name)
             if not view.server.draining
         ]
-        limits = [self._limits.limit_per_s(server) for server in servers]
-        if not limits or None in limits:
+        waits_s = [view.pause_left_s for view in views if view.pause_left_s]
+        servers = [view.server for view in views if not view.pause_left_s]
+        if None in {self._limits.limit_per_s(server) for server in servers}:
             return None
-        return self._limits.retry_after_s(servers)
+        if servers:
+            waits_s.append(self._limits.retry_after_s(servers))
+        return min(waits_s, default=None)
 
     def pick(
         self,
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -108,6 +108,7 @@
     unreachable_until_s: float = 0
     reachable_until_s: float = 0
     full_until_s: float = 0
+    paused_until_s: float = 0
     clock: Callable[[], float] = time.monotonic
 
     @property
@@ -131,6 +132,11 @@
         """Whether the server has just refused work."""
         return self.clock() < self.full_until_s
 
+    @property
+    def pause_left_s(self) -> float:
+        """Time for which the server wants no request from this node."""
+        return max(0, self.paused_until_s - self.clock())
+
     def load(self) -> ServerLoad:
         """Return this node's work at the server."""
         if not self.in_flight:
@@ -181,6 +187,10 @@
         self.unreachable_until_s = self.clock() + UNREACHABLE_S
         self.reachable_until_s = 0
 
+    def pause(self, pause_s: float) -> None:
+        """Send nothing to the server for ``pause_s``, as it asks."""
+        self.paused_until_s = max(self.paused_until_s, self.clock() + pause_s)
+
     def end_ejection(self) -> None:
         """Use the server again: not it, but this node was disconnected."""
         self.failures = 0
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -3,7 +3,9 @@
 import json
 import logging
 import math
+import time
 from collections.abc import Iterable, Iterator, Mapping
+from email.utils import parsedate_to_datetime
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -22,6 +24,9 @@
 
 _MS = 1000
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+# A server that asks for a longer pause is asked again after this time.
+_MAX_PAUSE_S = 3600.0
 # Callers accept at most this many addresses.
 _MAX_ADDRESSES = 64
 _AUTH_SCHEME = 'token '
@@ -158,6 +163,7 @@
             waiting=waiting,
             limit=_decode_limit(headers),
             leaving=headers.get('Server-Leaving', '').strip() == '1',
+            pause_s=_decode_pause_s(status, headers),
         )
 
     def decode_zone(self, query: Mapping[str, str]) -> str | None:
@@ -263,3 +269,34 @@
         },
     )
     return None
+
+
+def _decode_pause_s(status: int, headers: Mapping[str, str]) -> float:
+    """Return the pause that a server asks for; 0 if it is unreadable."""
+    text = headers.get('Retry-After')
+    if text is None or status != _UNAVAILABLE:
+        return 0
+    try:
+        pause_s = float(text)
+    except ValueError:
+        pause_s = _seconds_until(text)
+    if math.isfinite(pause_s):
+        return min(_MAX_PAUSE_S, max(0, pause_s))
+    log.warning(
+        'pause of a backend server ignored',
+        extra={
+            'expected': 'seconds or an HTTP date',
+            'found': text,
+            'server': headers.get('Instance-Id'),
+        },
+    )
+    return 0
+
+
+def _seconds_until(http_date: str) -> float:
+    """Return the time until an HTTP date; NaN if it is none."""
+    try:
+        moment = parsedate_to_datetime(http_date)
+    except ValueError:
+        return math.nan
+    return moment.timestamp() - time.time()
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -137,7 +137,8 @@
     run. ``misdirected`` means that another server has the address.
     ``headers`` are the headers to forward. ``limit`` is None if the response
     does not tell whether the server has a limit. ``leaving`` is whether the
-    server says that it is leaving.
+    server says that it is leaving, ``pause_s`` for how long it wants no request
+    from this node.
     """
 
     status: int
@@ -149,3 +150,4 @@
     waiting: int | None = None
     limit: StatedLimit | None = None
     leaving: bool = False
+    pause_s: float = 0
--- a/mallowspindle/tests/platform/test_codec.py
+++ b/mallowspindle/tests/platform/test_codec.py
@@ -128,3 +128,25 @@
 def test_server_without_limit_states_that_there_is_none() -> None:
     head = CODEC.decode_response_head(200, _headers())
     assert head.limit == StatedLimit(None)
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'pause_s'),
+    [
+        (503, '1.5', 1.5),
+        (503, '0', 0),
+        (503, '-3', 0),
+        (503, '1e9', 3600),
+        (503, 'nan', 0),
+        (503, 'soon', 0),
+        (503, 'Thu, 01 Jan 1970 00:00:00 GMT', 0),
+        (503, 'Fri, 01 Jan 2100 00:00:00 GMT', 3600),
+        (200, '1.5', 0),
+    ],
+)
+def test_pauses_that_servers_ask_for(
+    status: int, text: str, pause_s: float
+) -> None:
+    headers = CIMultiDictProxy(CIMultiDict({'Retry-After': text}))
+    head = PlatformHttpCodec().decode_response_head(status, headers)
+    assert head.pause_s == pytest.approx(pause_s)
