Wait in a test of moved streams until the other servers are known to drain

test_a_moved_stream_that_is_refused_resumes_at_its_source waited 30 s for a run at the third server, once, beside load 12. Traced: the third server is registered before the others begin to drain, so waiting for its entry does not tell that the drain is known, and a stream sent before goes to one of the others. It now waits for both drains; the checks are the same.

--- a/mallowspindle/tests/gateway/test_moves.py
+++ b/mallowspindle/tests/gateway/test_moves.py
@@ -7,6 +7,7 @@
 from mallowspindle.standins.gateways import GatewayVenture
 from mallowspindle.tests.gateway.observations import (
     has_version,
+    is_draining,
     is_registered,
     ran_on_third_model,
     read_until_cut,
@@ -58,6 +59,8 @@
     """
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
+    for name in ('model-1', 'model-2'):
+        await venture.wait_until(partial(is_draining, venture, name))
     await venture.wait_until(lambda: is_registered(venture, 'model-3'))
     stream = asyncio.create_task(
         venture.call('entry-1', 'POST', '/questions/x', 'r1')
