Run the tests of catalogs over many nodes in simulated time

58 nodes in one process are late beside load, and a late node rightly takes its state for old: it reads the log and computes the reading order. What these tests check has no I/O. That a pause of the process explains each of the failures was not shown by a run.

--- a/mallowspindle/tests/catalog/test_venture.py
+++ b/mallowspindle/tests/catalog/test_venture.py
@@ -14,6 +14,7 @@
     Venture,
     seconds_until,
 )
+from mallowspindle.tests.simulation import simulated
 from mallowspindle.utils.identifiers import (
     rendezvous_order,
     rendezvous_weight,
@@ -36,6 +37,7 @@
 _LINK_DELAY_S = 0.005
 
 
+@simulated
 async def test_no_node_sends_a_large_configuration_to_all_peers() -> None:
     """Guards against a node on a 10 Mbit/s link sending it to all peers."""
     venture = Venture(_SIZE)
@@ -49,6 +51,7 @@
     assert max(venture.mesh.sent_bytes.values()) < _MAX_READER_BYTES
 
 
+@simulated
 async def test_nodes_without_the_log_get_a_large_configuration() -> None:
     venture = Venture(_SIZE)
     venture.configure(1, _CONFIGURATION_BYTES)
@@ -60,6 +63,7 @@
         assert await venture.seconds_until_version(2) < _IN_FORCE_S
 
 
+@simulated
 async def test_a_new_server_reaches_all_nodes_with_few_reads() -> None:
     venture = Venture(_SIZE)
     venture.configure(1)
@@ -74,6 +78,7 @@
         assert len(+venture.calls) < _SIZE / 4
 
 
+@simulated
 async def test_silent_peers_do_not_delay_a_configuration() -> None:
     """Guards against half a minute of asking frozen peers one by one."""
     venture = Venture(_SIZE)
@@ -90,6 +95,7 @@
         )
 
 
+@simulated
 async def test_a_node_reads_soon_after_it_reaches_the_log_again() -> None:
     venture = Venture(_SIZE)
     venture.configure(1, _CONFIGURATION_BYTES)
@@ -107,6 +113,7 @@
         assert read_delay_s < venture.read_timeout_s + 0.4
 
 
+@simulated
 async def test_all_nodes_together_read_each_stream_twice_a_second() -> None:
     for size in (4, _SIZE):
         venture = Venture(size)
@@ -120,6 +127,7 @@
         assert calls_per_s <= _MAX_CALLS_PER_S
 
 
+@simulated
 async def test_a_drain_received_with_a_gap_takes_effect_at_once() -> None:
     venture = Venture(_SIZE)
     venture.configure(1)
@@ -134,6 +142,7 @@
         assert venture.catalogs[node].servers['one'].draining
 
 
+@simulated
 async def test_a_node_that_receives_no_updates_asks_its_peers() -> None:
     """The node reaches its peers, but not the log, and no peer reaches it."""
     venture = Venture(_SIZE)
@@ -156,6 +165,7 @@
         await venture.mesh.nodes[name].stop()
 
 
+@simulated
 async def test_few_nodes_read_when_the_first_readers_are_frozen() -> None:
     venture = Venture(_SIZE)
     venture.mesh.delays_s.update(dict.fromkeys(venture.names, _LINK_DELAY_S))
@@ -170,6 +180,7 @@
     assert calls_per_s <= 3 * _MAX_CALLS_PER_S
 
 
+@simulated
 async def test_up_to_date_nodes_do_not_compute_the_reading_order(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -184,6 +195,7 @@
     assert not weight_function.call_count
 
 
+@simulated
 async def test_an_isolated_node_is_not_current_until_it_reconnects() -> None:
     venture = Venture(_SIZE)
     venture.configure(1)
@@ -202,6 +214,7 @@
         await seconds_until(lambda: catalog.is_current)
 
 
+@simulated
 async def test_a_node_with_unread_records_is_not_current() -> None:
     venture = Venture(_SIZE)
     venture.configure(1)
@@ -214,6 +227,7 @@
         assert not venture.catalogs[node].is_current
 
 
+@simulated
 async def test_all_nodes_stay_current_without_faults() -> None:
     venture = Venture(_SIZE)
     venture.configure(1)
--- a/mallowspindle/tests/simulation.py
+++ b/mallowspindle/tests/simulation.py
@@ -1,11 +1,14 @@
 """Runs coroutines in simulated time, which skips the waits for timers."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import wraps
 from selectors import DefaultSelector, SelectorKey
-from typing import Any, TypeVar
+from typing import Any, ParamSpec, TypeVar
+from unittest.mock import patch
 
 ResultT = TypeVar('ResultT')
+Parameters = ParamSpec('Parameters')
 
 
 class _SimulatedTimeSelector(DefaultSelector):
@@ -41,3 +44,20 @@
         loop_factory=lambda: _SimulatedLoop(_SimulatedTimeSelector())
     ) as runner:
         return runner.run(coroutine)
+
+
+def simulated(
+    test: Callable[Parameters, Coroutine[Any, Any, None]],
+) -> Callable[Parameters, None]:
+    """Run a test in simulated time, that of ``time.monotonic`` included."""
+
+    @wraps(test)
+    def run(*args: Parameters.args, **kwargs: Parameters.kwargs) -> None:
+        async def with_clock() -> None:
+            clock = asyncio.get_running_loop().time
+            with patch('time.monotonic', clock):
+                await test(*args, **kwargs)
+
+        simulate(with_clock())
+
+    return run
