--- a/mallowspindle/tests/gateway/test_software_versions.py
+++ b/mallowspindle/tests/gateway/test_software_versions.py
@@ -1,6 +1,7 @@
 """Tests of streams while servers of two software versions serve."""
 
 import asyncio
+from collections.abc import Collection
 from contextlib import suppress
 from functools import partial
 from typing import Any
@@ -48,16 +49,24 @@
 
 async def _knows_all(venture: GatewayVenture, gateway: str) -> bool:
     """Return whether a gateway knows the version of each server."""
+    return await _knows(venture, gateway, _VERSIONS)
+
+
+async def _knows(
+    venture: GatewayVenture, gateway: str, versions: dict[str, str]
+) -> bool:
     lines = venture.log_lines(gateway, 'backend server registered')
     known = {line['server']: line['software'] for line in lines}
-    return known.items() >= _VERSIONS.items()
+    return known.items() >= versions.items()
 
 
-async def _runs(venture: GatewayVenture) -> list[tuple[str, dict[str, Any]]]:
-    """Return the runs of all model servers with the server's version."""
+async def _runs(
+    venture: GatewayVenture, servers: Collection[str] = tuple(_VERSIONS)
+) -> list[tuple[str, dict[str, Any]]]:
+    """Return the runs of model servers with the server's version."""
     return [
-        (version, run)
-        for name, version in _VERSIONS.items()
+        (_VERSIONS[name], run)
+        for name in servers
         for run in await venture.runs(name)
     ]
 
@@ -153,9 +162,119 @@
     assert went_on >= len(resumed) * _RESUMED_FRACTION
 
 
-async def _have_begun(venture: GatewayVenture) -> bool:
+async def test_streams_are_taken_up_after_all_nodes_were_killed(
+    mixed_venture: GatewayVenture,
+) -> None:
+    """Guards against knowledge that only processes hold which die together."""
+    venture = mixed_venture
+    begun = await _begin_streams(venture)
+    await _start_again(venture)
+    texts = await _take_up(venture, begun)
+    assert len(begun) >= 12
+    assert len(_mixed(await _runs(venture))) <= _TOLERATED_STREAMS
+    went_on = texts.count(stream_text(EVENTS))
+    assert went_on >= len(begun) * _RESUMED_FRACTION
+
+
+async def test_a_version_that_has_just_left_is_known_after_all_were_killed(
+    mixed_venture: GatewayVenture,
+) -> None:
+    """Guards against joining streams to the only version that is left."""
+    venture = mixed_venture
+    begun = await _begin_streams(venture)
+    for name, version in _VERSIONS.items():
+        if version == 'v1':
+            await venture.put_record('keyed.servers', name, b'')
+    await _start_again(venture)
+    await _take_up(venture, begun)
+    assert len(begun) >= 12
+    assert len(_mixed(await _runs(venture))) <= _TOLERATED_STREAMS
+
+
+async def test_a_version_that_all_nodes_missed_is_told_from_the_former(
+    venture: GatewayVenture,
+) -> None:
+    """Guards against joining streams after a change while no node ran.
+
+    The former version is the only one that a node has seen until then.
+    """
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', version='v1')
+    former = {'model-1': 'v1', 'model-2': 'v1'}
+    for name in ('entry-1', 'entry-2'):
+        await venture.wait_until(partial(_knows, venture, name, former))
+    begun = await _begin_streams(venture, former)
+    for name in ('model-3', 'model-4'):
+        await venture.start_server(name, 'models', f'--events={EVENTS}')
+        await venture.register(name, 'models', version='v2')
+    for name in former:
+        await venture.put_record('keyed.servers', name, b'')
+    await _start_again(venture)
+    await _take_up(venture, begun)
+    assert len(begun) >= 12
+    assert len(_mixed(await _runs(venture))) <= _TOLERATED_STREAMS
+
+
+async def _begin_streams(
+    venture: GatewayVenture, servers: Collection[str] = tuple(_VERSIONS)
+) -> dict[str, str]:
+    """Begin streams and kill all nodes; return what came of each, by id."""
+    for name in servers:
+        await venture.set_faults(name, slow_events_s=_EVENT_PAUSE_S)
+    ids = [f'begun-{number}' for number in range(_STREAMS)]
+    streams = [
+        asyncio.create_task(
+            _read(venture, f'entry-{1 + number % 2}', '/letters/x', stream_id)
+        )
+        for number, stream_id in enumerate(ids)
+    ]
+    await venture.wait_until(partial(_have_begun, venture, servers))
+    await _kill_all(venture)
+    received = await asyncio.gather(*streams)
+    for name in servers:
+        await venture.set_faults(name, slow_events_s=0)
+    return {
+        stream_id: text
+        for stream_id, text in zip(ids, received, strict=True)
+        if 'id: ' in text
+    }
+
+
+async def _take_up(venture: GatewayVenture, begun: dict[str, str]) -> list[str]:
+    """Take each stream up once; return the texts of both parts."""
+    texts = []
+    for number, (stream_id, text) in enumerate(begun.items()):
+        resuming = {
+            'Last-Event-Id': str(text.count('id: ')),
+            'Resumes': stream_id,
+        }
+        rest = await _read(
+            venture,
+            f'entry-{1 + number % 2}',
+            '/letters/x',
+            f'again-{number}',
+            resuming,
+        )
+        texts.append(text + rest)
+    return texts
+
+
+async def _kill_all(venture: GatewayVenture) -> None:
+    await asyncio.gather(
+        *(venture.process(name).kill() for name in ('entry-1', 'entry-2'))
+    )
+
+
+async def _start_again(venture: GatewayVenture) -> None:
+    await venture.start_gateway('entry-1')
+    await venture.start_gateway('entry-2', 'b')
+
+
+async def _have_begun(
+    venture: GatewayVenture, servers: Collection[str] = tuple(_VERSIONS)
+) -> bool:
     """Return whether all streams have sent their first event."""
-    began_at_s = [run['began_at_s'] for _, run in await _runs(venture)]
+    began_at_s = [run['began_at_s'] for _, run in await _runs(venture, servers)]
     if len(began_at_s) < _STREAMS:
         return False
     age_s = asyncio.get_running_loop().time() - max(began_at_s)
