Keep begun streams and the versions that served in the log

Callers take up streams at entry VMs that were all killed and started again. They got 503, or the rest of the text from another software version: who began a stream, and which versions served, stood only in the memory of processes that died together.

While a service has several versions, or lately had, two nodes (first of a rendezvous order) log the streams of all others, several in one append each 0.1 s, and the current ones again each 5 s for a log that loses its history. A node that finds a stream neither in its memory nor at the peers reads on in that record; queries that come together share a read. The first of the two logs which versions serve when they change, and every 3 s while there are several. A node that starts reads them, or asks peers while the log is away; until then it takes versions for several and refuses unknown streams.

--- a/mallowspindle/adapter.py
+++ b/mallowspindle/adapter.py
@@ -23,13 +23,16 @@
 class LogLayout:
     """Streams, keys and codecs of what operators and servers write.
 
-    ``quarantine_stream`` is a keyed stream that this system itself writes.
+    The last three streams are written by this system itself. That of begun
+    streams has no keys.
     """
 
     configuration_stream: str
     configuration_key: str
     servers_stream: str
     quarantine_stream: str
+    versions_stream: str
+    streams_stream: str
     decode_keyed: Callable[[LogRecord], KeyedRecord]
     encode_keyed: Callable[[str, bytes], bytes]
     decode_configuration: Callable[[bytes], Configuration]
--- a/mallowspindle/streams/messages.py
+++ b/mallowspindle/streams/messages.py
@@ -27,6 +27,24 @@
     software_version: str
 
 
+@peer_codec.register('versions-query')
+@dataclass(frozen=True, slots=True)
+class VersionsQuery:
+    """Question which software versions have served lately."""
+
+
+@peer_codec.register('versions-reply')
+@dataclass(frozen=True, slots=True)
+class VersionsReply:
+    """By service and software version, the seconds since it last served.
+
+    ``complete`` tells that the node knows all of them.
+    """
+
+    ages_s: dict[str, dict[str, float]]
+    complete: bool
+
+
 @peer_codec.register('stream-query')
 @dataclass(frozen=True, slots=True)
 class StreamQuery:
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -1,6 +1,7 @@
 """Remember which software version began a stream, at several nodes."""
 
 import asyncio
+import logging
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -8,24 +9,39 @@
 from itertools import filterfalse
 from typing import Self
 
+from mallowspindle.adapter import AdapterService
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
+from mallowspindle.log.errors import LogError
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.peers.codec import OkReply
 from mallowspindle.sharing.service import SharingService
-from mallowspindle.streams.messages import StreamBegun, StreamKey, StreamQuery
-from mallowspindle.streams.versions import STREAM_MEMORY_S, VersionHistory
-from mallowspindle.utils.identifiers import rendezvous_order
-from mallowspindle.utils.tasks import BackgroundTasks
+from mallowspindle.streams.messages import (
+    StreamBegun,
+    StreamKey,
+    StreamQuery,
+)
+from mallowspindle.streams.recording import RecordedStreams, StreamRecorder
+from mallowspindle.streams.serving import ServingVersions
+from mallowspindle.streams.store import StreamStore
+from mallowspindle.streams.versions import STREAM_MEMORY_S
+from mallowspindle.utils.identifiers import bucket_of, rendezvous_order
+from mallowspindle.utils.tasks import BackgroundTasks, run_periodically
 
-# Number of peers that are told of a stream. With three, a stream is forgotten
-# only if its node and these are lost within seconds.
+log = logging.getLogger(__name__)
+
+# Number of peers that are told of a stream. They answer within a millisecond,
+# and while the log is away.
 _HOLDERS = 3
+# Number of nodes that log streams.
+_RECORDERS = 2
 # A member that has joined or left since moves the order by one.
 _ASKED = _HOLDERS + 1
 _QUERY_TIMEOUT_S = 0.5
 _TELL_TIMEOUT_S = 1.0
+_LOG_TIMEOUT_S = 0.5
+_CHECK_INTERVAL_S = 0.5
 # About 60 s of the streams of a node at its share of the largest load, with
 # those that peers have told it.
 _MAX_STREAMS = 20_000
@@ -59,29 +75,39 @@
         return known[0] if known else None
 
 
-@service('streams', requires=('catalog', 'sharing'))
+@service('streams', requires=('border', 'catalog', 'sharing'))
 class StreamsService(Service):
-    """Tells peers of streams while a service has several versions."""
+    """Tells peers and the log of streams while a service has several versions.
+
+    Without a ``store``, streams are known as long as the nodes that know them
+    live.
+    """
 
     def __init__(
         self,
         catalog: CatalogService,
         sharing: SharingService,
         clock: Callable[[], float] = time.monotonic,
+        store: StreamStore | None = None,
     ) -> None:
         self._catalog = catalog
         self._sharing = sharing
         self._table = StreamTable(clock)
-        self._versions = VersionHistory(clock)
+        self._versions = ServingVersions(sharing, store, clock)
+        self._recorder = store and StreamRecorder(store, clock)
+        self._recorded = store and RecordedStreams(store, clock)
+        self._told_recorders: list[str] = []
         self._running: dict[StreamKey, StreamBegun] = {}
         self._tasks = BackgroundTasks()
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
-        """Construct the service with the catalog and the sharing service."""
+        """Construct the service with the catalog, the peers and the log."""
+        adapter = kernel.find('border', AdapterService)
         return cls(
             kernel.find('catalog', CatalogService),
             kernel.find('sharing', SharingService),
+            store=StreamStore(adapter.log, adapter.layout),
         )
 
     async def start(self) -> None:
@@ -89,20 +115,39 @@
         server = self._sharing.membership.server
         server.handle(StreamBegun, self._receive)
         server.handle(StreamQuery, self._answer)
+        self._versions.start()
         self._catalog.watch(self._note_servers)
         self._note_servers()
+        if self._recorder:
+            self._tasks.spawn(self._recorder.run(), 'stream recorder')
+            self._tasks.spawn(
+                run_periodically(self._check_recorders, _CHECK_INTERVAL_S),
+                'stream recorders',
+            )
 
     async def stop(self) -> None:
-        """Stop all tasks."""
+        """Log what is pending and stop all tasks."""
         await self._tasks.cancel()
+        await self._versions.stop()
+        if self._recorded:
+            await self._recorded.stop()
+        if self._recorder:
+            try:
+                await self._recorder.flush()
+            except LogError as error:
+                log.info('streams not logged', extra={'error': str(error)})
 
     def has_several_versions(self, service_name: str) -> bool:
-        """Return whether streams of several versions may be in progress."""
+        """Return whether streams of several versions may be in progress.
+
+        That is so too as long as it is not known which versions there were
+        before this node started.
+        """
         return self._versions.has_several(service_name)
 
     @contextmanager
     def track(self, begun: StreamBegun) -> Iterator[None]:
-        """Remember a stream, and tell peers of it while it runs if needed."""
+        """Remember a stream, and tell others of it while it runs if needed."""
         self._table.put(begun)
         self._running[begun.key] = begun
         if self.has_several_versions(begun.service):
@@ -115,11 +160,19 @@
     async def find(self, key: StreamKey) -> StreamBegun | None:
         """Return a stream that a server has begun.
 
-        None means that neither this node nor those that were told know it.
+        None means that neither this node nor those that were told know it, and
+        that the log has no record of it or did not answer.
         """
-        found = self._table.find(key)
-        if found is not None:
-            return found
+        found = self._table.find(key) or await self._ask_holders(key)
+        if found is None and self._recorded:
+            origin = await self._recorded.find(key, _LOG_TIMEOUT_S)
+            if origin is not None:
+                return StreamBegun(key, origin.service, origin.software_version)
+            # The caller asks next whether there were several versions.
+            await self._versions.wait_until_complete(_LOG_TIMEOUT_S)
+        return found
+
+    async def _ask_holders(self, key: StreamKey) -> StreamBegun | None:
         asked = [
             asyncio.create_task(self._ask(info, key))
             for info in self._holders(key)[:_ASKED]
@@ -149,6 +202,48 @@
             self._tasks.spawn(
                 self._sharing.ask(info, begun, _TELL_TIMEOUT_S), 'stream begun'
             )
+        if self._recorder:
+            self._tasks.spawn(
+                self._tell_recorder(self._recorder, begun), 'stream recorded'
+            )
+
+    async def _tell_recorder(
+        self, own: StreamRecorder, begun: StreamBegun
+    ) -> None:
+        """Tell the node that logs a stream, or else the other one."""
+        recorders = self._recorders()
+        first = bucket_of('/'.join(begun.key), len(recorders))
+        for name in recorders[first:] + recorders[:first]:
+            if name == self._sharing.membership.own.name:
+                return own.add(begun)
+            for info in self._sharing.peers():
+                if info.name == name and await self._sharing.ask(
+                    info, begun, _TELL_TIMEOUT_S
+                ):
+                    return None
+
+    def _recorders(self) -> list[str]:
+        """Return the nodes that log streams, at least one."""
+        own = self._sharing.membership.own
+        names = [
+            info.name for info in self._sharing.peers() if not info.leaving
+        ]
+        if not own.leaving or not names:
+            names.append(own.name)
+        return rendezvous_order('stream recorders', names)[:_RECORDERS]
+
+    async def _check_recorders(self) -> None:
+        """Tell new recorders of the streams that run, and log the versions."""
+        recorders = self._recorders()
+        if not set(recorders) <= set(self._told_recorders):
+            for begun in self._running.values():
+                if self.has_several_versions(begun.service):
+                    self._tell(begun)
+        self._told_recorders = recorders
+        if recorders[0] == self._sharing.membership.own.name:
+            await self._versions.save_if_due()
+        else:
+            self._versions.note_other_saves()
 
     async def _ask(
         self, info: MemberInfo, key: StreamKey
@@ -170,6 +265,9 @@
 
     async def _receive(self, begun: StreamBegun) -> OkReply:
         self._table.put(begun)
+        own_name = self._sharing.membership.own.name
+        if self._recorder and own_name in self._recorders():
+            self._recorder.add(begun)
         return OkReply()
 
     async def _answer(self, query: StreamQuery) -> StreamBegun | OkReply:
--- a/mallowspindle/streams/versions.py
+++ b/mallowspindle/streams/versions.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from mallowspindle.catalog.servers import BackendServer
 
@@ -34,6 +34,34 @@
                 )
         self._current = current
 
+    def ages_s(self) -> dict[str, dict[str, float]]:
+        """Return the seconds since each version was last registered.
+
+        Versions that no stream can have any more are left out.
+        """
+        now_s = self._clock()
+        ages: dict[str, dict[str, float]] = {}
+        for service_name, versions in self._last_seen_s.items():
+            current = self._current.get(service_name, set())
+            lately = {
+                version: 0 if version in current else now_s - seen_at_s
+                for version, seen_at_s in versions.items()
+                if version in current or now_s - seen_at_s <= STREAM_MEMORY_S
+            }
+            if lately:
+                ages[service_name] = lately
+        return ages
+
+    def merge(self, ages_s: Mapping[str, Mapping[str, float]]) -> None:
+        """Add what another history has, with its ages of this moment."""
+        now_s = self._clock()
+        for service_name, versions in ages_s.items():
+            known = self._last_seen_s[service_name]
+            for version, age_s in versions.items():
+                known[version] = max(
+                    known.get(version, float('-inf')), now_s - age_s
+                )
+
     def has_several(self, service_name: str) -> bool:
         """Return whether streams of several versions may be in progress."""
         current = self._current.get(service_name, set())
--- a/mallowspindle/tests/catalog/venture.py
+++ b/mallowspindle/tests/catalog/venture.py
@@ -71,7 +71,7 @@
             name: CatalogService(
                 cast(
                     AdapterService,
-                    SimpleNamespace(log=NodeLog(self, name), layout=_layout()),
+                    SimpleNamespace(log=NodeLog(self, name), layout=layout()),
                 ),
                 sharing,
                 READ_INTERVAL_S,
@@ -139,12 +139,15 @@
     return loop.time() - started_at_s
 
 
-def _layout() -> LogLayout:
+def layout() -> LogLayout:
+    """Return the layout of the streams in the fake log."""
     return LogLayout(
         CONFIGURATIONS,
         KEY,
         SERVERS,
         'quarantine',
+        'versions',
+        'streams',
         decode_keyed,
         encode_keyed,
         _decode_configuration,
--- /dev/null
+++ b/mallowspindle/tests/streams/test_recording.py
@@ -0,0 +1,215 @@
+"""Streams that are found in the log after all nodes have died."""
+
+import asyncio
+from contextlib import ExitStack
+
+import pytest
+
+from mallowspindle.streams.messages import StreamBegun, StreamKey
+from mallowspindle.streams.service import StreamsService
+from mallowspindle.tests.sharing.fakes import FakeMesh
+from mallowspindle.tests.streams.venture import (
+    LAYOUT,
+    SERVICE,
+    CountingLog,
+    StreamVenture,
+    play,
+)
+
+_STREAMS = 40
+_LOGGED_S = 0.4
+_STREAMS_LAST_S = 5.0
+# All nodes together, of the 400 calls a second that the smallest log takes.
+_MAX_APPENDS_PER_S = 25
+_MAX_BYTES_PER_STREAM = 60
+
+
+def _begun(number: int, version: str = 'v1') -> StreamBegun:
+    return StreamBegun(StreamKey('farm', f'r{number}'), SERVICE, version)
+
+
+async def _begin(venture: StreamVenture, streams: ExitStack) -> None:
+    """Begin streams at all nodes in turn, half at each version."""
+    nodes = list(venture.nodes.values())
+    for number in range(_STREAMS):
+        begun = _begun(number, f'v{1 + number % 2}')
+        streams.enter_context(nodes[number % len(nodes)].track(begun))
+
+
+async def _restart(venture: StreamVenture) -> StreamVenture:
+    """Start as many nodes again after all were killed."""
+    mesh = FakeMesh(len(venture.nodes), 4, incarnation=2)
+    restarted = StreamVenture(mesh, venture.log, venture.catalog)
+    await restarted.start()
+    await asyncio.sleep(0.1)
+    return restarted
+
+
+async def _known(venture: StreamVenture) -> int:
+    """Return how many streams are found, each at another node."""
+    nodes: list[StreamsService] = list(venture.nodes.values())
+    found = [
+        await nodes[number % len(nodes)].find(_begun(number).key)
+        for number in range(_STREAMS)
+    ]
+    assert all(
+        begun in {None, _begun(number, f'v{1 + number % 2}')}
+        for number, begun in enumerate(found)
+    )
+    return sum(begun is not None for begun in found)
+
+
+@pytest.mark.parametrize('nodes', [1, 8, 58])
+def test_streams_are_known_after_all_nodes_were_killed(nodes: int) -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        with ExitStack() as streams:
+            await _begin(venture, streams)
+            await asyncio.sleep(_LOGGED_S)
+            await venture.kill_all()
+        assert await _known(await _restart(venture)) == _STREAMS
+
+    play(scene, nodes, CountingLog)
+
+
+def test_streams_are_known_after_two_kills_in_a_row() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        with ExitStack() as streams:
+            await _begin(venture, streams)
+            await asyncio.sleep(_LOGGED_S)
+            await venture.kill_all()
+        second = await _restart(venture)
+        await asyncio.sleep(1)
+        await second.kill_all()
+        assert await _known(await _restart(venture)) == _STREAMS
+
+    play(scene, make_log=CountingLog)
+
+
+def test_one_node_that_survives_finds_the_streams_of_the_others() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        survivor, *others = venture.nodes
+        with ExitStack() as streams:
+            await _begin(venture, streams)
+            await asyncio.sleep(_LOGGED_S)
+            venture.lose(*others)
+        found = [
+            await venture.nodes[survivor].find(_begun(number).key)
+            for number in range(_STREAMS)
+        ]
+        assert None not in found
+
+    play(scene, make_log=CountingLog)
+
+
+def test_streams_that_run_when_a_second_version_comes_are_logged() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1')
+        await asyncio.sleep(1)
+        first = next(iter(venture.nodes.values()))
+        with first.track(_begun(0)):
+            venture.catalog.register('v2')
+            await asyncio.sleep(_LOGGED_S)
+            await venture.kill_all()
+        restarted = await _restart(venture)
+        node = next(iter(restarted.nodes.values()))
+        assert await node.find(_begun(0).key) == _begun(0)
+
+    play(scene, make_log=CountingLog)
+
+
+def test_streams_are_logged_once_the_log_is_back() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        assert venture.log is not None
+        await asyncio.sleep(1)
+        venture.log.down = True
+        with ExitStack() as streams:
+            await _begin(venture, streams)
+            await asyncio.sleep(3)
+            venture.log.down = False
+            await asyncio.sleep(2 * _LOGGED_S)
+            await venture.kill_all()
+        assert await _known(await _restart(venture)) == _STREAMS
+
+    play(scene, make_log=CountingLog)
+
+
+def test_streams_stay_known_after_the_log_has_lost_its_history() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        assert venture.log is not None
+        with ExitStack() as streams:
+            await _begin(venture, streams)
+            await asyncio.sleep(_LOGGED_S)
+            venture.log.trim(LAYOUT.streams_stream)
+            nodes = list(venture.nodes.values())
+            for number in range(100):
+                other = _begun(1000 + number)
+                streams.enter_context(nodes[number % 8].track(other))
+                await asyncio.sleep(0.06)
+            await venture.kill_all()
+        assert await _known(await _restart(venture)) == _STREAMS
+
+    play(scene, make_log=CountingLog)
+
+
+def test_a_log_that_is_away_is_waited_for_only_shortly() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        assert venture.log is not None
+        await asyncio.sleep(1)
+        venture.log.down = True
+        node = next(iter(venture.nodes.values()))
+        began_at_s = asyncio.get_running_loop().time()
+        assert await node.find(_begun(0).key) is None
+        assert asyncio.get_running_loop().time() - began_at_s < 1
+
+    play(scene, make_log=CountingLog)
+
+
+@pytest.mark.parametrize(
+    ('nodes', 'streams_per_s'), [(8, 49), (58, 243), (77, 244), (195, 237)]
+)
+def test_few_appends_record_many_streams(
+    nodes: int, streams_per_s: int
+) -> None:
+    """Streams per second of the operators' deployments."""
+
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        log = venture.log
+        assert isinstance(log, CountingLog)
+        await asyncio.sleep(1)
+        members = list(venture.nodes.values())
+        with ExitStack() as streams:
+            for number in range(int(_STREAMS_LAST_S * streams_per_s)):
+                node = members[number % nodes]
+                streams.enter_context(node.track(_begun(number)))
+                await asyncio.sleep(1 / streams_per_s)
+        appends = log.calls[LAYOUT.streams_stream]
+        assert 0 < appends <= _STREAMS_LAST_S * _MAX_APPENDS_PER_S
+        begun = int(_STREAMS_LAST_S * streams_per_s)
+        size = log.sizes[LAYOUT.streams_stream]
+        assert size <= begun * _MAX_BYTES_PER_STREAM
+
+    play(scene, nodes, CountingLog)
+
+
+def test_streams_of_a_single_version_are_not_logged() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1')
+        log = venture.log
+        assert isinstance(log, CountingLog)
+        await asyncio.sleep(1)
+        with ExitStack() as streams:
+            nodes = list(venture.nodes.values())
+            for number in range(_STREAMS):
+                streams.enter_context(nodes[number % 8].track(_begun(number)))
+                await asyncio.sleep(1)
+        assert not log.calls[LAYOUT.streams_stream]
+        assert log.calls[LAYOUT.versions_stream] == 1
+
+    play(scene, make_log=CountingLog)
--- a/mallowspindle/tests/streams/test_service.py
+++ b/mallowspindle/tests/streams/test_service.py
@@ -1,99 +1,28 @@
 """Which version began a stream, asked at other nodes, in simulated time."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
-from typing import Any, cast
 
 import pytest
 
-from mallowspindle.catalog.servers import BackendServer
-from mallowspindle.catalog.service import CatalogService
 from mallowspindle.peers.codec import peer_codec
 from mallowspindle.streams.messages import StreamBegun, StreamKey
-from mallowspindle.streams.service import StreamsService
-from mallowspindle.tests.sharing.fakes import FakeMesh
-from mallowspindle.tests.simulation import simulate
+from mallowspindle.tests.streams.venture import SERVICE, StreamVenture, play
 from mallowspindle.utils.codec import pack
 
-_SERVICE = 'models'
 _KEY = StreamKey('farm', 'r1')
-_BEGUN = StreamBegun(_KEY, _SERVICE, 'v1')
+_BEGUN = StreamBegun(_KEY, SERVICE, 'v1')
 _TOLD_S = 0.1
 _MAX_ANSWER_S = 0.6
 # What a node may send for control at the size the project is built for.
 _MAX_BYTES_PER_S = 9000
 
 
-@dataclass
-class _Catalog:
-    """The registered servers, by id, all nodes alike."""
-
-    servers: dict[str, BackendServer] = field(default_factory=dict)
-    watchers: list[Callable[[], None]] = field(default_factory=list)
-
-    def watch(self, watcher: Callable[[], None]) -> None:
-        """Call ``watcher`` after each change."""
-        self.watchers.append(watcher)
-
-    def register(self, version: str) -> None:
-        """Register a server of a version."""
-        name = f'i-{len(self.servers)}'
-        self.servers[name] = BackendServer(
-            name, _SERVICE, f'{name}:80', 'a', 8, software_version=version
-        )
-        for watcher in self.watchers:
-            watcher()
-
-
-class _Venture:
-    """The streams service of each node of a mesh."""
-
-    def __init__(self, mesh: FakeMesh) -> None:
-        clock = asyncio.get_running_loop().time
-        self.mesh = mesh
-        self.catalog = _Catalog()
-        self.nodes = {
-            name: StreamsService(
-                cast(CatalogService, self.catalog), sharing, clock
-            )
-            for name, sharing in mesh.nodes.items()
-        }
-
-    async def start(self, *versions: str) -> None:
-        """Start all nodes while servers of ``versions`` are registered."""
-        for node in self.nodes.values():
-            await node.start()
-        for version in versions:
-            self.catalog.register(version)
-
-    def knowing(self, key: StreamKey) -> list[str]:
-        """Return the nodes that know of a stream themselves."""
-        return [
-            name
-            for name, node in self.nodes.items()
-            if node._table.find(key) is not None  # noqa: SLF001
-        ]
-
-    def lose(self, *names: str) -> None:
-        """Let nodes vanish, which the others do not know yet."""
-        self.mesh.silent.update(names)
-
-
-def _play(play: Callable[[_Venture], Awaitable[None]], nodes: int = 8) -> None:
-    async def run() -> None:
-        async with FakeMesh(nodes, 4) as mesh:
-            await play(_Venture(mesh))
-
-    simulate(cast(Coroutine[Any, Any, None], run()))
-
-
 @pytest.mark.parametrize('nodes', [8, 58])
 @pytest.mark.parametrize('lost_holders', [0, 1, 2])
 def test_a_stream_is_known_after_its_node_and_others_are_lost(
     nodes: int, lost_holders: int
 ) -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, *others = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -106,11 +35,11 @@
             elapsed_s = asyncio.get_running_loop().time() - began_at_s
             assert elapsed_s < _MAX_ANSWER_S
 
-    _play(play, nodes)
+    play(scene, nodes)
 
 
 def test_a_stream_that_no_node_knows_is_unknown_soon() -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *others = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -121,11 +50,11 @@
         assert found is None
         assert asyncio.get_running_loop().time() - began_at_s < _MAX_ANSWER_S
 
-    _play(play)
+    play(scene)
 
 
 def test_another_organisation_learns_nothing_of_a_stream() -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -134,11 +63,11 @@
             other = StreamKey('mill', _KEY.request_id)
             assert await venture.nodes[second].find(other) is None
 
-    _play(play)
+    play(scene)
 
 
 def test_streams_that_run_when_a_second_version_comes_are_told() -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1')
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -149,29 +78,29 @@
         venture.lose(first)
         assert await venture.nodes[second].find(_KEY) == _BEGUN
 
-    _play(play)
+    play(scene)
 
 
 def test_several_versions_count_until_their_streams_have_ended() -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         node = next(iter(venture.nodes.values()))
         venture.catalog.servers.popitem()
         venture.catalog.register('v1')
-        assert node.has_several_versions(_SERVICE)
+        assert node.has_several_versions(SERVICE)
         await asyncio.sleep(29)
-        assert node.has_several_versions(_SERVICE)
+        assert node.has_several_versions(SERVICE)
         await asyncio.sleep(2)
-        assert not node.has_several_versions(_SERVICE)
+        assert not node.has_several_versions(SERVICE)
         assert not node.has_several_versions('other service')
 
-    _play(play)
+    play(scene)
 
 
 def test_a_stream_that_was_taken_up_can_be_taken_up_again() -> None:
     """The second node and the first holders are lost as well."""
 
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -185,37 +114,37 @@
         third = min(venture.nodes.keys() - venture.mesh.silent)
         assert await venture.nodes[third].find(_KEY) == _BEGUN
 
-    _play(play)
+    play(scene)
 
 
 def test_a_later_stream_with_the_same_id_replaces_the_former() -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *_ = venture.nodes
-        later = StreamBegun(_KEY, _SERVICE, 'v2')
+        later = StreamBegun(_KEY, SERVICE, 'v2')
         for begun in (_BEGUN, later):
             with venture.nodes[first].track(begun):
                 await asyncio.sleep(_TOLD_S)
         venture.lose(first)
         assert await venture.nodes[second].find(_KEY) == later
 
-    _play(play)
+    play(scene)
 
 
 def test_streams_are_forgotten_after_a_while() -> None:
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first = next(iter(venture.nodes))
         with venture.nodes[first].track(_BEGUN):
             await asyncio.sleep(_TOLD_S)
         await asyncio.sleep(31)
-        other = StreamBegun(StreamKey('farm', 'r2'), _SERVICE, 'v1')
+        other = StreamBegun(StreamKey('farm', 'r2'), SERVICE, 'v1')
         for node in venture.nodes.values():
             with node.track(other):
                 await asyncio.sleep(_TOLD_S)
         assert not venture.knowing(_KEY)
 
-    _play(play)
+    play(scene)
 
 
 @pytest.mark.parametrize(('nodes', 'streams_per_s'), [(8, 28), (77, 164)])
@@ -224,7 +153,7 @@
 ) -> None:
     """Streams per second of the operators' deployments, evenly spread."""
 
-    async def play(venture: _Venture) -> None:
+    async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first = next(iter(venture.nodes))
         with venture.nodes[first].track(_BEGUN):
@@ -233,4 +162,4 @@
         size = len(pack(peer_codec.to_wire(_BEGUN)))
         assert told * size * streams_per_s / nodes <= _MAX_BYTES_PER_S / 4
 
-    _play(play, nodes)
+    play(scene, nodes)
--- /dev/null
+++ b/mallowspindle/tests/streams/venture.py
@@ -0,0 +1,143 @@
+"""The streams service of many nodes in simulated time."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from mallowspindle.adapter import LogLayout
+from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.service import CatalogService
+from mallowspindle.streams.messages import StreamKey
+from mallowspindle.streams.service import StreamsService
+from mallowspindle.streams.store import StreamStore
+from mallowspindle.tests.catalog.fakes import FakeLog
+from mallowspindle.tests.catalog.venture import layout
+from mallowspindle.tests.sharing.fakes import FakeMesh
+from mallowspindle.tests.simulation import simulate
+
+SERVICE = 'models'
+
+
+class CountingLog(FakeLog):
+    """A log that counts calls and keeps the newest record of each key."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: Counter[str] = Counter()
+        self.sizes: Counter[str] = Counter()
+
+    async def append(
+        self,
+        stream: str,
+        payloads: Sequence[bytes],
+        expected_end: int | None = None,
+    ) -> int:
+        """Append records."""
+        self.calls[stream] += 1
+        self.sizes[stream] += sum(map(len, payloads))
+        if stream != LAYOUT.versions_stream:
+            return await super().append(stream, payloads, expected_end)
+        self._check()
+        for payload in payloads:
+            key, _, content = payload.partition(b'=')
+            self.put(stream, key.decode(), content)
+        return 0
+
+
+LAYOUT: LogLayout = layout()
+
+
+@dataclass
+class FakeCatalog:
+    """The registered servers, by id, all nodes alike."""
+
+    servers: dict[str, BackendServer] = field(default_factory=dict)
+    watchers: list[Callable[[], None]] = field(default_factory=list)
+
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Call ``watcher`` after each change."""
+        self.watchers.append(watcher)
+
+    def register(self, version: str) -> None:
+        """Register a server of a version."""
+        name = f'i-{len(self.servers)}'
+        self.servers[name] = BackendServer(
+            name, SERVICE, f'{name}:80', 'a', 8, software_version=version
+        )
+        self._tell()
+
+    def replace_all(self, version: str) -> None:
+        """Let servers of one version stand in the place of all others."""
+        self.servers.clear()
+        self.register(version)
+
+    def _tell(self) -> None:
+        for watcher in self.watchers:
+            watcher()
+
+
+class StreamVenture:
+    """The streams service of each node of a mesh, with a log or without."""
+
+    def __init__(
+        self,
+        mesh: FakeMesh,
+        log: FakeLog | None = None,
+        catalog: FakeCatalog | None = None,
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        self.mesh = mesh
+        self.log = log
+        self.catalog = catalog or FakeCatalog()
+        self.nodes = {
+            name: StreamsService(
+                cast(CatalogService, self.catalog),
+                sharing,
+                clock,
+                StreamStore(log, LAYOUT) if log else None,
+            )
+            for name, sharing in mesh.nodes.items()
+        }
+
+    async def start(self, *versions: str) -> None:
+        """Start all nodes while servers of ``versions`` are registered."""
+        for node in self.nodes.values():
+            await node.start()
+        for version in versions:
+            self.catalog.register(version)
+
+    async def kill_all(self) -> None:
+        """End all nodes at once; nothing is written any more."""
+        self.catalog.watchers.clear()
+        self.lose(*self.nodes)
+        for node in self.nodes.values():
+            await node._tasks.cancel()  # noqa: SLF001
+            await node._versions.stop()  # noqa: SLF001
+
+    def knowing(self, key: StreamKey) -> list[str]:
+        """Return the nodes that know of a stream themselves."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node._table.find(key) is not None  # noqa: SLF001
+        ]
+
+    def lose(self, *names: str) -> None:
+        """Let nodes vanish, which the others do not know yet."""
+        self.mesh.silent.update(names)
+
+
+def play(
+    scene: Callable[[StreamVenture], Awaitable[None]],
+    nodes: int = 8,
+    make_log: Callable[[], FakeLog] | None = None,
+) -> None:
+    """Play a scene in simulated time."""
+
+    async def run() -> None:
+        async with FakeMesh(nodes, 4) as mesh:
+            await scene(StreamVenture(mesh, make_log and make_log()))
+
+    simulate(cast(Coroutine[Any, Any, None], run()))
