--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Tests run in this many processes, on half of the cores by default.
+TEST_PROCESSES ?= $(shell echo $$(( ($$(nproc) + 1) / 2 )))
 
-.PHONY: setup demo platform-demo test lint format bench lab slopes mesh reclaims proofs
+.PHONY: setup demo platform-demo test lint check-format check-style check-types format bench lab slopes mesh reclaims proofs
 
 $(BIN)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -18,12 +20,18 @@
 	$(BIN)/python -m mallowspindle.bench.platform_demo
 
 test: setup
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(TEST_PROCESSES) --dist loadgroup
 
-lint: setup
+lint: check-format check-style check-types
+
+check-format: setup
 	$(BIN)/ruff format --check mallowspindle
 	$(BIN)/ruff check mallowspindle
+
+check-style: setup
 	$(BIN)/flake8 mallowspindle
+
+check-types: setup
 	$(BIN)/mypy mallowspindle
 
 format: setup
--- a/mallowspindle/bench/processes.py
+++ b/mallowspindle/bench/processes.py
@@ -41,9 +41,14 @@
             )
         if process.stdout is None:
             raise RuntimeError('the process has no stdout pipe')
-        ports = await asyncio.wait_for(
-            _read_announcement(process.stdout, log_path), _START_TIMEOUT_S
-        )
+        try:
+            ports = await asyncio.wait_for(
+                _read_announcement(process.stdout, log_path), _START_TIMEOUT_S
+            )
+        except BaseException:
+            # Also if the start is cancelled, since nobody else knows it.
+            process.kill()
+            raise
         if ports is None:
             raise RuntimeError(
                 f'{name} ended before it announced its ports: see {log_path}'
--- a/mallowspindle/tests/conftest.py
+++ b/mallowspindle/tests/conftest.py
@@ -11,9 +11,20 @@
 
 _KNOWN_RED = Path(__file__).parents[2] / 'KNOWN-RED.txt'
 _TEST_PREFIX = 'test: '
+_TESTS = Path(__file__).parent
+# Packages whose tests start processes, several for each test.
+_PACKAGES_WITH_PROCESSES = frozenset(('gateway', 'integration'))
+# So many of these tests run at the same time at most.
+_PROCESS_GROUPS = 2
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect failures of known tests, and group those that start processes."""
+    _expect_known_failures(items)
+    _group_tests_with_processes(items)
+
+
+def _expect_known_failures(items: list[pytest.Item]) -> None:
     """Expect the tests in KNOWN-RED.txt to fail; they still run."""
     lines = _KNOWN_RED.read_text().splitlines() if _KNOWN_RED.exists() else []
     known_failures = {
@@ -26,6 +37,18 @@
             item.add_marker(pytest.mark.xfail(reason='KNOWN-RED.txt'))
 
 
+def _group_tests_with_processes(items: list[pytest.Item]) -> None:
+    """Let the tests of a group run one after another, in one process."""
+    started = [
+        item
+        for item in items
+        if item.path.relative_to(_TESTS).parts[0] in _PACKAGES_WITH_PROCESSES
+    ]
+    for number, item in enumerate(started):
+        group = f'processes-{number % _PROCESS_GROUPS}'
+        item.add_marker(pytest.mark.xdist_group(group))
+
+
 @pytest_asyncio.fixture
 async def venture(tmp_path: Path) -> AsyncIterator[Venture]:
     """Provide a venture without processes.
