Announce a stop to all services at once

Nodes that got SIGTERM were ready until their last heartbeats had been answered or timed out at each peer: the services were told one after the other, and membership waits for its peers. All are told in the same moment now, and requests in progress are finished after 1 s at most, whether the peers have answered or not.

--- a/mallowspindle/kernel/kernel.py
+++ b/mallowspindle/kernel/kernel.py
@@ -9,8 +9,13 @@
 from mallowspindle.config.common import CommonSettings
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.service import Service, registry
+from mallowspindle.utils.tasks import BackgroundTasks
 
 log = logging.getLogger(__name__)
+# Peers that do not answer are not waited for any longer before requests in
+# progress are finished.
+_ANNOUNCE_TIMEOUT_S = 1.0
+
 ServiceT = TypeVar('ServiceT', bound=Service)
 SettingsT = TypeVar('SettingsT', bound=CommonSettings)
 
@@ -21,6 +26,7 @@
     def __init__(self, config: CommonSettings) -> None:
         self._config = config
         self._services: dict[str, Service] = {}
+        self._tasks = BackgroundTasks()
 
     @property
     def config(self) -> CommonSettings:
@@ -85,15 +91,23 @@
             log.debug('service %s started', name)
 
     async def drain(self, timeout_s: float) -> None:
-        """Drain all services, dependents first, within ``timeout_s``."""
+        """Drain all services, dependents first, within ``timeout_s``.
+
+        All are told at once, since some wait for others to hear of it.
+        """
         deadline_s = time.monotonic() + timeout_s
-        for draining_service in self._services.values():
-            await draining_service.prepare_drain()
+        announcements = [
+            self._tasks.spawn(service.prepare_drain(), f'leaving {name}')
+            for name, service in self._services.items()
+        ]
+        if announcements:
+            await asyncio.wait(announcements, timeout=_ANNOUNCE_TIMEOUT_S)
         for service in reversed(list(self._services.values())):
             await service.drain(max(0, deadline_s - time.monotonic()))
 
     async def stop(self) -> None:
         """Stop all services, dependents first."""
+        await self._tasks.cancel()
         for service in reversed(list(self._services.values())):
             await service.stop()
 
--- a/mallowspindle/tests/gateway/test_requests.py
+++ b/mallowspindle/tests/gateway/test_requests.py
@@ -15,6 +15,8 @@
     has_version,
 )
 
+_POLL_S = 0.02
+
 
 async def test_passes_requests_and_answers_through(
     venture: GatewayVenture,
@@ -112,6 +114,23 @@
     assert server['attributes']['server'] in shops
 
 
+async def test_nodes_that_stop_are_not_ready_while_their_peer_hangs(
+    venture: GatewayVenture,
+) -> None:
+    """Guards against a farewell to peers that comes before readiness ends."""
+    await venture.wait_until(lambda: _knows_peer(venture, 'entry-1'))
+    venture.process('entry-2').send_signal(signal.SIGSTOP)
+    venture.process('entry-1').send_signal(signal.SIGTERM)
+    began_at_s = asyncio.get_running_loop().time()
+    while await venture.is_ready('entry-1'):
+        await asyncio.sleep(_POLL_S)
+    assert asyncio.get_running_loop().time() - began_at_s < 0.5
+
+
+async def _knows_peer(venture: GatewayVenture, name: str) -> bool:
+    return len(await venture.addresses(name)) > 1
+
+
 async def test_refuses_slow_bodies(venture: GatewayVenture) -> None:
     await venture.configure(version=8, limits={'idle_timeout_ms': 300})
     await venture.wait_until(lambda: has_version(venture, 8))
