Keep begun streams under keys, which a log keeps without its history

All entry VMs are dead there while the store drops its history, and the record of begun streams was a part of it; the repeats of the current streams need a living node.

Each recorder now has 40 keys with the streams of half a second, written again with each append until the next key's turn; a restarted one goes on behind its former process. Reading starts from the newest record of each key and goes on by offsets. Once a release is over, the records are dropped.

The test of a history that is lost is stricter: it is lost while no node runs, and again after the first read.

--- a/mallowspindle/adapter.py
+++ b/mallowspindle/adapter.py
@@ -23,8 +23,7 @@
 class LogLayout:
     """Streams, keys and codecs of what operators and servers write.
 
-    The last three streams are written by this system itself. That of begun
-    streams has no keys.
+    The last three streams have keys and are written by this system itself.
     """
 
     configuration_stream: str
--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -41,8 +41,7 @@
 # Written by this system. The store keeps the newest record of each key.
 QUARANTINE_STREAM = 'keyed.quarantine'
 VERSIONS_STREAM = 'keyed.versions'
-# Written by this system; only its history is needed.
-STREAMS_STREAM = 'streams'
+STREAMS_STREAM = 'keyed.streams'
 
 _OK = 200
 _GONE = 410
--- a/mallowspindle/streams/recording.py
+++ b/mallowspindle/streams/recording.py
@@ -20,14 +20,14 @@
 _BATCH_S = 0.1
 # Pause after an append that failed.
 _RETRY_S = 0.5
-# All current streams are logged again after this time, since the log may lose
-# its history.
-_REPEAT_S = 5.0
-# A stream that began before this time is logged no more: its caller's time is
-# over.
-_CURRENT_S = 15.0
-# Streams of the largest load in ``_CURRENT_S``.
-_MAX_CURRENT = 20_000
+# Streams that were told within this time share a slot, which is written again with
+# each append.
+_SLOT_S = 0.5
+# The streams of so many slots stay in the log: a stream lasts 15 s, and its
+# caller may take it up for as long.
+_SLOTS = 40
+# Streams of the largest load in some seconds.
+_MAX_PENDING = 20_000
 # Shortest pause between two reads of the log.
 _READ_PAUSE_S = 0.25
 _MAX_FOUND = 40_000
@@ -43,21 +43,15 @@
     ) -> None:
         self._store = store
         self._clock = clock
-        self._pending: deque[StreamBegun] = deque(maxlen=_MAX_CURRENT)
-        # With the time at which each was told.
-        self._current: deque[tuple[float, StreamBegun]] = deque(
-            maxlen=_MAX_CURRENT
-        )
+        self._pending: deque[StreamBegun] = deque(maxlen=_MAX_PENDING)
         self._added = asyncio.Event()
-        self._repeated_at_s = clock()
+        self._slot: int | None = None
+        self._in_slot: list[StreamBegun] = []
+        self._slot_began_at_s = clock()
 
     def add(self, begun: StreamBegun) -> None:
         """Log a stream with the next batch."""
-        now_s = self._clock()
-        if not self._current_streams():
-            self._repeated_at_s = now_s
         self._pending.append(begun)
-        self._current.append((now_s, begun))
         self._added.set()
 
     async def run(self) -> None:
@@ -77,26 +71,34 @@
         What was not logged stays pending.
         """
         self._added.clear()
-        batch = list(self._pending)
-        self._pending.clear()
-        if not batch:
+        if not self._pending:
             return
-        if self._clock() - self._repeated_at_s >= _REPEAT_S:
-            batch = self._current_streams()
-            self._repeated_at_s = self._clock()
+        batch = list(self._pending)
         try:
-            await self._store.record(batch)
+            slot = await self._choose_slot()
+            await self._store.record(slot, [*self._in_slot, *batch])
         except LogError:
-            self._pending.extendleft(reversed(batch))
             self._added.set()
             raise
+        for _ in batch:
+            self._pending.popleft()
+        self._in_slot.extend(batch)
         appends_total.add(1)
 
-    def _current_streams(self) -> list[StreamBegun]:
-        oldest_s = self._clock() - _CURRENT_S
-        while self._current and self._current[0][0] < oldest_s:
-            self._current.popleft()
-        return [begun for _, begun in self._current]
+    async def _choose_slot(self) -> int:
+        """Return the slot to write, the next one if a second is over.
+
+        A process that was started again goes on behind its former one.
+        """
+        now_s = self._clock()
+        if self._slot is None:
+            self._slot = await self._store.newest_slot() or 0
+        elif now_s - self._slot_began_at_s < _SLOT_S:
+            return self._slot
+        self._slot = (self._slot + 1) % _SLOTS
+        self._in_slot = []
+        self._slot_began_at_s = now_s
+        return self._slot
 
 
 class RecordedStreams:
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -104,10 +104,12 @@
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service with the catalog, the peers and the log."""
         adapter = kernel.find('border', AdapterService)
+        sharing = kernel.find('sharing', SharingService)
+        own_name = sharing.membership.own.name
         return cls(
             kernel.find('catalog', CatalogService),
-            kernel.find('sharing', SharingService),
-            store=StreamStore(adapter.log, adapter.layout),
+            sharing,
+            store=StreamStore(adapter.log, adapter.layout, own_name),
         )
 
     async def start(self) -> None:
--- a/mallowspindle/streams/serving.py
+++ b/mallowspindle/streams/serving.py
@@ -90,6 +90,8 @@
             return
         try:
             await self._store.save_versions(ages_s)
+            if not has_several and self._saved is not None:
+                await self._store.drop_streams()
         except LogError as error:
             log.info('served versions not logged', extra={'error': str(error)})
         else:
--- a/mallowspindle/streams/store.py
+++ b/mallowspindle/streams/store.py
@@ -2,12 +2,14 @@
 
 import logging
 from collections.abc import Iterable, Mapping
+from itertools import starmap
+from operator import attrgetter
 from typing import Any
 
 from mallowspindle.adapter import LogLayout
-from mallowspindle.log.errors import LogError, RecordsExpired
+from mallowspindle.log.errors import RecordsExpired
 from mallowspindle.log.interface import Log
-from mallowspindle.log.records import LogPage
+from mallowspindle.log.records import KeyedRecord
 from mallowspindle.streams.messages import StreamBegun
 from mallowspindle.streams.records import (
     ServedVersions,
@@ -22,38 +24,72 @@
 log = logging.getLogger(__name__)
 
 _VERSIONS_KEY = 'served'
-# The log may drop records while they are read; more often than this in a row
-# it is taken for unreadable.
-_MAX_EXPIRIES = 4
 
 
 class StreamStore:
     """Reads and writes what has to outlast all nodes.
 
-    All methods raise ``LogError`` if the log gives no usable answer.
+    Streams are kept in numbered slots of the node that logs them, each with
+    those of half a second, since the log keeps only the newest record of a
+    key if it drops its history. All methods raise ``LogError`` if the log gives
+    no usable answer.
     """
 
-    def __init__(self, source: Log, layout: LogLayout) -> None:
+    def __init__(self, source: Log, layout: LogLayout, node: str) -> None:
         self._log = source
         self._layout = layout
-        self._next_offset = 0
-
-    async def record(self, streams: Iterable[StreamBegun]) -> None:
-        """Log streams that servers have begun."""
-        payloads = [
-            streams_codec.encode(record) for record in records_of(streams)
+        self._node = node
+        self._next_offset: int | None = None
+
+    async def record(self, slot: int, streams: Iterable[StreamBegun]) -> None:
+        """Replace the streams in a slot of this node."""
+        content = streams_codec.encode_all(records_of(streams))
+        await self._append([(f'{self._node}/{slot}', content)])
+
+    async def newest_slot(self) -> int | None:
+        """Return the slot that this node or its former process wrote last."""
+        state = await self._log.read_latest(self._layout.streams_stream)
+        own = [
+            (record.offset, int(slot))
+            for record in state.records
+            for node, _, slot in (record.key.rpartition('/'),)
+            if node == self._node and slot.isdecimal()
         ]
-        await self._log.append(self._layout.streams_stream, payloads)
+        return max(own)[1] if own else None
 
     async def read_new(self) -> dict[bytes, StreamOrigin]:
         """Return the streams that were logged since the last call."""
+        if self._next_offset is None:
+            return await self._read_newest()
+        try:
+            return await self._read_on(self._next_offset)
+        except RecordsExpired:
+            return await self._read_newest()
+
+    async def drop_streams(self) -> None:
+        """Drop all streams that any node has logged."""
+        state = await self._log.read_latest(self._layout.streams_stream)
+        if state.records:
+            await self._append([(record.key, b'') for record in state.records])
+
+    async def _append(self, entries: Iterable[tuple[str, bytes]]) -> None:
+        payloads = list(starmap(self._layout.encode_keyed, entries))
+        await self._log.append(self._layout.streams_stream, payloads)
+
+    async def _read_newest(self) -> dict[bytes, StreamOrigin]:
+        state = await self._log.read_latest(self._layout.streams_stream)
+        self._next_offset = state.end_offset
+        return _origins_of(state.records)
+
+    async def _read_on(self, offset: int) -> dict[bytes, StreamOrigin]:
         found: dict[bytes, StreamOrigin] = {}
         while True:
-            page = await self._read_page()
-            for record in page.records:
-                found.update(_decode_origins(record.payload))
-            self._next_offset = page.next_offset
-            if not page.records or page.next_offset >= page.end_offset:
+            page = await self._log.read(self._layout.streams_stream, offset)
+            records = map(self._layout.decode_keyed, page.records)
+            found.update(_origins_of(records))
+            offset = page.next_offset
+            self._next_offset = offset
+            if not page.records or offset >= page.end_offset:
                 return found
 
     async def load_versions(self) -> Mapping[str, Mapping[str, float]]:
@@ -78,23 +114,26 @@
         )
         await self._log.append(self._layout.versions_stream, [record])
 
-    async def _read_page(self) -> LogPage:
-        """Read on, behind the records that the log has dropped."""
-        for _ in range(_MAX_EXPIRIES):
-            try:
-                return await self._log.read(
-                    self._layout.streams_stream, self._next_offset
-                )
-            except RecordsExpired as error:
-                self._next_offset = error.first_offset
-        raise LogError('records expired while they were read')
 
+def _origins_of(records: Iterable[KeyedRecord]) -> dict[bytes, StreamOrigin]:
+    """Return the streams of some records, where the last one counts."""
+    found: dict[bytes, StreamOrigin] = {}
+    for record in sorted(records, key=attrgetter('offset')):
+        for begun in _decode_all(record.value or b''):
+            if isinstance(begun, StreamsBegun):
+                found.update(origins_in(begun))
+    return found
 
-def _decode_origins(payload: bytes) -> dict[bytes, StreamOrigin]:
-    record = _decode(payload)
-    if isinstance(record, StreamsBegun):
-        return dict(origins_in(record))
-    return {}
+
+def _decode_all(content: bytes) -> list[Any]:
+    """Return the records of a slot; none if they are unreadable."""
+    if not content:
+        return []
+    try:
+        return streams_codec.decode_all(content)
+    except CodecError as error:
+        log.warning('unreadable record of streams', extra={'error': str(error)})
+        return []
 
 
 def _decode(payload: bytes) -> Any:
@@ -102,5 +141,7 @@
     try:
         return streams_codec.decode(payload)
     except CodecError as error:
-        log.warning('unreadable record of streams', extra={'error': str(error)})
+        log.warning(
+            'unreadable record of versions', extra={'error': str(error)}
+        )
         return None
--- a/mallowspindle/tests/streams/test_recording.py
+++ b/mallowspindle/tests/streams/test_recording.py
@@ -138,20 +138,62 @@
 
 
 def test_streams_stay_known_after_the_log_has_lost_its_history() -> None:
+    """Guards against a history that is dropped while no node runs."""
+
     async def scene(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         assert venture.log is not None
         with ExitStack() as streams:
             await _begin(venture, streams)
             await asyncio.sleep(_LOGGED_S)
-            venture.log.trim(LAYOUT.streams_stream)
-            nodes = list(venture.nodes.values())
-            for number in range(100):
-                other = _begun(1000 + number)
-                streams.enter_context(nodes[number % 8].track(other))
-                await asyncio.sleep(0.06)
             await venture.kill_all()
-        assert await _known(await _restart(venture)) == _STREAMS
+        venture.log.trim(LAYOUT.streams_stream)
+        venture.log.trim(LAYOUT.versions_stream)
+        restarted = await _restart(venture)
+        assert await _known(restarted) == _STREAMS
+        # Also those that are logged after the first read.
+        nodes = list(restarted.nodes.values())
+        with nodes[0].track(_begun(1000)):
+            await asyncio.sleep(_LOGGED_S)
+            venture.log.trim(LAYOUT.streams_stream)
+            restarted.lose(*list(restarted.nodes)[:-1])
+        assert await nodes[-1].find(_begun(1000).key) == _begun(1000)
+
+    play(scene, make_log=CountingLog)
+
+
+def test_the_log_keeps_no_streams_after_a_release() -> None:
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        assert venture.log is not None
+        with ExitStack() as streams:
+            await _begin(venture, streams)
+            await asyncio.sleep(1)
+        state = await venture.log.read_latest(LAYOUT.streams_stream)
+        assert state.records
+        venture.catalog.replace_all('v2')
+        await asyncio.sleep(35)
+        state = await venture.log.read_latest(LAYOUT.streams_stream)
+        assert not state.records
+
+    play(scene, make_log=CountingLog)
+
+
+def test_a_recorder_that_restarts_keeps_what_its_former_process_logged() -> (
+    None
+):
+    async def scene(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        for number in range(6):
+            venture = await _restart(venture)
+            await asyncio.sleep(1)
+            node = next(iter(venture.nodes.values()))
+            with node.track(_begun(number)):
+                await asyncio.sleep(_LOGGED_S)
+                await venture.kill_all()
+        node = next(iter((await _restart(venture)).nodes.values()))
+        found = [await node.find(_begun(number).key) for number in range(6)]
+        assert None not in found
 
     play(scene, make_log=CountingLog)
 
--- a/mallowspindle/tests/streams/venture.py
+++ b/mallowspindle/tests/streams/venture.py
@@ -37,12 +37,10 @@
         """Append records."""
         self.calls[stream] += 1
         self.sizes[stream] += sum(map(len, payloads))
-        if stream != LAYOUT.versions_stream:
-            return await super().append(stream, payloads, expected_end)
         self._check()
         for payload in payloads:
             key, _, content = payload.partition(b'=')
-            self.put(stream, key.decode(), content)
+            self.put(stream, key.decode(), content or None)
         return 0
 
 
@@ -96,7 +94,7 @@
                 cast(CatalogService, self.catalog),
                 sharing,
                 clock,
-                StreamStore(log, LAYOUT) if log else None,
+                StreamStore(log, LAYOUT, name) if log else None,
             )
             for name, sharing in mesh.nodes.items()
         }
