Keep one time of day over all nodes, which no jump of a VM changes

A node that started while its VM's time was behind had a smaller incarnation than before, so that peers took its news for old and it was lost to them.

The new clock follows the steady clock that also runs while a VM is suspended, takes over small corrections, and logs jumps. A node that has just started sends its time with its heartbeats and takes the median of the replies, of nodes that have run for longer if there are any. A node that hears of a larger incarnation of its own takes one above it. Usage windows, the time of a restored store and evidence of the quarantine use the clock.

All nodes started within a jump of most VMs share the wrong time until they start again: nothing tells them the true one, the store's answers have no date.

--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from typing import Self
 
@@ -195,7 +194,7 @@
             self._note_update(update)
 
     def _note_restored(self) -> None:
-        self._restored_at_s = time.time()
+        self._restored_at_s = self._sharing.membership.clock.now_s()
         self._configuration.note_restored()
 
     def _note_update(self, update: StreamUpdate) -> None:
--- a/mallowspindle/duties/counting.py
+++ b/mallowspindle/duties/counting.py
@@ -32,11 +32,14 @@
 
     def __init__(self, sharing: SharingService, usage: UsageCounter) -> None:
         self._sharing = sharing
-        self._own = sharing.membership.own
         self._usage = usage
         self._totals = UsageTotals()
         self._lease_news: LeaseUpdate | None = None
 
+    @property
+    def _own(self) -> MemberInfo:
+        return self._sharing.membership.own
+
     def start(self) -> None:
         """Register the handler for the counts of other nodes."""
         self._sharing.membership.server.handle(UsageNews, self._receive)
--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -1,7 +1,6 @@
 """The lease of the duties, claimed and renewed by conditional appends."""
 
 import logging
-import time
 from collections.abc import AsyncIterator, Callable
 
 from mallowspindle.duties.ledger import DutyState, Tenure
@@ -22,6 +21,7 @@
 from mallowspindle.log.positions import era_of
 from mallowspindle.log.records import LogPage
 from mallowspindle.sharing.messages import LeaseUpdate
+from mallowspindle.utils.clock import boot_clock_s
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
@@ -34,11 +34,6 @@
 _CLAIM_MARGIN_S = 0.3
 
 
-def boot_clock_s() -> float:
-    """Return the time of a clock that also runs while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Lease:
     """One node's view of the lease.
 
@@ -111,6 +106,10 @@
         if tenure.incarnation < incarnation:
             self.note_released(tenure.fencing_number)
 
+    def note_own_incarnation(self, incarnation: int) -> None:
+        """Record that this node has a larger incarnation than at its start."""
+        self._incarnation = incarnation
+
     def news(self) -> LeaseUpdate | None:
         """Return this node's own last renewal or release, to be sent to peers.
 
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -190,7 +190,7 @@
             else _LARGE_COUNTS_DELAY_S
         )
         ended_windows = self._usage_exchange.ended_windows(
-            time.time() - delay_s
+            self._sharing.membership.clock.now_s() - delay_s
         )
         for window, counts in ended_windows.items():
             if window in logged or self._may_have_lost_report(window):
@@ -235,7 +235,10 @@
         return self._usage_exchange.claim_order().index(self._own.name)
 
     def _note_restarts(self) -> None:
-        """Record the peers' incarnations: a restarted holder lost the lease."""
+        """Record incarnations: a restarted holder has lost the lease."""
+        self._lease.note_own_incarnation(
+            self._sharing.membership.own.incarnation
+        )
         for info in self._sharing.peers():
             self._lease.note_incarnation(info.name, info.incarnation)
 
--- a/mallowspindle/membership/messages.py
+++ b/mallowspindle/membership/messages.py
@@ -69,6 +69,8 @@
     With ``regular``, the sender sends again within its heartbeat interval, so
     the receiver may suspect it when it is silent. ``known`` is the number of
     members that the sender knows; the reply to one that knows few lists all.
+    ``clock`` is the sender's time of day and the seconds since its start; nodes
+    that have just started send it, and so do the replies to them.
     """
 
     sender: MemberInfo
@@ -78,6 +80,7 @@
     lost: list[LostMember] = field(default_factory=list)
     leaving_servers: list[str] = field(default_factory=list)
     usage: list[UsageReport] = field(default_factory=list)
+    clock: tuple[float, float] | None = None
 
 
 @peer_codec.register('member_question')
--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -3,11 +3,10 @@
 import asyncio
 import logging
 import random
-import time
 from dataclasses import replace
 from typing import Self
 
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import Observation
 
 from mallowspindle.config.common import NodeSection, PeersSection
 from mallowspindle.kernel.kernel import Kernel
@@ -27,12 +26,14 @@
 from mallowspindle.peers.link import PeerLink
 from mallowspindle.peers.pool import PeerLinkPool
 from mallowspindle.peers.server import PeerServer
+from mallowspindle.utils.clock import SharedClock
 from mallowspindle.utils.identifiers import rendezvous_order
 from mallowspindle.utils.tasks import BackgroundTasks, wait_for_event
 from mallowspindle.utils.telemetry import meter
 
 log = logging.getLogger(__name__)
 
+_MS = 1000
 _FORGET_AFTER_S = 60.0
 _SYNC_INTERVAL_S = 60.0
 _SEEDS_PER_ROUND = 2
@@ -54,7 +55,9 @@
         peers: PeersSection,
         server: PeerServer,
         endpoint: tuple[str, int],
+        clock: SharedClock | None = None,
     ) -> None:
+        self._clock = clock or SharedClock()
         self._peers = peers
         self._endpoint = endpoint
         self._server = server
@@ -64,7 +67,7 @@
             zone=node.zone,
             peer_address='',
             http_address='',
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=int(self._clock.now_s() * _MS),
             beat=0,
         )
         self._table = MemberTable(node.name, peers.suspect_after_s)
@@ -102,6 +105,11 @@
         """The server on which services register their handlers."""
         return self._server
 
+    @property
+    def clock(self) -> SharedClock:
+        """The time of day that the nodes agree on."""
+        return self._clock
+
     @property
     def departures(self) -> Departures:
         """The backend servers known to be leaving."""
@@ -125,7 +133,14 @@
         port = await self._server.start(host, wanted_port)
         self.update(peer_address=f'{host}:{port}')
         self._tasks.spawn(self._send_forever(), 'heartbeats')
-        meter.create_observable_gauge('members_live', [self._observe_live])
+        meter.create_observable_gauge(
+            'members_live',
+            [lambda options: [Observation(len(self._table.live()))]],
+        )
+        meter.create_observable_gauge(
+            'clock_jump_seconds',
+            [lambda options: [Observation(self._clock.jump_s)]],
+        )
         meter.create_observable_counter(
             'control_bytes_sent',
             [lambda options: [Observation(self._links.sent_bytes)]],
@@ -243,9 +258,12 @@
     def _heartbeat(
         self, peer: str, *, send_all: bool = False, regular: bool = False
     ) -> Heartbeat:
-        return self._gossip.heartbeat(
+        heartbeat = self._gossip.heartbeat(
             self._info, peer, send_all=send_all, regular=regular
         )
+        if self._clock.is_settling:
+            return _with_clock(heartbeat, self._clock)
+        return heartbeat
 
     async def _send(
         self, link: PeerLink, name: str, heartbeat: Heartbeat
@@ -311,7 +329,17 @@
         sender_is_behind = (
             heartbeat.known < len(self._table) * _FULL_REPLY_BELOW
         )
-        return self._heartbeat(heartbeat.sender.name, send_all=sender_is_behind)
+        reply = self._heartbeat(
+            heartbeat.sender.name, send_all=sender_is_behind
+        )
+        known = self._table.find(heartbeat.sender.name)
+        incarnation = heartbeat.sender.incarnation
+        if known is not None and known.info.incarnation > incarnation:
+            # It has started again with a smaller incarnation, and learns so.
+            reply = replace(reply, members=[*reply.members, known.info])
+        if heartbeat.clock is not None:
+            reply = _with_clock(reply, self._clock)
+        return reply
 
     async def _answer_question(self, question: MemberQuestion) -> Heartbeat:
         member = self._table.find_heard(question.name)
@@ -319,11 +347,22 @@
         return Heartbeat(self._info, known=len(self._table), members=members)
 
     def _process(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.clock is not None:
+            self._clock.note_peer(heartbeat.sender.name, *heartbeat.clock)
+        for info in heartbeat.members:
+            former = info.incarnation
+            if info.name == self._info.name and former > self._info.incarnation:
+                # A process of this node before has a time that is ahead of this
+                # one's, and peers ignore whatever seems to be older.
+                log.warning('incarnation raised', extra={'former': former})
+                self.update(incarnation=former + 1)
+                self.send_soon()
         if self._gossip.process(heartbeat):
             self.send_soon()
 
-    def _observe_live(self, options: CallbackOptions) -> list[Observation]:
-        return [Observation(len(self._table.live()))]
+
+def _with_clock(heartbeat: Heartbeat, clock: SharedClock) -> Heartbeat:
+    return replace(heartbeat, clock=(clock.now_s(), clock.age_s))
 
 
 def _full_sync_is_due(size: int, peers: PeersSection) -> bool:
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -85,6 +85,8 @@
             retry_budgets=RetryBudgets(terms, sharing),
             quarantine=kernel.find('quarantine', QuarantineService),
             streams=kernel.find('streams', StreamsService),
-            usage=UsageCounter(settings.duties.usage_window_s),
+            usage=UsageCounter(
+                settings.duties.usage_window_s, sharing.membership.clock.now_s
+            ),
             peers=PeerRelays(sharing, settings.peers.shared_key.encode()),
         )
--- a/mallowspindle/quarantine/service.py
+++ b/mallowspindle/quarantine/service.py
@@ -104,7 +104,7 @@
         store: QuarantineStore | None = None,
         is_listening: Callable[[str], Awaitable[bool]] = accepts_connections,
         clock: Callable[[], float] = time.monotonic,
-        unix_clock: Callable[[], float] = time.time,
+        unix_clock: Callable[[], float] | None = None,
         find_others: Callable[[str], Collection[str]] | None = None,
     ) -> None:
         self._find_others = find_others
@@ -113,7 +113,9 @@
         self._store = store
         self._is_listening = is_listening
         self._clock = clock
-        self._table = EvidenceTable(clock, unix_clock)
+        self._table = EvidenceTable(
+            clock, unix_clock or sharing.membership.clock.now_s
+        )
         self._merged: WorkSum | None = None
         self._unconfirmed: dict[str, _UnconfirmedCrash] = {}
         self._tried_at_s: dict[str, float] = {}
--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -61,7 +61,7 @@
         self._membership = membership
         self._clock = clock
         self._started_at_s = clock()
-        # Numbers of a restarted node follow those used before the restart.
+        self._incarnation = own.incarnation
         self._numbers = count(own.incarnation)
         self._last_sent: NodeState | None = None
         self._sources: list[WorkSource] = []
@@ -255,6 +255,10 @@
 
     def _own_state(self) -> NodeState:
         own = self._membership.own
+        if own.incarnation > self._incarnation:
+            # Numbers of a restarted node follow those used before the restart.
+            self._incarnation = own.incarnation
+            self._numbers = count(own.incarnation)
         works = [source() for source in self._sources]
         started = WorkSum(nodes=1, young_s=recent_uptimes([self.uptime_s]))
         lease = self._lease_source() if self._lease_source else None
--- a/mallowspindle/tests/gateway/test_requests.py
+++ b/mallowspindle/tests/gateway/test_requests.py
@@ -16,6 +16,8 @@
 )
 
 _POLL_S = 0.02
+# A node that is asked to stop says so at the next question.
+_MAX_READY_S = 0.5
 
 
 async def test_passes_requests_and_answers_through(
@@ -124,7 +126,7 @@
     began_at_s = asyncio.get_running_loop().time()
     while await venture.is_ready('entry-1'):
         await asyncio.sleep(_POLL_S)
-    assert asyncio.get_running_loop().time() - began_at_s < 0.5
+    assert asyncio.get_running_loop().time() - began_at_s <= _MAX_READY_S
 
 
 async def _knows_peer(venture: GatewayVenture, name: str) -> bool:
--- a/mallowspindle/tests/gateway/test_software_versions.py
+++ b/mallowspindle/tests/gateway/test_software_versions.py
@@ -22,6 +22,7 @@
     'model-3': 'v2',
     'model-4': 'v2',
 }
+_ALL_SERVERS = tuple(_VERSIONS)
 _STREAMS = 24
 # What the operators tolerate: so many streams with events of two versions, and
 # half of the share of new streams that begin, for those that are taken up.
@@ -61,7 +62,7 @@
 
 
 async def _runs(
-    venture: GatewayVenture, servers: Collection[str] = tuple(_VERSIONS)
+    venture: GatewayVenture, servers: Collection[str] = _ALL_SERVERS
 ) -> list[tuple[str, dict[str, Any]]]:
     """Return the runs of model servers with the server's version."""
     return [
@@ -216,7 +217,7 @@
 
 
 async def _begin_streams(
-    venture: GatewayVenture, servers: Collection[str] = tuple(_VERSIONS)
+    venture: GatewayVenture, servers: Collection[str] = _ALL_SERVERS
 ) -> dict[str, str]:
     """Begin streams and kill all nodes; return what came of each, by id."""
     for name in servers:
@@ -271,7 +272,7 @@
 
 
 async def _have_begun(
-    venture: GatewayVenture, servers: Collection[str] = tuple(_VERSIONS)
+    venture: GatewayVenture, servers: Collection[str] = _ALL_SERVERS
 ) -> bool:
     """Return whether all streams have sent their first event."""
     began_at_s = [run['began_at_s'] for _, run in await _runs(venture, servers)]
--- a/mallowspindle/tests/kernel/test_kernel.py
+++ b/mallowspindle/tests/kernel/test_kernel.py
@@ -50,8 +50,9 @@
 class _Quick(Service):
     """Records when it is told to drain."""
 
-    prepared_at_s: float | None = None
-    drained_at_s: float | None = None
+    def __init__(self) -> None:
+        self.prepared_at_s: float | None = None
+        self.drained_at_s: float | None = None
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
--- a/mallowspindle/tests/membership/test_mesh.py
+++ b/mallowspindle/tests/membership/test_mesh.py
@@ -14,6 +14,7 @@
 from mallowspindle.peers.handshake import Credentials
 from mallowspindle.peers.link import PeerLink
 from mallowspindle.peers.server import PeerServer
+from mallowspindle.utils.clock import SharedClock
 
 KEY = 'a-shared-key-for-loopback'
 TIMEOUT_S = 10.0
@@ -26,15 +27,18 @@
 LOSS_TIMEOUT_S = 3.0
 # Two heartbeats of the returning node.
 RETURN_TIMEOUT_S = 1.0
+MAX_CLOCK_ERROR_S = 0.5
 # Ten times the table of 24 members, and 5 s of heartbeats.
 MAX_JOINING_BYTES = 24 * 150 * 10 + 5 * 5_000
 
 
-async def _start(name: str, seeds: list[str]) -> MembershipService:
+async def _start(
+    name: str, seeds: list[str], clock: SharedClock | None = None
+) -> MembershipService:
     node = NodeSection.model_validate({'name': name, 'zone': 'a'})
     peers = PeersSection.model_validate({'shared_key': KEY, 'seeds': seeds})
     server = PeerServer(Credentials(name, KEY.encode()), peers.max_frame_bytes)
-    member = MembershipService(node, peers, server, ('127.0.0.1', 0))
+    member = MembershipService(node, peers, server, ('127.0.0.1', 0), clock)
     await member.start()
     return member
 
@@ -107,6 +111,29 @@
     assert 'is lost' not in caplog.text
 
 
+async def test_a_node_that_starts_while_its_time_is_behind_is_heard() -> None:
+    """Guards against peers that take its news for old: it was lost to them."""
+    async with _mesh(3) as members:
+        first, *_, last = members
+        former = last.own
+        await last.stop()
+        behind = SharedClock(lambda: time.time() - 30)
+        members[-1] = await _start(
+            last.own.name, [first.own.peer_address], behind
+        )
+        own = members[-1]
+        await _wait_until(lambda: _address(first, own) == own.own.peer_address)
+        await _wait_until(lambda: all(_sees(each, 2) for each in members))
+        assert own.own.incarnation > former.incarnation
+        assert abs(own.clock.now_s() - time.time()) <= MAX_CLOCK_ERROR_S
+
+
+def _address(member: MembershipService, other: MembershipService) -> str:
+    """Return the address at which a member knows another one."""
+    found = member.table.find(other.own.name)
+    return found.info.peer_address if found else ''
+
+
 async def test_nodes_cut_off_from_each_other_stay_live(
     caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/mallowspindle/tests/sharing/fakes.py
+++ b/mallowspindle/tests/sharing/fakes.py
@@ -12,6 +12,7 @@
 from mallowspindle.peers.codec import peer_codec
 from mallowspindle.peers.errors import PeerTimeout
 from mallowspindle.sharing.service import SharingService
+from mallowspindle.utils.clock import SharedClock
 from mallowspindle.utils.codec import pack, unpack
 
 _NEVER_S = 1e9
@@ -77,6 +78,7 @@
     def __init__(self, mesh: 'FakeMesh', own: MemberInfo) -> None:
         self._mesh = mesh
         self.own = own
+        self.clock = SharedClock()
         self.server = mesh.servers[own.name]
         self.table = MemberTable(own.name, _NEVER_S)
 
