Keep a part of the quota for streams that go on, after all nodes restarted

New requests now leave up to 0.45 of what is left to streams that go on, in proportion to what the nodes have forgotten: the part ends with the window, and is small after the restart of one node. The sum stays below the quota as before.

--- a/mallowspindle/policies/quota.py
+++ b/mallowspindle/policies/quota.py
@@ -28,6 +28,10 @@
 # tolerance that the platform grants.
 _SHORT_SPAN_FRACTION = 0.375
 
+# Part of the quota that new requests leave to streams that go on, right after
+# all nodes were restarted. It falls with what they have forgotten.
+_KEPT_FRACTION = 0.45
+
 # Maximum credit of all nodes together as a fraction of the quota if there is no
 # room. It is below the tolerance that the platform grants.
 MIN_CREDIT_FRACTION = 0.2
@@ -134,19 +138,24 @@
     *,
     reporting_fraction: float,
     uptimes_s: Sequence[float],
+    goes_on: bool = True,
 ) -> bool:
     """Return whether ``own_used`` and the peers' use are within the quota.
 
     ``reporting_fraction`` is the fraction of the nodes, this one included,
     whose work is known; ``uptimes_s`` are the uptimes of those nodes. A
     restarted node has forgotten what it admitted before, so its share of the
-    quota for the part of the window before its start counts as used up.
+    quota for the part of the window before its start counts as used up. Of
+    what is left then, new requests leave a part to streams that go on
+    (``goes_on``): their callers come back all at once, most of them with long
+    prompts, which find no room beside many short new ones.
     """
     return own_used <= room_of_node(
         terms,
         peers,
         reporting_fraction=reporting_fraction,
         uptimes_s=uptimes_s,
+        goes_on=goes_on,
     )
 
 
@@ -156,6 +165,7 @@
     *,
     reporting_fraction: float,
     uptimes_s: Sequence[float],
+    goes_on: bool = True,
 ) -> float:
     """Return what the peers leave of the quota for this node.
 
@@ -166,6 +176,8 @@
     allowed = terms.window_limit * min(
         reporting_fraction, 1 - forgotten_fraction
     )
+    if not goes_on:
+        allowed *= 1 - _KEPT_FRACTION * forgotten_fraction
     return allowed - sum(peer.estimate for peer in peers)
 
 
@@ -185,6 +197,7 @@
     *,
     reporting_fraction: float,
     uptimes_s: Sequence[float],
+    goes_on: bool = True,
 ) -> bool:
     """Return whether the window and the shorter span have room for ``cost``.
 
@@ -194,7 +207,10 @@
     lately_used = own.lately_used()
     short_uses = [peer.short for peer in peers]
     fits = partial(
-        is_within, reporting_fraction=reporting_fraction, uptimes_s=uptimes_s
+        is_within,
+        reporting_fraction=reporting_fraction,
+        uptimes_s=uptimes_s,
+        goes_on=goes_on,
     )
     if not fits(terms, own.used() + cost, [peer.window for peer in peers]):
         return False
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -88,7 +88,9 @@
         # The peer that passed a request on has counted it.
         if organisation is not None and request.relayed_by is None:
             retry_after_s = self._context.quotas.admit_or_retry_after_s(
-                organisation, request.tokens
+                organisation,
+                request.tokens,
+                goes_on=request.last_event_id is not None,
             )
             if retry_after_s:
                 _log_refusal(request, configuration, 'over quota')
--- a/mallowspindle/proxy/quotas.py
+++ b/mallowspindle/proxy/quotas.py
@@ -57,9 +57,16 @@
         sharing.register_work_source(self._own_use)
 
     def admit_or_retry_after_s(
-        self, organisation: Organisation, tokens: int | None
+        self,
+        organisation: Organisation,
+        tokens: int | None,
+        *,
+        goes_on: bool = False,
     ) -> float:
-        """Admit a request and return 0, or return the time until a retry."""
+        """Admit a request and return 0, or return the time until a retry.
+
+        ``goes_on`` tells that the request takes up a stream.
+        """
         quota = organisation.quota
         if not quota.rate_per_s:
             return 0
@@ -71,6 +78,7 @@
             has_room,
             reporting_fraction=self._sharing.reporting_fraction(),
             uptimes_s=self._uptimes_s(),
+            goes_on=goes_on,
         )
         if fits(terms, admitted, cost, [peer_use]) and (
             self._sharing.is_full_mesh
--- a/mallowspindle/tests/proxy/test_quotas.py
+++ b/mallowspindle/tests/proxy/test_quotas.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import deque
+from collections import Counter, deque
 
 import pytest
 
@@ -18,6 +18,17 @@
 _TOLERANCE_FRACTION = 0.1
 _TOLERANCE_TOKENS = 140_000
 _NORMAL_LOAD = 0.5
+# The nodes that have just started, in seconds, and the streams that were cut.
+_START_S = 0.8
+_RETURN_S = 4.0
+_STEPS_PER_RETURN = 80
+# An organisation of a small venture, whose long prompts break off.
+_SMALL_RATE = 60_000
+_LONG_COST = 12_000
+_NEW_COSTS = (800, 800, 2_400, 2_400, _LONG_COST)
+_SMALL = Organisation(
+    'small', frozenset(), quota=Quota(_SMALL_RATE, _SMALL_RATE / 2, True)
+)
 _DURATION_S = 12.0
 _WARMUP_S = 3.0
 _STEP_S = 0.005
@@ -78,3 +89,54 @@
     max_admitted = simulate(_max_admitted_in_window(58, flood, delay_s))
     assert max_admitted <= limit * (1 + _TOLERANCE_FRACTION) + _TOLERANCE_TOKENS
     assert max_admitted >= limit * 0.8
+
+
+async def _admitted_after_restart(load: float) -> tuple[float, float]:
+    """Return which parts of new and of taken up streams are admitted.
+
+    All nodes have just started, and the streams that broke off are taken up
+    during the next seconds, each once.
+    """
+    mesh = FakeMesh(8, 4)
+    loop = asyncio.get_running_loop()
+    nodes = [
+        (Quotas(node, _WINDOW_S, loop.time), node)
+        for node in mesh.nodes.values()
+    ]
+    rng = random.Random(1)
+    admitted: Counter[bool] = Counter()
+    offered = 0.0
+
+    def admit(cost: int, *, goes_on: bool) -> None:
+        quotas, node = rng.choice(nodes)
+        if not quotas.admit_or_retry_after_s(_SMALL, cost, goes_on=goes_on):
+            admitted[goes_on] += 1
+            node.send_soon()
+
+    async with mesh:
+        await asyncio.sleep(_START_S)
+        new = 0
+        for step in range(round(_RETURN_S / _STEP_S)):
+            await asyncio.sleep(_STEP_S)
+            offered += _STEP_S * _SMALL_RATE * load
+            while offered > 0:
+                cost = rng.choice(_NEW_COSTS)
+                offered -= cost
+                new += 1
+                admit(cost, goes_on=False)
+            if step % _STEPS_PER_RETURN == 0:
+                admit(_LONG_COST, goes_on=True)
+    taken_up = _RETURN_S / _STEP_S / _STEPS_PER_RETURN
+    return admitted[False] / new, admitted[True] / taken_up
+
+
+@pytest.mark.parametrize('load', [1.0, 2.0])
+def test_streams_that_go_on_find_room_after_all_nodes_restarted(
+    load: float,
+) -> None:
+    """Guards against streams that are refused while new ones begin.
+
+    Operators count half as many of the former as of the latter as too few.
+    """
+    new, taken_up = simulate(_admitted_after_restart(load))
+    assert taken_up >= new / 2
