--- a/mallowspindle/membership/table.py
+++ b/mallowspindle/membership/table.py
@@ -5,6 +5,8 @@
 
 from mallowspindle.membership.messages import LostMember, MemberInfo
 
+# The list of live members is made anew after this time, and after each change.
+_LIVE_CACHE_S = 0.05
 # Largest time between two readings that counts as running, as a fraction of the
 # silence after which a member is suspected: 0.6 of 1.5 s, a heartbeat interval.
 _MAX_STEP_FRACTION = 0.4
@@ -60,6 +62,8 @@
         self._suspect_after_s = suspect_after_s
         self._clock = RunningClock(suspect_after_s * _MAX_STEP_FRACTION)
         self._members: dict[str, Member] = {}
+        self._live: list[MemberInfo] | None = None
+        self._listed_at_s = 0.0
 
     def __len__(self) -> int:
         return len(self._members)
@@ -73,12 +77,14 @@
             return False
         known = self._members.get(info.name)
         if known is None:
+            self._live = None
             self._members[info.name] = Member(
                 info, time.monotonic(), self._clock.now_s(), direct
             )
             return True
         if not info.is_newer_than(known.info):
             return False
+        self._live = None
         is_change = known.lost or info.is_notable_change_from(known.info)
         known.info = info
         known.heard_at_s = time.monotonic()
@@ -96,6 +102,7 @@
             return False
         if known.info.version > (lost.incarnation, lost.beat):
             return False
+        self._live = None
         known.lost = True
         known.lost_beat = lost.beat
         return True
@@ -115,6 +122,7 @@
 
     def forget(self, age_s: float) -> None:
         """Remove members that have been lost for ``age_s`` seconds."""
+        self._live = None
         self._members = {
             name: member
             for name, member in self._members.items()
@@ -126,12 +134,19 @@
         return list(self._members.values())
 
     def live(self) -> list[MemberInfo]:
-        """Return the members that are not lost, leaving ones included."""
-        return [
-            member.info
-            for member in self._members.values()
-            if self._is_live(member)
-        ]
+        """Return the members that are not lost, leaving ones included.
+
+        Most decisions about a request ask for them.
+        """
+        now_s = self._clock.now_s()
+        if self._live is None or now_s - self._listed_at_s > _LIVE_CACHE_S:
+            self._listed_at_s = now_s
+            self._live = [
+                member.info
+                for member in self._members.values()
+                if self._is_live(member)
+            ]
+        return list(self._live)
 
     def find(self, name: str) -> Member | None:
         """Return a member by name."""
--- a/mallowspindle/tests/membership/test_table.py
+++ b/mallowspindle/tests/membership/test_table.py
@@ -1,11 +1,13 @@
 """Which members are live, by heartbeats and by news of their watchers."""
 
+import asyncio
 from dataclasses import replace
 
 import pytest
 
 from mallowspindle.membership.messages import LostMember, MemberInfo
 from mallowspindle.membership.table import MemberTable
+from mallowspindle.tests.simulation import simulated
 
 INFO = MemberInfo('b', 'r', 'z', 'p:1', 'h:1', incarnation=10, beat=5)
 
@@ -74,3 +76,33 @@
     assert not table.merge(replace(INFO, beat=6))
     assert table.merge(replace(INFO, beat=7, leaving=True))
     assert not table.merge(replace(INFO, name='a'))
+
+
+def test_live_members_follow_each_change() -> None:
+    table = MemberTable('a', 60)
+    table.merge(INFO)
+    assert _names(table) == ['b']
+    table.merge(replace(INFO, name='c'))
+    assert _names(table) == ['b', 'c']
+    table.merge(replace(INFO, beat=6, leaving=True))
+    assert [info.leaving for info in table.live()] == [True, False]
+    table.mark_lost(LostMember('c', 10, 5))
+    assert _names(table) == ['b']
+
+
+@simulated
+async def test_a_member_that_falls_silent_is_listed_no_longer() -> None:
+    table = MemberTable('a', 1.5)
+    table.merge(INFO, direct=True)
+    for _ in range(14):
+        await asyncio.sleep(0.1)
+        assert _names(table) == ['b']
+    await asyncio.sleep(0.2)
+    assert _names(table) == []
+
+
+def test_lists_of_live_members_are_the_callers_own() -> None:
+    table = MemberTable('a', 60)
+    table.merge(INFO)
+    table.live().clear()
+    assert _names(table) == ['b']
--- a/mallowspindle/utils/telemetry.py
+++ b/mallowspindle/utils/telemetry.py
@@ -25,6 +25,7 @@
 ) -> TracerProvider:
     """Install the exporters; an empty string disables an exporter.
 
+    Without any, spans are not recorded; a caller's ``traceparent`` is passed on.
     ``/metrics`` serves the metrics. Shut down the returned provider to flush
     the last spans.
     """
@@ -39,7 +40,8 @@
         )
     if otlp_endpoint:
         provider.add_span_processor(_otlp_processor(otlp_endpoint))
-    tracing.set_tracer_provider(provider)
+    if traces_file or otlp_endpoint:
+        tracing.set_tracer_provider(provider)
     return provider
 
 
