--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -16,6 +16,7 @@
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.reloading import SettingsWatcher
+from mallowspindle.utils.heap import loading
 from mallowspindle.utils.logs import configure_logging
 from mallowspindle.utils.telemetry import configure_telemetry
 
@@ -81,8 +82,9 @@
         config.telemetry.traces_file,
         config.telemetry.otlp_endpoint,
     )
-    interfaces[config.node.interface]().load_services()
-    kernel = Kernel(config)
+    with loading():
+        interfaces[config.node.interface]().load_services()
+        kernel = Kernel(config)
     watcher = SettingsWatcher(path, config, load_settings, kernel.reload)
     stop_signal = _watch_stop_signals()
     try:
