Answer messages of other builds with an error instead of ending the link

While entry VMs are replaced by ones of a newer build, both exchange messages. Both are answered now, or fail for the one call, with one line a connection and kind.

Both tests failed before (link lost) and pass.

--- a/mallowspindle/peers/connection.py
+++ b/mallowspindle/peers/connection.py
@@ -6,7 +6,7 @@
 from itertools import count
 from typing import Any
 
-from mallowspindle.peers.codec import peer_codec
+from mallowspindle.peers.codec import ErrorReply, peer_codec
 from mallowspindle.peers.errors import (
     PeerError,
     PeerTimeout,
@@ -107,8 +107,8 @@
         try:
             while True:
                 number, *wire = await self._stream.read()
-                self._handle_reply(number, peer_codec.from_wire(wire))
-        except (PeerError, CodecError, ValueError) as error:
+                self._handle_reply(number, _decode_reply(wire))
+        except (PeerError, ValueError) as error:
             log.info('link to %s lost: %s', self._address, error)
             self._abort(PeerTimeout(f'link to {self._address} lost'))
 
@@ -127,6 +127,14 @@
                 pending.set_exception(error)
 
 
+def _decode_reply(wire: Any) -> object:
+    """Return a reply; an error if a peer of another build sent it."""
+    try:
+        return peer_codec.from_wire(wire)
+    except CodecError as error:
+        return ErrorReply(f'reply not understood: {error}')
+
+
 def _mark_exception_retrieved(reply: asyncio.Future[Any]) -> None:
     """Keep asyncio from logging the exception as never retrieved.
 
--- a/mallowspindle/peers/server.py
+++ b/mallowspindle/peers/server.py
@@ -9,6 +9,7 @@
 from mallowspindle.peers.errors import PeerError
 from mallowspindle.peers.frames import FrameStream
 from mallowspindle.peers.handshake import Credentials, handshake_as_server
+from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
 _HANDSHAKE_TIMEOUT_S = 2.0
@@ -58,9 +59,19 @@
             stream.close()
 
     async def _answer_calls(self, stream: FrameStream) -> None:
+        not_understood: set[str] = set()
         while True:
             number, *wire = await stream.read()
-            reply = await self.dispatch_message(peer_codec.from_wire(wire))
+            try:
+                message = peer_codec.from_wire(wire)
+            except CodecError as error:
+                # A peer of another build sends it, beside what both know.
+                reply: object = ErrorReply(str(error))
+                if str(error) not in not_understood:
+                    not_understood.add(str(error))
+                    log.warning('message not understood: %s', error)
+            else:
+                reply = await self.dispatch_message(message)
             await stream.write([number, *peer_codec.to_wire(reply)])
 
     async def dispatch_message(self, message: object) -> object:
--- a/mallowspindle/tests/peers/test_link.py
+++ b/mallowspindle/tests/peers/test_link.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 import pytest_asyncio
 
 from mallowspindle.bench.proxy import FaultMode, FaultProxy
-from mallowspindle.peers.codec import ErrorReply, OkReply
+from mallowspindle.peers.codec import ErrorReply, OkReply, peer_codec
 from mallowspindle.peers.errors import (
     PeerError,
     PeerRefused,
@@ -18,6 +19,7 @@
 from mallowspindle.peers.handshake import PROTOCOL_VERSION, Credentials
 from mallowspindle.peers.link import PeerLink
 from mallowspindle.peers.server import PeerServer
+from mallowspindle.utils.codec import CodecError
 
 KEY = b'the-shared-key'
 MAX_FRAME_BYTES = 10_000
@@ -58,6 +60,59 @@
     await link.close()
 
 
+class _NewMessage:
+    """A message of a later build."""
+
+
+async def test_unknown_message_does_not_end_the_link(
+    address: str,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a later build that cuts off the calls of this one."""
+    caplog.set_level('INFO')
+    to_wire = peer_codec.to_wire
+
+    def encode(message: object) -> list[Any]:
+        if isinstance(message, _NewMessage):
+            return ['of-a-later-build', {}]
+        return to_wire(message)
+
+    monkeypatch.setattr(peer_codec, 'to_wire', encode)
+    link = _link(address)
+    assert await link.call(OkReply(), TIMEOUT_S) == OkReply()
+    for _ in range(3):
+        with pytest.raises(PeerRefused, match='of-a-later-build'):
+            await link.call(_NewMessage(), TIMEOUT_S)
+    assert await link.call(OkReply(), TIMEOUT_S) == OkReply()
+    assert caplog.text.count('message not understood') == 1
+    assert 'lost' not in caplog.text
+    await link.close()
+
+
+async def test_unknown_reply_fails_its_call_only(
+    address: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    from_wire = peer_codec.from_wire
+    unknown = iter([True])
+
+    def decode(wire: Any) -> Any:
+        message = from_wire(wire)
+        if isinstance(message, ErrorReply) and next(unknown, False):
+            raise CodecError('unknown message tag')
+        return message
+
+    link = _link(address)
+    await link.call(OkReply(), TIMEOUT_S)
+    with pytest.raises(PeerRefused):
+        await link.call(ErrorReply('x'), TIMEOUT_S)
+    monkeypatch.setattr(peer_codec, 'from_wire', decode)
+    with pytest.raises(PeerRefused, match='unknown message tag'):
+        await link.call(ErrorReply('x'), TIMEOUT_S)
+    assert await link.call(OkReply(), TIMEOUT_S) == OkReply()
+    await link.close()
+
+
 async def test_wrong_key_is_rejected(address: str) -> None:
     link = _link(address, b'another-key')
     with pytest.raises(PeerUnreachable):
