--- a/mallowspindle/tests/policies/test_budget.py
+++ b/mallowspindle/tests/policies/test_budget.py
@@ -1,9 +1,13 @@
 """Retry budgets under a service that fails every request."""
 
+import pytest
+
 from mallowspindle.policies.budget import BudgetTerms, RetryBudget
 from mallowspindle.tests.clock import FakeClock
 
 NODES = 6
+# Time until a node that has started knows the others.
+_JOINING_S = 0.6
 TERMS = BudgetTerms(ratio=0.2, window_s=10, slack=52)
 
 
@@ -26,6 +30,36 @@
     assert retries
 
 
+@pytest.mark.parametrize(
+    ('nodes', 'requests_per_s', 'slack'),
+    [(8, 20, 56), (58, 85, 156), (195, 83, 430)],
+)
+def test_retries_stay_within_budget_after_all_nodes_restarted(
+    nodes: int, requests_per_s: float, slack: float
+) -> None:
+    """Guards against a new allowance for nodes that know no peer yet."""
+    clock = FakeClock()
+    terms = BudgetTerms(ratio=0.2, window_s=10, slack=slack)
+    requests: list[float] = []
+    retries: list[float] = []
+    for lives_s in (12.0, 2.0, 12.0):
+        budgets = [RetryBudget(terms, clock) for _ in range(nodes)]
+        started_at_s = clock()
+        while clock() < started_at_s + lives_s:
+            clock.advance(1 / requests_per_s)
+            uptime_s = clock() - started_at_s
+            known = nodes if uptime_s > _JOINING_S else 1
+            budget = budgets[len(requests) % nodes]
+            budget.note_request()
+            requests.append(clock())
+            while budget.try_spend(known):
+                retries.append(clock())
+    for end_s in retries:
+        window = [at_s for at_s in retries if end_s - 10 < at_s <= end_s]
+        sent = [at_s for at_s in requests if end_s - 10 < at_s <= end_s]
+        assert len(window) <= terms.ratio * len(sent) + slack
+
+
 def test_node_with_few_requests_may_retry() -> None:
     budget = RetryBudget(TERMS, FakeClock())
     budget.note_request()
