--- a/mallowspindle/proxy/continuation.py
+++ b/mallowspindle/proxy/continuation.py
@@ -65,7 +65,7 @@
         """
         if not self._is_taken_up:
             return default
-        begun = await self._streams.find(self._key)
+        begun = await self._streams.find(self._key, default)
         if begun is None:
             if self._streams.has_several_versions(default):
                 raise UnknownBegin('it is not known which version began it')
--- a/mallowspindle/streams/recording.py
+++ b/mallowspindle/streams/recording.py
@@ -74,19 +74,19 @@
         if not self._pending:
             return
         batch = list(self._pending)
+        self._pending.clear()
         try:
             slot = await self._choose_slot()
             await self._store.record(slot, [*self._in_slot, *batch])
         except LogError:
+            self._pending.extendleft(reversed(batch))
             self._added.set()
             raise
-        for _ in batch:
-            self._pending.popleft()
         self._in_slot.extend(batch)
         appends_total.add(1)
 
     async def _choose_slot(self) -> int:
-        """Return the slot to write, the next one if a second is over.
+        """Return the slot to write, the next one once its time is over.
 
         A process that was started again goes on behind its former one.
         """
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -94,8 +94,8 @@
         self._sharing = sharing
         self._table = StreamTable(clock)
         self._versions = ServingVersions(sharing, store, clock)
-        self._recorder = store and StreamRecorder(store, clock)
-        self._recorded = store and RecordedStreams(store, clock)
+        self._recorder = StreamRecorder(store, clock) if store else None
+        self._recorded = RecordedStreams(store, clock) if store else None
         self._told_recorders: list[str] = []
         self._running: dict[StreamKey, StreamBegun] = {}
         self._tasks = BackgroundTasks()
@@ -159,20 +159,25 @@
         finally:
             self._running.pop(begun.key, None)
 
-    async def find(self, key: StreamKey) -> StreamBegun | None:
+    async def find(
+        self, key: StreamKey, service_name: str
+    ) -> StreamBegun | None:
         """Return a stream that a server has begun.
 
         None means that neither this node nor those that were told know it, and
-        that the log has no record of it or did not answer.
+        that the log has no record of it or did not answer. The log is not asked
+        if ``service_name``, where the stream would go on, has one version only.
         """
         found = self._table.find(key) or await self._ask_holders(key)
-        if found is None and self._recorded:
-            origin = await self._recorded.find(key, _LOG_TIMEOUT_S)
-            if origin is not None:
-                return StreamBegun(key, origin.service, origin.software_version)
-            # The caller asks next whether there were several versions.
-            await self._versions.wait_until_complete(_LOG_TIMEOUT_S)
-        return found
+        if found is not None or self._recorded is None:
+            return found
+        await self._versions.wait_until_complete(_LOG_TIMEOUT_S)
+        if not self.has_several_versions(service_name):
+            return None
+        origin = await self._recorded.find(key, _LOG_TIMEOUT_S)
+        if origin is None:
+            return None
+        return StreamBegun(key, origin.service, origin.software_version)
 
     async def _ask_holders(self, key: StreamKey) -> StreamBegun | None:
         asked = [
--- a/mallowspindle/tests/proxy/test_continuation.py
+++ b/mallowspindle/tests/proxy/test_continuation.py
@@ -44,7 +44,9 @@
         self.several = several
         self.tracked: list[StreamBegun] = []
 
-    async def find(self, key: StreamKey) -> StreamBegun | None:
+    async def find(
+        self, key: StreamKey, service_name: str
+    ) -> StreamBegun | None:
         """Return the stream if it has this key."""
         return self.begun if key == self.begun.key else None
 
--- a/mallowspindle/tests/streams/test_recording.py
+++ b/mallowspindle/tests/streams/test_recording.py
@@ -49,7 +49,7 @@
     """Return how many streams are found, each at another node."""
     nodes: list[StreamsService] = list(venture.nodes.values())
     found = [
-        await nodes[number % len(nodes)].find(_begun(number).key)
+        await nodes[number % len(nodes)].find(_begun(number).key, SERVICE)
         for number in range(_STREAMS)
     ]
     assert all(
@@ -96,7 +96,7 @@
             await asyncio.sleep(_LOGGED_S)
             venture.lose(*others)
         found = [
-            await venture.nodes[survivor].find(_begun(number).key)
+            await venture.nodes[survivor].find(_begun(number).key, SERVICE)
             for number in range(_STREAMS)
         ]
         assert None not in found
@@ -115,7 +115,7 @@
             await venture.kill_all()
         restarted = await _restart(venture)
         node = next(iter(restarted.nodes.values()))
-        assert await node.find(_begun(0).key) == _begun(0)
+        assert await node.find(_begun(0).key, SERVICE) == _begun(0)
 
     play(scene, make_log=CountingLog)
 
@@ -157,7 +157,7 @@
             await asyncio.sleep(_LOGGED_S)
             venture.log.trim(LAYOUT.streams_stream)
             restarted.lose(*list(restarted.nodes)[:-1])
-        assert await nodes[-1].find(_begun(1000).key) == _begun(1000)
+        assert await nodes[-1].find(_begun(1000).key, SERVICE) == _begun(1000)
 
     play(scene, make_log=CountingLog)
 
@@ -192,7 +192,9 @@
                 await asyncio.sleep(_LOGGED_S)
                 await venture.kill_all()
         node = next(iter((await _restart(venture)).nodes.values()))
-        found = [await node.find(_begun(number).key) for number in range(6)]
+        found = [
+            await node.find(_begun(number).key, SERVICE) for number in range(6)
+        ]
         assert None not in found
 
     play(scene, make_log=CountingLog)
@@ -206,7 +208,7 @@
         venture.log.down = True
         node = next(iter(venture.nodes.values()))
         began_at_s = asyncio.get_running_loop().time()
-        assert await node.find(_begun(0).key) is None
+        assert await node.find(_begun(0).key, SERVICE) is None
         assert asyncio.get_running_loop().time() - began_at_s < 1
 
     play(scene, make_log=CountingLog)
@@ -251,7 +253,9 @@
             for number in range(_STREAMS):
                 streams.enter_context(nodes[number % 8].track(_begun(number)))
                 await asyncio.sleep(1)
+            assert await nodes[0].find(_begun(1000).key, SERVICE) is None
         assert not log.calls[LAYOUT.streams_stream]
+        assert not log.reads[LAYOUT.streams_stream]
         assert log.calls[LAYOUT.versions_stream] == 1
 
     play(scene, make_log=CountingLog)
--- a/mallowspindle/tests/streams/test_service.py
+++ b/mallowspindle/tests/streams/test_service.py
@@ -31,7 +31,7 @@
         venture.lose(first, *holders[:lost_holders])
         for name in set(others) - venture.mesh.silent:
             began_at_s = asyncio.get_running_loop().time()
-            assert await venture.nodes[name].find(_KEY) == _BEGUN
+            assert await venture.nodes[name].find(_KEY, SERVICE) == _BEGUN
             elapsed_s = asyncio.get_running_loop().time() - began_at_s
             assert elapsed_s < _MAX_ANSWER_S
 
@@ -46,7 +46,9 @@
             await asyncio.sleep(_TOLD_S)
         venture.lose(first, *others)
         began_at_s = asyncio.get_running_loop().time()
-        found = await venture.nodes[second].find(StreamKey('farm', 'other'))
+        found = await venture.nodes[second].find(
+            StreamKey('farm', 'other'), SERVICE
+        )
         assert found is None
         assert asyncio.get_running_loop().time() - began_at_s < _MAX_ANSWER_S
 
@@ -59,9 +61,9 @@
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
             await asyncio.sleep(_TOLD_S)
-            assert await venture.nodes[second].find(_KEY) == _BEGUN
+            assert await venture.nodes[second].find(_KEY, SERVICE) == _BEGUN
             other = StreamKey('mill', _KEY.request_id)
-            assert await venture.nodes[second].find(other) is None
+            assert await venture.nodes[second].find(other, SERVICE) is None
 
     play(scene)
 
@@ -76,7 +78,7 @@
             venture.catalog.register('v2')
             await asyncio.sleep(_TOLD_S)
         venture.lose(first)
-        assert await venture.nodes[second].find(_KEY) == _BEGUN
+        assert await venture.nodes[second].find(_KEY, SERVICE) == _BEGUN
 
     play(scene)
 
@@ -106,13 +108,13 @@
         with venture.nodes[first].track(_BEGUN):
             await asyncio.sleep(_TOLD_S)
         venture.lose(first)
-        found = await venture.nodes[second].find(_KEY)
+        found = await venture.nodes[second].find(_KEY, SERVICE)
         assert found == _BEGUN
         with venture.nodes[second].track(_BEGUN):
             await asyncio.sleep(_TOLD_S)
         venture.lose(second)
         third = min(venture.nodes.keys() - venture.mesh.silent)
-        assert await venture.nodes[third].find(_KEY) == _BEGUN
+        assert await venture.nodes[third].find(_KEY, SERVICE) == _BEGUN
 
     play(scene)
 
@@ -126,7 +128,7 @@
             with venture.nodes[first].track(begun):
                 await asyncio.sleep(_TOLD_S)
         venture.lose(first)
-        assert await venture.nodes[second].find(_KEY) == later
+        assert await venture.nodes[second].find(_KEY, SERVICE) == later
 
     play(scene)
 
--- a/mallowspindle/tests/streams/venture.py
+++ b/mallowspindle/tests/streams/venture.py
@@ -9,6 +9,7 @@
 from mallowspindle.adapter import LogLayout
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
+from mallowspindle.log.records import KeyedState
 from mallowspindle.streams.messages import StreamKey
 from mallowspindle.streams.service import StreamsService
 from mallowspindle.streams.store import StreamStore
@@ -26,8 +27,14 @@
     def __init__(self) -> None:
         super().__init__()
         self.calls: Counter[str] = Counter()
+        self.reads: Counter[str] = Counter()
         self.sizes: Counter[str] = Counter()
 
+    async def read_latest(self, stream: str) -> KeyedState:
+        """Return the newest record of each key."""
+        self.reads[stream] += 1
+        return await super().read_latest(stream)
+
     async def append(
         self,
         stream: str,
