--- a/mallowspindle/streams/recording.py
+++ b/mallowspindle/streams/recording.py
@@ -20,8 +20,8 @@
 _BATCH_S = 0.1
 # Pause after an append that failed.
 _RETRY_S = 0.5
-# Streams that were told within this time share a slot, which is written again with
-# each append.
+# Streams that were told within this time share a slot, which is written again
+# with each append.
 _SLOT_S = 0.5
 # The streams of so many slots stay in the log: a stream lasts 15 s, and its
 # caller may take it up for as long.
--- a/mallowspindle/utils/telemetry.py
+++ b/mallowspindle/utils/telemetry.py
@@ -25,7 +25,8 @@
 ) -> TracerProvider:
     """Install the exporters; an empty string disables an exporter.
 
-    Without any, spans are not recorded; a caller's ``traceparent`` is passed on.
+    Without any, no spans are recorded; a caller's ``traceparent`` is passed
+    on.
     ``/metrics`` serves the metrics. Shut down the returned provider to flush
     the last spans.
     """
