Tell deadlines and ages by the shared clock, the steady one or the log

What callers saw: nothing yet; found by reading the 16 places that read a VM's time of day. A jump forward by an hour would have ended all requests with a deadline, dropped finished results, or kept a server paused that asked for seconds by a date; a jump back could have made a call's key, forgotten by the log's time already, seem young enough for a second run.

Cause: each place read the VM's clock. Deadlines, dates of calls and the carrying of claims use the clock of all nodes now, results the steady clock, a pause until a date the date of the same response, and the age of a key is never below that by the log's newest record.

Five places remain, where nothing compares the time; the test names each with its reason. UsageCounter and EvidenceTable take their clock from the caller, so tests pass the one that was the default.

--- a/mallowspindle/attempts/request.py
+++ b/mallowspindle/attempts/request.py
@@ -47,11 +47,14 @@
     accepted_at_s: float
     deadline_s: float = 0
 
-    def seconds_left(self) -> float:
-        """Return the seconds until the deadline, infinity without one."""
+    def seconds_left(self, now_s: float) -> float:
+        """Return the seconds from ``now_s`` until the deadline.
+
+        It is infinity without a deadline. ``now_s`` is Unix time.
+        """
         if not self.deadline_s:
             return float('inf')
-        return self.deadline_s - time.time()
+        return self.deadline_s - now_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +148,7 @@
         self._progress = progress
         self._changed = asyncio.Event()
         self._moved_to = ''
-        self._ended_at_s = time.time() if progress.ending else float('inf')
+        self._ended_at_s = time.monotonic() if progress.ending else float('inf')
         self.copy_holder = ''
         self.state = _initial_state(progress)
 
@@ -171,7 +174,7 @@
 
     @property
     def ended_at_s(self) -> float:
-        """Unix time of the end, infinity while the request runs."""
+        """Monotonic time of the end, infinity while the request runs."""
         return self._ended_at_s
 
     @property
@@ -191,14 +194,14 @@
     def end(self, ending: Ending) -> None:
         """Store the ending and change the state to done or failed."""
         self._progress.ending = ending
-        self._ended_at_s = time.time()
+        self._ended_at_s = time.monotonic()
         self._trigger('fail' if ending.failure else 'complete')
         self._notify()
 
     def mark_moved(self, node: str) -> None:
         """Record that ``node`` owns the request now."""
         self._moved_to = node
-        self._ended_at_s = time.time()
+        self._ended_at_s = time.monotonic()
         self._trigger('move')
         self._notify()
 
--- a/mallowspindle/attempts/runner.py
+++ b/mallowspindle/attempts/runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from dataclasses import replace
 
@@ -59,8 +59,10 @@
         replicator: Replicator,
         ledger: LedgerService,
         engine: EngineClient,
+        clock: Callable[[], float],
     ) -> None:
         self._owned = owned
+        self._clock = clock
         self._config = config
         self._router = router
         self._replicator = replicator
@@ -129,7 +131,7 @@
             await self._engine.cancel(self._attempt)
 
     def _time_limit_s(self) -> float | None:
-        remaining_s = self._request.seconds_left()
+        remaining_s = self._request.seconds_left(self._clock())
         return None if remaining_s == float('inf') else max(0, remaining_s)
 
     async def _run_attempts(self) -> Ending:
--- a/mallowspindle/attempts/service.py
+++ b/mallowspindle/attempts/service.py
@@ -125,6 +125,7 @@
             self._recovery.replicator,
             self._ledger,
             engine,
+            self._membership.clock.now_s,
         )
         request_id = owned.request.request_id
         self._runners[request_id] = runner
--- a/mallowspindle/effects/keys.py
+++ b/mallowspindle/effects/keys.py
@@ -1,7 +1,6 @@
 """Idempotency keys of calls and their age."""
 
 import json
-import time
 from collections.abc import Mapping
 from email.utils import parsedate_to_datetime
 from typing import Any
@@ -40,15 +39,17 @@
     return key
 
 
-def idempotency_key_age_s(key: str, headers: Mapping[str, str]) -> float:
-    """Return the age of a key, or 0 if it is not known.
+def idempotency_key_age_s(
+    key: str, headers: Mapping[str, str], now_s: float
+) -> float:
+    """Return the age of a key at ``now_s``, or 0 if it is not known.
 
     The time of creation is that of a UUIDv7 key, or else the ``Date`` header.
     """
     created_at_s = uuid7_time_s(key)
     if created_at_s is None:
         created_at_s = _parse_date_s(headers.get('Date', ''))
-    return 0 if created_at_s is None else time.time() - created_at_s
+    return 0 if created_at_s is None else now_s - created_at_s
 
 
 def _parse_date_s(text: str) -> float | None:
--- a/mallowspindle/effects/service.py
+++ b/mallowspindle/effects/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from typing import Self
 
@@ -53,12 +52,12 @@
         membership: MembershipService,
         router: RouterService,
         client: PlainClient,
-        now: Callable[[], float] = time.time,
+        now: Callable[[], float] | None = None,
     ) -> None:
         self._section = config.effects
         self._membership = membership
         self._client = client
-        self._now = now
+        self._now = now or membership.clock.now_s
         self._streams = {
             name: EffectsStream(
                 name,
@@ -91,6 +90,17 @@
             client,
         )
 
+    def time_s(self) -> float:
+        """Return the Unix time, which is never before that of the log.
+
+        Keys are forgotten by the log's time. One that is forgotten must not
+        seem young because the time of this VM is behind.
+        """
+        logged_at_s = [
+            stream.table.latest_logged_at_s for stream in self._streams.values()
+        ]
+        return max(self._now(), *logged_at_s)
+
     async def start(self) -> None:
         """Start to follow the streams and to carry claims forward."""
         for stream in self._streams.values():
--- a/mallowspindle/effects/table.py
+++ b/mallowspindle/effects/table.py
@@ -48,6 +48,11 @@
         self._states: dict[CallKey, KeyState] = {}
         self._latest_logged_at_s: float = 0
 
+    @property
+    def latest_logged_at_s(self) -> float:
+        """The log's time of its newest record that was read, 0 for none."""
+        return self._latest_logged_at_s
+
     def __len__(self) -> int:
         return len(self._states)
 
--- a/mallowspindle/entry/calls.py
+++ b/mallowspindle/entry/calls.py
@@ -1,6 +1,5 @@
 """HTTP handler for calls to plain services."""
 
-import time
 from decimal import Decimal
 
 from aiohttp.web import Request, Response
@@ -103,7 +102,7 @@
             tokens=0,
             cached_tokens=0,
             amount_micro=cost_micro,
-            at_s=time.time(),
+            at_s=self._context.membership.clock.now_s(),
             parts=split_amount(cost_micro, shares) if shares else {},
         )
 
@@ -112,7 +111,8 @@
         if not key:
             return await self._context.effects.run_unkeyed(plan)
         window_s = self._context.config.effects.window_s
-        if idempotency_key_age_s(key, request.headers) > window_s:
+        now_s = self._context.effects.time_s()
+        if idempotency_key_age_s(key, request.headers, now_s) > window_s:
             return Unknown('the key is older than keys are remembered')
         return await self._context.effects.run(plan, _MAX_SAME_KEY_WAIT_S)
 
--- a/mallowspindle/entry/generation.py
+++ b/mallowspindle/entry/generation.py
@@ -1,7 +1,6 @@
 """HTTP handlers for chat completions, bundles and their answers."""
 
 import json
-import time
 
 from aiohttp.web import Request, Response, StreamResponse, json_response
 from opentelemetry.trace import SpanKind
@@ -48,9 +47,10 @@
         """Answer a chat completion, as a stream or in one response."""
         organisation = self._context.organisation(request)
         body = parse_body(ChatBody, await request.read())
-        deadline_s = time.time() + self._context.config.limits.chat_deadline_s
+        now_s = self._context.membership.clock.now_s()
+        deadline_s = now_s + self._context.config.limits.chat_deadline_s
         new_request = generation_request(
-            body, organisation, RequestKind.CHAT, deadline_s
+            body, organisation, RequestKind.CHAT, deadline_s, now_s
         )
         self._admit(organisation, new_request)
         with (
@@ -69,12 +69,13 @@
         """Accept a bundle; the caller fetches its answer later."""
         organisation = self._context.organisation(request)
         body = parse_body(BundleBody, await request.read())
-        if body.deadline_s and body.deadline_s <= time.time():
+        now_s = self._context.membership.clock.now_s()
+        if body.deadline_s and body.deadline_s <= now_s:
             raise ProblemError(
                 _BAD_REQUEST, 'invalid-request', 'deadline_s has passed'
             )
         new_request = generation_request(
-            body, organisation, RequestKind.BUNDLE, body.deadline_s
+            body, organisation, RequestKind.BUNDLE, body.deadline_s, now_s
         )
         self._admit(organisation, new_request)
         with (
--- a/mallowspindle/entry/models.py
+++ b/mallowspindle/entry/models.py
@@ -1,6 +1,5 @@
 """Models of request bodies, and their conversion to requests."""
 
-import time
 from typing import Any, Literal, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -72,8 +71,12 @@
     organisation: Organisation,
     kind: RequestKind,
     deadline_s: float,
+    now_s: float,
 ) -> GenerationRequest:
-    """Convert a validated body to a request to be accepted."""
+    """Convert a validated body to a request to be accepted.
+
+    ``deadline_s`` and ``now_s`` are Unix time.
+    """
     limit = body.max_tokens or body.max_completion_tokens
     return GenerationRequest(
         request_id=new_id('req'),
@@ -96,7 +99,7 @@
         ),
         max_tokens=limit or _DEFAULT_MAX_TOKENS,
         priority=_priority(body, kind),
-        accepted_at_s=time.time(),
+        accepted_at_s=now_s,
         deadline_s=deadline_s,
     )
 
--- a/mallowspindle/entry/operators.py
+++ b/mallowspindle/entry/operators.py
@@ -4,7 +4,6 @@
 import hmac
 import os
 import signal
-import time
 from dataclasses import asdict
 from hashlib import sha256
 from typing import Any
@@ -126,7 +125,7 @@
             ran=body.ran,
             evidence=body.evidence,
             author=body.author,
-            at_s=time.time(),
+            at_s=self._context.membership.clock.now_s(),
         )
         try:
             recorded = await self._context.effects.resolve(resolution)
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -279,7 +279,7 @@
     try:
         pause_s = float(text)
     except ValueError:
-        pause_s = _seconds_until(text)
+        pause_s = _seconds_until(text, headers.get('Date'))
     if math.isfinite(pause_s):
         return min(_MAX_PAUSE_S, max(0, pause_s))
     log.warning(
@@ -293,10 +293,16 @@
     return 0
 
 
-def _seconds_until(http_date: str) -> float:
-    """Return the time until an HTTP date; NaN if it is none."""
+def _seconds_until(http_date: str, sent_at: str | None) -> float:
+    """Return the time until an HTTP date; NaN if it is none.
+
+    It counts from the date of the response, which is of the same clock, or else
+    from now.
+    """
     try:
-        moment = parsedate_to_datetime(http_date)
+        until_s = parsedate_to_datetime(http_date).timestamp()
+        if sent_at is not None:
+            return until_s - parsedate_to_datetime(sent_at).timestamp()
     except ValueError:
         return math.nan
-    return moment.timestamp() - time.time()
+    return until_s - time.time()
--- a/mallowspindle/quarantine/evidence.py
+++ b/mallowspindle/quarantine/evidence.py
@@ -1,6 +1,5 @@
 """Evidence against parts of prompts and requests, as this node knows it."""
 
-import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import filterfalse, islice
@@ -72,8 +71,8 @@
 
     def __init__(
         self,
-        clock: Callable[[], float] = time.monotonic,
-        unix_clock: Callable[[], float] = time.time,
+        clock: Callable[[], float],
+        unix_clock: Callable[[], float],
     ) -> None:
         self._clock = clock
         self._unix_clock = unix_clock
--- a/mallowspindle/recovery/service.py
+++ b/mallowspindle/recovery/service.py
@@ -276,7 +276,7 @@
     def _expire(self) -> None:
         age_s = self._config.limits.result_retention_s
         self._copies.expire(age_s)
-        cutoff_s = time.time() - age_s
+        cutoff_s = time.monotonic() - age_s
         expired = [
             request_id
             for request_id, owned in self._owned.items()
--- a/mallowspindle/tests/duties/test_counting.py
+++ b/mallowspindle/tests/duties/test_counting.py
@@ -1,6 +1,7 @@
 """Which nodes receive the usage counts in a large venture."""
 
 import asyncio
+import time
 
 from mallowspindle.duties.counting import UsageExchange
 from mallowspindle.duties.messages import UsageNews
@@ -22,7 +23,7 @@
 
         membership.server.handle(UsageNews, record)
     sender = next(iter(mesh.nodes.values()))
-    exchange = UsageExchange(sender, UsageCounter(5))
+    exchange = UsageExchange(sender, UsageCounter(5, time.time))
     for each in news:
         exchange.note_holder(each)
     exchange.send()
@@ -32,7 +33,7 @@
 
 async def test_the_holder_and_two_successors_receive_the_counts() -> None:
     order = UsageExchange(
-        next(iter(FakeMesh(30, 3).nodes.values())), UsageCounter(5)
+        next(iter(FakeMesh(30, 3).nodes.values())), UsageCounter(5, time.time)
     ).claim_order()
     first = next(name for name in order if name != 'entry-000')
     assert len(await _recipients(LeaseUpdate(first, 7, 0))) == 3
--- a/mallowspindle/tests/effects/test_keys.py
+++ b/mallowspindle/tests/effects/test_keys.py
@@ -53,10 +53,11 @@
 
 
 def test_key_age() -> None:
-    assert idempotency_key_age_s(str(uuid7()), {}) < 5
-    assert idempotency_key_age_s('k', {}) == 0
-    assert idempotency_key_age_s('k', {'Date': 'garbage'}) == 0
+    now_s = time.time()
+    assert idempotency_key_age_s(str(uuid7()), {}, now_s) < 5
+    assert idempotency_key_age_s('k', {}, now_s) == 0
+    assert idempotency_key_age_s('k', {'Date': 'garbage'}, now_s) == 0
     old = 'Wed, 01 Jan 2020 00:00:00 GMT'
     assert (
-        idempotency_key_age_s('k', {'Date': old}) > time.time() - 1_600_000_000
+        idempotency_key_age_s('k', {'Date': old}, now_s) > now_s - 1_600_000_000
     )
--- a/mallowspindle/tests/platform/test_codec.py
+++ b/mallowspindle/tests/platform/test_codec.py
@@ -130,6 +130,21 @@
     assert head.limit == StatedLimit(None)
 
 
+@pytest.mark.parametrize(
+    'date', ['01 Jan 2020 00:00:00', '01 Jan 2090 00:00:00']
+)
+def test_pauses_until_a_date_follow_the_clock_of_the_server(date: str) -> None:
+    """Guards against pauses that a jump of the VM's time changes."""
+    until = date.replace('00:00:00', '00:00:07')
+    headers = CIMultiDictProxy(
+        CIMultiDict(
+            {'Retry-After': f'Thu, {until} GMT', 'Date': f'Thu, {date} GMT'}
+        )
+    )
+    head = PlatformHttpCodec().decode_response_head(503, headers)
+    assert head.pause_s == pytest.approx(7)
+
+
 @pytest.mark.parametrize(
     ('status', 'text', 'pause_s'),
     [
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import replace
@@ -90,7 +91,7 @@
         )
         self.backends = BackendsService(self.catalog, sharing)
         self.quotas = Quotas(sharing, 8)
-        self.usage = UsageCounter(5)
+        self.usage = UsageCounter(5, time.time)
         self.streams = StreamsService(self.catalog, sharing)
         self.quarantine = QuarantineService(sharing)
         self.upstream = Upstream(0.2, 'Request-Id')
--- a/mallowspindle/tests/utils/test_clock.py
+++ b/mallowspindle/tests/utils/test_clock.py
@@ -1,13 +1,26 @@
 """The time of day that nodes agree on while the clocks of their VMs jump."""
 
 import random
+import re
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 
+import mallowspindle
 from mallowspindle.usage import UsageCounter
 from mallowspindle.utils.clock import SharedClock
 
+# Packages that no entry VM runs.
+_NOT_IN_DAEMONS = frozenset(('bench', 'lab', 'standins', 'tests'))
+_READS_TIME = re.compile(r'time\.time\b|time_ns\(|datetime\.now')
+_HARMLESS = {
+    'ledger/pricing.py': 'labels of ledger entries, which nothing compares',
+    'platform/codec.py': 'a pause until a date of a server that states none',
+    'settings/publisher.py': 'labels of changes, on the VM of an operator',
+    'utils/clock.py': 'the clock itself',
+    'utils/identifiers.py': 'ids that are unique by their random bits',
+}
 _WINDOW_S = 5.0
 # What operators tolerate of a usage window, as a part of its requests.
 _TOLERANCE = 0.02
@@ -154,6 +167,18 @@
         assert abs(machine.clock.now_s() - world.true_time_s) <= _MAX_ERROR_S
 
 
+def test_the_time_of_day_is_read_where_a_jump_does_no_harm() -> None:
+    """Guards against deadlines and ages that jump with the clock of a VM."""
+    root = Path(mallowspindle.__file__).parent
+    reading = {
+        str(path.relative_to(root))
+        for path in root.rglob('*.py')
+        if path.relative_to(root).parts[0] not in _NOT_IN_DAEMONS
+        and _READS_TIME.search(path.read_text(encoding='utf-8'))
+    }
+    assert reading == _HARMLESS.keys()
+
+
 def test_small_corrections_are_followed() -> None:
     world = _World(2)
     machine = world.machines[0]
--- a/mallowspindle/usage.py
+++ b/mallowspindle/usage.py
@@ -1,6 +1,5 @@
 """Counts the requests that began in each usage window."""
 
-import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -12,9 +11,7 @@
 class UsageCounter:
     """Counts each organisation's requests by the window they began in."""
 
-    def __init__(
-        self, window_s: float, clock: Callable[[], float] = time.time
-    ) -> None:
+    def __init__(self, window_s: float, clock: Callable[[], float]) -> None:
         self._window_s = window_s
         self._clock = clock
         self._windows: dict[int, Counter[str]] = {}
