Split the exchange of one request into its state, its attempts and its ending

The methods were moved as they were, only the names by which they reach shared state differ; what a server error is stands once, at the outcome.

--- /dev/null
+++ b/mallowspindle/proxy/attempts.py
@@ -0,0 +1,218 @@
+"""Sends one request to servers, and follows its run where it moves."""
+
+from functools import partial
+
+from aiohttp import ClientError
+from multidict import CIMultiDict
+
+from mallowspindle.backends.view import (
+    BackendView,
+    InFlightRequest,
+    Relocation,
+)
+from mallowspindle.catalog.configuration import RouteKind
+from mallowspindle.outcomes import NotRun, Unknown
+from mallowspindle.policies.copies import is_worth_copying
+from mallowspindle.proxy.connections import SendState
+from mallowspindle.proxy.messages import Dispatch, MovedRun
+from mallowspindle.proxy.outcomes import (
+    UNAVAILABLE_RETRY_AFTER_S,
+    Answered,
+    AttemptOutcome,
+    Diverged,
+    Unreachable,
+    outcome_of_error,
+)
+from mallowspindle.proxy.state import ExchangeState
+from mallowspindle.utils.telemetry import meter
+
+attempts_total = meter.create_counter('attempts')
+
+
+class ServerAttempts:
+    """The attempts of one request at servers that were picked for it."""
+
+    def __init__(self, state: ExchangeState) -> None:
+        self._state = state
+        self._relocation: Relocation | None = None
+
+    async def send(
+        self, view: BackendView, body: bytes, attempt_number: int
+    ) -> AttemptOutcome:
+        """Send the request; if its run is moved, continue it at the target."""
+        outcome = await self._attempt(view, body)
+        if not isinstance(outcome, NotRun):
+            self._state.run_count += 1
+        self._record_outcome(view, outcome, attempt_number)
+        while self._relocation is not None:
+            moved = self._relocation
+            self._relocation = None
+            outcome = await self._continue_run(moved, body)
+            self._record_outcome(moved.target, outcome, attempt_number)
+            if isinstance(outcome, NotRun):
+                # The target has not continued the run, but the run itself had
+                # started before, so the outcome is unknown.
+                self._relocation = moved.fallback
+                outcome = Unknown(f'a moved run found no place: {outcome}')
+        return outcome
+
+    async def _continue_run(
+        self, moved: Relocation, body: bytes
+    ) -> AttemptOutcome:
+        backends = self._state.context.backends
+        if not self._state.continuation.allows(moved.target.server):
+            return NotRun(
+                'the server has another software version',
+                UNAVAILABLE_RETRY_AFTER_S,
+            )
+        if (
+            self._state.context.quarantine.find_refusal(self._state.request)
+            is not None
+        ):
+            return NotRun('it has crashed servers', UNAVAILABLE_RETRY_AFTER_S)
+        if moved.claimed or backends.claim(moved.target):
+            return await self._attempt(moved.target, body, moved.run)
+        return NotRun('the server is at its limit', UNAVAILABLE_RETRY_AFTER_S)
+
+    async def _attempt(
+        self, view: BackendView, body: bytes, continues: MovedRun | None = None
+    ) -> AttemptOutcome:
+        self._state.tried_servers.add(view.server.server_id)
+        self._state.splitter.start_response()
+        send_state = SendState()
+        request = self._state.request
+        keeper = self._copy_keeper(view)
+        headers = self._dispatch_headers(view, continues, keeper)
+        url = f'http://{view.server.address}{request.target}'
+        with self._state.context.backends.track_request(
+            view, request
+        ) as in_flight:
+            try:
+                async with self._state.context.upstream.send(
+                    request.method, url, headers, body, send_state
+                ) as answer:
+                    outcome = await self._state.relay.receive(
+                        answer, view, in_flight
+                    )
+            except (ClientError, OSError, TimeoutError) as error:
+                if self._state.time_left_s() <= 0:
+                    raise TimeoutError from error
+                outcome = outcome_of_error(error, sent=send_state.sent)
+                self._state.context.backends.record_lost_connection(view)
+                if isinstance(outcome, Unreachable):
+                    self._state.hop.note_failed_connection()
+            if isinstance(outcome, Unknown) and not in_flight.settled:
+                await self._record_lost(view, in_flight, send_state)
+            if self._can_continue_run(outcome):
+                moved = await in_flight.relocation()
+                self._relocation = moved or self._relocation_to_copy(keeper)
+        return outcome
+
+    async def _record_lost(
+        self,
+        view: BackendView,
+        in_flight: InFlightRequest,
+        send_state: SendState,
+    ) -> None:
+        """Record that a server was lost before it outlived the request."""
+        if not in_flight.streaming:
+            self._state.log.log_unanswered(view, send_state.responding)
+        if in_flight.move is None:
+            await self._state.context.quarantine.record_lost(
+                view.server,
+                self._state.request,
+                responding=send_state.responding,
+            )
+
+    def _can_continue_run(self, outcome: AttemptOutcome) -> bool:
+        """Return whether the run may continue elsewhere from its memory."""
+        return (
+            isinstance(outcome, Unknown)
+            and not isinstance(outcome, Diverged)
+            and self._state.splitter.can_resume
+        )
+
+    def _dispatch_headers(
+        self,
+        view: BackendView,
+        continues: MovedRun | None,
+        keeper: BackendView | None,
+    ) -> CIMultiDict[str]:
+        organisation = self._state.organisation
+        dispatch = Dispatch(
+            server_id=view.server.server_id,
+            time_left_s=self._state.time_left_s(),
+            organisation=organisation.name if organisation else None,
+            last_event_id=self._state.splitter.last_event_id,
+            continues=continues,
+            copy_keeper=keeper.server.address if keeper else None,
+        )
+        return self._state.context.http_codec.encode_dispatch(
+            self._state.request, dispatch
+        )
+
+    def _copy_keeper(self, view: BackendView) -> BackendView | None:
+        """Return the server that keeps a copy of the run; None for no copy.
+
+        Streams that may run again need no copy: their prompt is prefilled
+        again.
+        """
+        if (
+            self._state.route.kind is not RouteKind.STREAM
+            or self._state.route.repeatable
+        ):
+            return None
+        request = self._state.request
+        if not is_worth_copying(
+            request.prompt_tokens or 0, request.likely_output_tokens
+        ):
+            return None
+        return self._state.context.backends.pick_copy_keeper(view, request)
+
+    def _relocation_to_copy(
+        self, keeper: BackendView | None
+    ) -> Relocation | None:
+        """Return where a lost stream continues, if a copy may exist.
+
+        A copy is assumed to exist once the response has started.
+        """
+        if keeper is None or self._state.relay.response is None:
+            return None
+        run = MovedRun(keeper.server.address, self._state.request.request_id)
+        return Relocation(keeper, run)
+
+    def _record_outcome(
+        self, view: BackendView, outcome: AttemptOutcome, attempt_number: int
+    ) -> None:
+        """Log the outcome of an attempt and update the state of the server."""
+        attempts_total.add(1, {'outcome': type(outcome).__name__})
+        log_outcome = partial(
+            self._state.log.log_attempt,
+            view=view,
+            attempt_number=attempt_number,
+        )
+        match outcome:
+            case NotRun(reason=reason):
+                if isinstance(outcome, Unreachable):
+                    self._state.context.backends.record_unreachable(view)
+                else:
+                    view.record_full(UNAVAILABLE_RETRY_AFTER_S)
+                log_outcome('attempt not run', reason=reason)
+            case Unknown() if self._relocation is not None:
+                log_outcome(
+                    'stream goes on elsewhere',
+                    target=self._relocation.target.server.server_id,
+                    target_software=(
+                        self._relocation.target.server.software_version
+                    ),
+                    memory_at=self._relocation.run.source_address,
+                )
+            case Unknown(reason=reason):
+                view.record_failure()
+                log_outcome('attempt lost', reason=reason)
+            case Answered(head=head) if outcome.is_server_error:
+                self._state.server_error = outcome
+                view.record_failure()
+                log_outcome('server failed', status=head.status)
+            case _:
+                view.record_success()
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -13,6 +13,7 @@
 from mallowspindle.proxy.errors import BadRequest
 from mallowspindle.proxy.exchange import Exchange
 from mallowspindle.proxy.messages import CallerRequest
+from mallowspindle.proxy.state import ExchangeState
 from mallowspindle.utils.telemetry import hop_span
 
 log = logging.getLogger(__name__)
@@ -100,7 +101,7 @@
             organisation=organisation.name if organisation else None,
             body=body.payload,
         )
-        exchange = Exchange(
+        state = ExchangeState.begin(
             self._context,
             web_request,
             admitted,
@@ -108,7 +109,7 @@
             organisation,
             began_at_s,
         )
-        return await exchange.run(body.payload)
+        return await Exchange(state).run(body.payload)
 
     def _deny(
         self,
--- a/mallowspindle/proxy/outcomes.py
+++ b/mallowspindle/proxy/outcomes.py
@@ -9,6 +9,8 @@
 UNAVAILABLE_RETRY_AFTER_S = 0.4
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
+_SERVER_ERROR = 500
+
 
 @dataclass(frozen=True, slots=True)
 class Answered:
@@ -17,6 +19,11 @@
     head: ResponseHead
     body: bytes
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the server says that it has failed."""
+        return self.head.status >= _SERVER_ERROR
+
 
 @dataclass(frozen=True, slots=True)
 class PeerAnswered(Answered):
