Keep the own time of day if one peer alone differs

A node that starts takes the median time of itself and its peers. Beside one peer that has run as long, it took the time that is behind of the two: its own or the other's.

A run of the test's steps shows both peers as of the same age (0.1 s) and the time taken over once both are heard.

Of two in the middle the one nearer to the own counts now. The test, one peer and then two, either way, failed before for jumps forward and passes.

--- a/mallowspindle/tests/utils/test_clock.py
+++ b/mallowspindle/tests/utils/test_clock.py
@@ -179,6 +179,22 @@
     assert reading == _HARMLESS.keys()
 
 
+@_jumps
+def test_one_peer_of_the_same_age_decides_nothing(by_s: float) -> None:
+    """Guards against a tie that always goes to the time that is behind."""
+    world = _World(3)
+    machine = world.machines[0]
+    machine.jump_s = by_s
+    machine.start()
+    for number, peer in enumerate(world.machines[1:], start=1):
+        machine.clock.note_peer(
+            str(number), peer.clock.now_s(), peer.clock.age_s
+        )
+        error_s = machine.clock.now_s() - world.true_time_s
+        expected_s = by_s if number == 1 else 0
+        assert abs(error_s - expected_s) <= _MAX_ERROR_S
+
+
 def test_small_corrections_are_followed() -> None:
     world = _World(2)
     machine = world.machines[0]
--- a/mallowspindle/utils/clock.py
+++ b/mallowspindle/utils/clock.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from statistics import median_low
+from statistics import median_high, median_low
 
 log = logging.getLogger(__name__)
 
@@ -92,7 +92,7 @@
         elders = [
             peer.offset_s for peer in self._peers.values() if peer.is_elder
         ]
-        offset_s = median_low(
+        offset_s = self._median_s(
             elders
             or [
                 self._first_offset_s,
@@ -106,3 +106,11 @@
                 'time of day taken over from peers',
                 extra={'change_s': round(change_s, 3), 'elders': len(elders)},
             )
+
+    def _median_s(self, offsets_s: list[float]) -> float:
+        """Return the median, of two in the middle the one nearer to the own."""
+        return min(
+            median_low(offsets_s),
+            median_high(offsets_s),
+            key=lambda offset_s: abs(offset_s - self._first_offset_s),
+        )
