Start the servers of a move before the stream that is moved

Cause: they start one or two server processes while a stream of 3.5 s runs; when starting takes longer, the stream ends before its server is reclaimed.

The processes now start before the stream and register during it, which is one append; the same in a third test with the same order.

--- a/mallowspindle/tests/gateway/test_moves.py
+++ b/mallowspindle/tests/gateway/test_moves.py
@@ -24,6 +24,19 @@
     )
 
 
+async def _start_unregistered(
+    venture: GatewayVenture, name: str, *arguments: str
+) -> None:
+    """Start a model server that no gateway knows yet."""
+    await venture.start_standin(
+        name,
+        'platform_server',
+        f'--server-id={name}',
+        f'--events={_LONG_STREAM_EVENTS}',
+        *arguments,
+    )
+
+
 async def test_streams_move_off_a_reclaimed_server(
     venture: GatewayVenture,
 ) -> None:
@@ -61,16 +74,17 @@
         await venture.register(name, 'models', state='draining')
     for name in ('model-1', 'model-2'):
         await venture.wait_until(partial(is_draining, venture, name))
+    # They register during the stream, which is shorter than a slow start.
+    for name in ('model-4', 'model-5'):
+        await _start_unregistered(venture, name)
+        await venture.set_faults(name, refuse=100)
     await venture.wait_until(lambda: is_registered(venture, 'model-3'))
     stream = asyncio.create_task(
         venture.call('entry-1', 'POST', '/questions/x', 'r1')
     )
     await venture.wait_until(lambda: ran_on_third_model(venture, 'r1'))
     for name in ('model-4', 'model-5'):
-        await venture.start_server(
-            name, 'models', f'--events={_LONG_STREAM_EVENTS}'
-        )
-        await venture.set_faults(name, refuse=100)
+        await venture.register(name, 'models')
         await venture.wait_until(partial(is_registered, venture, name))
     await venture.register('model-3', 'models', state='draining', spot=True)
     status, _, text = await stream
@@ -116,19 +130,17 @@
     assert {run['id'] for run in runs} == {'r1'}
 
 
-async def _reuse_address(venture: GatewayVenture) -> None:
+async def _replace_fourth_server(venture: GatewayVenture) -> None:
     """Kill the fourth server and start a fifth on its address."""
     killed_server = venture.process('model-4')
     await killed_server.kill()
     port = killed_server.address.rpartition(':')[2]
-    await venture.start_standin(
-        'model-5',
-        'platform_server',
-        '--server-id=model-5',
-        f'--events={_LONG_STREAM_EVENTS}',
-        f'--port={port}',
-        '--no-resume',
+    await _start_unregistered(
+        venture, 'model-5', f'--port={port}', '--no-resume'
     )
+
+
+async def _register_fifth_server(venture: GatewayVenture) -> None:
     await venture.register('model-5', 'models', zone='b')
     await venture.wait_until(lambda: is_registered(venture, 'model-5'))
 
@@ -151,18 +163,18 @@
     for name in ('model-1', 'model-2'):
         await venture.register(name, 'models', state='draining')
     await _start_slow_server(venture)
+    # They register during the stream, which is shorter than a slow start.
+    await _start_unregistered(venture, 'model-4')
+    await _replace_fourth_server(venture)
     await venture.wait_until(lambda: is_registered(venture, 'model-3'))
     stream = asyncio.create_task(
         venture.call('entry-1', 'POST', '/questions/x', 'r1')
     )
     await venture.wait_until(lambda: ran_on_third_model(venture, 'r1'))
-    await venture.start_standin(
-        'model-4', 'platform_server', '--server-id=model-4'
-    )
     # Its clock is ahead, so it seems to have started after the fifth server.
     await venture.register('model-4', 'models', born=2)
     await venture.wait_until(lambda: is_registered(venture, 'model-4'))
-    await _reuse_address(venture)
+    await _register_fifth_server(venture)
     await venture.set_faults('model-3', leaving=True)
     await venture.register('model-3', 'models', state='draining', spot=True)
     status, _, text = await stream
@@ -199,7 +211,8 @@
         (run,) = await venture.runs('model-3')
         copy_address = venture.process('model-4').address
         assert run['headers']['Kv-Backup'] == copy_address
-        await _reuse_address(venture)
+        await _replace_fourth_server(venture)
+        await _register_fifth_server(venture)
         await venture.process('model-3').kill()
         received = await read_until_cut(response)
     await venture.wait_until(lambda: _is_misdirected(venture, 'model-4'))
@@ -224,14 +237,14 @@
         '--pause-s=0.05',
         '--no-length',
     )
+    # It registers during the stream, which is shorter than a slow start.
+    await _start_unregistered(venture, 'model-4', '--no-length')
     await venture.wait_until(lambda: is_registered(venture, 'model-3'))
     stream = asyncio.create_task(
         venture.call('entry-1', 'POST', '/questions/x', 'r1')
     )
     await venture.wait_until(lambda: ran_on_third_model(venture, 'r1'))
-    await venture.start_server(
-        'model-4', 'models', f'--events={_LONG_STREAM_EVENTS}', '--no-length'
-    )
+    await venture.register('model-4', 'models')
     await venture.wait_until(lambda: is_registered(venture, 'model-4'))
     await venture.set_faults('model-3', leaving=True)
     await venture.register('model-3', 'models', state='draining', spot=True)
