Plain names and complete log lines in the change

Read as a newcomer: 'elder' is a peer that has run for longer, 'goes_on' a request that resumes a stream, 'loading' made objects permanent, 'scene' a scenario in tests. Comments that told how a fault came about say what holds.

--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -16,7 +16,7 @@
 from mallowspindle.kernel.errors import KernelError
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.reloading import SettingsWatcher
-from mallowspindle.utils.heap import loading
+from mallowspindle.utils.heap import permanent_objects
 from mallowspindle.utils.logs import configure_logging
 from mallowspindle.utils.telemetry import configure_telemetry
 
@@ -82,7 +82,7 @@
         config.telemetry.traces_file,
         config.telemetry.otlp_endpoint,
     )
-    with loading():
+    with permanent_objects():
         interfaces[config.node.interface]().load_services()
         kernel = Kernel(config)
     watcher = SettingsWatcher(path, config, load_settings, kernel.reload)
--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -335,7 +335,7 @@
         known = self._table.find(heartbeat.sender.name)
         incarnation = heartbeat.sender.incarnation
         if known is not None and known.info.incarnation > incarnation:
-            # It has started again with a smaller incarnation, and learns so.
+            # It was started again while its time of day is behind.
             reply = replace(reply, members=[*reply.members, known.info])
         if heartbeat.clock is not None:
             reply = _with_clock(reply, self._clock)
@@ -352,9 +352,16 @@
         for info in heartbeat.members:
             former = info.incarnation
             if info.name == self._info.name and former > self._info.incarnation:
-                # A process of this node before has a time that is ahead of this
-                # one's, and peers ignore whatever seems to be older.
-                log.warning('incarnation raised', extra={'former': former})
+                # A former process of this node had a later time, and peers
+                # ignore updates that seem to be older.
+                log.warning(
+                    'incarnation raised',
+                    extra={
+                        'former': former,
+                        'own': self._info.incarnation,
+                        'told_by': heartbeat.sender.name,
+                    },
+                )
                 self.update(incarnation=former + 1)
                 self.send_soon()
         if self._gossip.process(heartbeat):
--- a/mallowspindle/peers/server.py
+++ b/mallowspindle/peers/server.py
@@ -13,6 +13,8 @@
 
 log = logging.getLogger(__name__)
 _HANDSHAKE_TIMEOUT_S = 2.0
+# Kinds of messages of one connection that are logged as not understood.
+_MAX_LOGGED = 20
 
 Handler = Callable[[Any], Awaitable[object]]
 
@@ -50,26 +52,29 @@
         self._connections.add(stream)
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
-                await handshake_as_server(stream, self._credentials)
-            await self._answer_calls(stream)
+                peer = await handshake_as_server(stream, self._credentials)
+            await self._answer_calls(stream, peer)
         except (PeerError, TimeoutError, ValueError) as error:
             log.debug('peer connection ended: %s', error)
         finally:
             self._connections.discard(stream)
             stream.close()
 
-    async def _answer_calls(self, stream: FrameStream) -> None:
-        not_understood: set[str] = set()
+    async def _answer_calls(self, stream: FrameStream, peer: str) -> None:
+        logged: set[str] = set()
         while True:
             number, *wire = await stream.read()
             try:
                 message = peer_codec.from_wire(wire)
             except CodecError as error:
-                # A peer of another build sends it, beside what both know.
+                # The peer may be of another build, whose other messages count.
                 reply: object = ErrorReply(str(error))
-                if str(error) not in not_understood:
-                    not_understood.add(str(error))
-                    log.warning('message not understood: %s', error)
+                if str(error) not in logged and len(logged) < _MAX_LOGGED:
+                    logged.add(str(error))
+                    log.warning(
+                        'message not understood',
+                        extra={'peer': peer, 'error': str(error)},
+                    )
             else:
                 reply = await self.dispatch_message(message)
             await stream.write([number, *peer_codec.to_wire(reply)])
--- a/mallowspindle/policies/quota.py
+++ b/mallowspindle/policies/quota.py
@@ -138,7 +138,7 @@
     *,
     reporting_fraction: float,
     uptimes_s: Sequence[float],
-    goes_on: bool = True,
+    resumes_stream: bool = True,
 ) -> bool:
     """Return whether ``own_used`` and the peers' use are within the quota.
 
@@ -146,8 +146,8 @@
     whose work is known; ``uptimes_s`` are the uptimes of those nodes. A
     restarted node has forgotten what it admitted before, so its share of the
     quota for the part of the window before its start counts as used up. Of
-    what is left then, new requests leave a part to streams that go on
-    (``goes_on``): their callers come back all at once, most of them with long
+    what is left then, new requests leave a part to streams that are taken up
+    (``resumes_stream``): their callers come back all at once, most of them with long
     prompts, which find no room beside many short new ones.
     """
     return own_used <= room_of_node(
@@ -155,7 +155,7 @@
         peers,
         reporting_fraction=reporting_fraction,
         uptimes_s=uptimes_s,
-        goes_on=goes_on,
+        resumes_stream=resumes_stream,
     )
 
 
@@ -165,7 +165,7 @@
     *,
     reporting_fraction: float,
     uptimes_s: Sequence[float],
-    goes_on: bool = True,
+    resumes_stream: bool = True,
 ) -> float:
     """Return what the peers leave of the quota for this node.
 
@@ -176,7 +176,7 @@
     allowed = terms.window_limit * min(
         reporting_fraction, 1 - forgotten_fraction
     )
-    if not goes_on:
+    if not resumes_stream:
         allowed *= 1 - _KEPT_FRACTION * forgotten_fraction
     return allowed - sum(peer.estimate for peer in peers)
 
@@ -197,7 +197,7 @@
     *,
     reporting_fraction: float,
     uptimes_s: Sequence[float],
-    goes_on: bool = True,
+    resumes_stream: bool = True,
 ) -> bool:
     """Return whether the window and the shorter span have room for ``cost``.
 
@@ -210,7 +210,7 @@
         is_within,
         reporting_fraction=reporting_fraction,
         uptimes_s=uptimes_s,
-        goes_on=goes_on,
+        resumes_stream=resumes_stream,
     )
     if not fits(terms, own.used() + cost, [peer.window for peer in peers]):
         return False
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -91,7 +91,7 @@
             retry_after_s = self._context.quotas.admit_or_retry_after_s(
                 organisation,
                 request.tokens,
-                goes_on=request.last_event_id is not None,
+                resumes_stream=request.last_event_id is not None,
             )
             if retry_after_s:
                 _log_refusal(request, configuration, 'over quota')
--- a/mallowspindle/proxy/quotas.py
+++ b/mallowspindle/proxy/quotas.py
@@ -61,11 +61,11 @@
         organisation: Organisation,
         tokens: int | None,
         *,
-        goes_on: bool = False,
+        resumes_stream: bool = False,
     ) -> float:
         """Admit a request and return 0, or return the time until a retry.
 
-        ``goes_on`` tells that the request takes up a stream.
+        ``resumes_stream`` tells that the request takes up a stream.
         """
         quota = organisation.quota
         if not quota.rate_per_s:
@@ -78,7 +78,7 @@
             has_room,
             reporting_fraction=self._sharing.reporting_fraction(),
             uptimes_s=self._uptimes_s(),
-            goes_on=goes_on,
+            resumes_stream=resumes_stream,
         )
         if fits(terms, admitted, cost, [peer_use]) and (
             self._sharing.is_full_mesh
--- a/mallowspindle/streams/store.py
+++ b/mallowspindle/streams/store.py
@@ -97,7 +97,7 @@
         state = await self._log.read_latest(self._layout.versions_stream)
         for record in state.records:
             if record.key == _VERSIONS_KEY and record.value is not None:
-                served = _decode(record.value)
+                served = _decode(record.key, record.value)
                 if isinstance(served, ServedVersions):
                     return served.ages_s
         return {}
@@ -119,29 +119,33 @@
     """Return the streams of some records, where the last one counts."""
     found: dict[bytes, StreamOrigin] = {}
     for record in sorted(records, key=attrgetter('offset')):
-        for begun in _decode_all(record.value or b''):
+        for begun in _decode_all(record.key, record.value or b''):
             if isinstance(begun, StreamsBegun):
                 found.update(origins_in(begun))
     return found
 
 
-def _decode_all(content: bytes) -> list[Any]:
+def _decode_all(key: str, content: bytes) -> list[Any]:
     """Return the records of a slot; none if they are unreadable."""
     if not content:
         return []
     try:
         return streams_codec.decode_all(content)
     except CodecError as error:
-        log.warning('unreadable record of streams', extra={'error': str(error)})
+        log.warning(
+            'unreadable record of streams',
+            extra={'key': key, 'error': str(error)},
+        )
         return []
 
 
-def _decode(payload: bytes) -> Any:
+def _decode(key: str, payload: bytes) -> Any:
     """Return a record; None if it is unreadable, which is logged."""
     try:
         return streams_codec.decode(payload)
     except CodecError as error:
         log.warning(
-            'unreadable record of versions', extra={'error': str(error)}
+            'unreadable record of versions',
+            extra={'key': key, 'error': str(error)},
         )
         return None
--- a/mallowspindle/tests/proxy/test_quotas.py
+++ b/mallowspindle/tests/proxy/test_quotas.py
@@ -107,10 +107,12 @@
     admitted: Counter[bool] = Counter()
     offered = 0.0
 
-    def admit(cost: int, *, goes_on: bool) -> None:
+    def admit(cost: int, *, resumes_stream: bool) -> None:
         quotas, node = rng.choice(nodes)
-        if not quotas.admit_or_retry_after_s(_SMALL, cost, goes_on=goes_on):
-            admitted[goes_on] += 1
+        if not quotas.admit_or_retry_after_s(
+            _SMALL, cost, resumes_stream=resumes_stream
+        ):
+            admitted[resumes_stream] += 1
             node.send_soon()
 
     async with mesh:
@@ -123,9 +125,9 @@
                 cost = rng.choice(_NEW_COSTS)
                 offered -= cost
                 new += 1
-                admit(cost, goes_on=False)
+                admit(cost, resumes_stream=False)
             if step % _STEPS_PER_RETURN == 0:
-                admit(_LONG_COST, goes_on=True)
+                admit(_LONG_COST, resumes_stream=True)
     taken_up = _RETURN_S / _STEP_S / _STEPS_PER_RETURN
     return admitted[False] / new, admitted[True] / taken_up
 
--- a/mallowspindle/tests/streams/test_recording.py
+++ b/mallowspindle/tests/streams/test_recording.py
@@ -61,7 +61,7 @@
 
 @pytest.mark.parametrize('nodes', [1, 8, 58])
 def test_streams_are_known_after_all_nodes_were_killed(nodes: int) -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         with ExitStack() as streams:
             await _begin(venture, streams)
@@ -69,11 +69,11 @@
             await venture.kill_all()
         assert await _known(await _restart(venture)) == _STREAMS
 
-    play(scene, nodes, CountingLog)
+    play(scenario, nodes, CountingLog)
 
 
 def test_streams_are_known_after_two_kills_in_a_row() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         with ExitStack() as streams:
             await _begin(venture, streams)
@@ -84,11 +84,11 @@
         await second.kill_all()
         assert await _known(await _restart(venture)) == _STREAMS
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_one_node_that_survives_finds_the_streams_of_the_others() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         survivor, *others = venture.nodes
         with ExitStack() as streams:
@@ -101,11 +101,11 @@
         ]
         assert None not in found
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_streams_that_run_when_a_second_version_comes_are_logged() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1')
         await asyncio.sleep(1)
         first = next(iter(venture.nodes.values()))
@@ -117,11 +117,11 @@
         node = next(iter(restarted.nodes.values()))
         assert await node.find(_begun(0).key, SERVICE) == _begun(0)
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_streams_are_logged_once_the_log_is_back() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         assert venture.log is not None
         await asyncio.sleep(1)
@@ -134,13 +134,13 @@
             await venture.kill_all()
         assert await _known(await _restart(venture)) == _STREAMS
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_streams_stay_known_after_the_log_has_lost_its_history() -> None:
     """Guards against a history that is dropped while no node runs."""
 
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         assert venture.log is not None
         with ExitStack() as streams:
@@ -159,11 +159,11 @@
             restarted.lose(*list(restarted.nodes)[:-1])
         assert await nodes[-1].find(_begun(1000).key, SERVICE) == _begun(1000)
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_the_log_keeps_no_streams_after_a_release() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         assert venture.log is not None
         with ExitStack() as streams:
@@ -176,13 +176,13 @@
         state = await venture.log.read_latest(LAYOUT.streams_stream)
         assert not state.records
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_a_recorder_that_restarts_keeps_what_its_former_process_logged() -> (
     None
 ):
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         for number in range(6):
             venture = await _restart(venture)
@@ -197,11 +197,11 @@
         ]
         assert None not in found
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_a_log_that_is_away_is_waited_for_only_shortly() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         assert venture.log is not None
         await asyncio.sleep(1)
@@ -211,7 +211,7 @@
         assert await node.find(_begun(0).key, SERVICE) is None
         assert asyncio.get_running_loop().time() - began_at_s < 1
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 @pytest.mark.parametrize(
@@ -222,7 +222,7 @@
 ) -> None:
     """Streams per second of the operators' deployments."""
 
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         log = venture.log
         assert isinstance(log, CountingLog)
@@ -239,11 +239,11 @@
         size = log.sizes[LAYOUT.streams_stream]
         assert size <= begun * _MAX_BYTES_PER_STREAM
 
-    play(scene, nodes, CountingLog)
+    play(scenario, nodes, CountingLog)
 
 
 def test_streams_of_a_single_version_are_not_logged() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1')
         log = venture.log
         assert isinstance(log, CountingLog)
@@ -258,4 +258,4 @@
         assert not log.reads[LAYOUT.streams_stream]
         assert log.calls[LAYOUT.versions_stream] == 1
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
--- a/mallowspindle/tests/streams/test_service.py
+++ b/mallowspindle/tests/streams/test_service.py
@@ -22,7 +22,7 @@
 def test_a_stream_is_known_after_its_node_and_others_are_lost(
     nodes: int, lost_holders: int
 ) -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, *others = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -35,11 +35,11 @@
             elapsed_s = asyncio.get_running_loop().time() - began_at_s
             assert elapsed_s < _MAX_ANSWER_S
 
-    play(scene, nodes)
+    play(scenario, nodes)
 
 
 def test_a_stream_that_no_node_knows_is_unknown_soon() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *others = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -52,11 +52,11 @@
         assert found is None
         assert asyncio.get_running_loop().time() - began_at_s < _MAX_ANSWER_S
 
-    play(scene)
+    play(scenario)
 
 
 def test_another_organisation_learns_nothing_of_a_stream() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -65,11 +65,11 @@
             other = StreamKey('mill', _KEY.request_id)
             assert await venture.nodes[second].find(other, SERVICE) is None
 
-    play(scene)
+    play(scenario)
 
 
 def test_streams_that_run_when_a_second_version_comes_are_told() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1')
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -80,11 +80,11 @@
         venture.lose(first)
         assert await venture.nodes[second].find(_KEY, SERVICE) == _BEGUN
 
-    play(scene)
+    play(scenario)
 
 
 def test_several_versions_count_until_their_streams_have_ended() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         node = next(iter(venture.nodes.values()))
         venture.catalog.servers.popitem()
@@ -96,13 +96,13 @@
         assert not node.has_several_versions(SERVICE)
         assert not node.has_several_versions('other service')
 
-    play(scene)
+    play(scenario)
 
 
 def test_a_stream_that_was_taken_up_can_be_taken_up_again() -> None:
     """The second node and the first holders are lost as well."""
 
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *_ = venture.nodes
         with venture.nodes[first].track(_BEGUN):
@@ -116,11 +116,11 @@
         third = min(venture.nodes.keys() - venture.mesh.silent)
         assert await venture.nodes[third].find(_KEY, SERVICE) == _BEGUN
 
-    play(scene)
+    play(scenario)
 
 
 def test_a_later_stream_with_the_same_id_replaces_the_former() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first, second, *_ = venture.nodes
         later = StreamBegun(_KEY, SERVICE, 'v2')
@@ -130,11 +130,11 @@
         venture.lose(first)
         assert await venture.nodes[second].find(_KEY, SERVICE) == later
 
-    play(scene)
+    play(scenario)
 
 
 def test_streams_are_forgotten_after_a_while() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first = next(iter(venture.nodes))
         with venture.nodes[first].track(_BEGUN):
@@ -146,7 +146,7 @@
                 await asyncio.sleep(_TOLD_S)
         assert not venture.knowing(_KEY)
 
-    play(scene)
+    play(scenario)
 
 
 @pytest.mark.parametrize(('nodes', 'streams_per_s'), [(8, 28), (77, 164)])
@@ -155,7 +155,7 @@
 ) -> None:
     """Streams per second of the operators' deployments, evenly spread."""
 
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         first = next(iter(venture.nodes))
         with venture.nodes[first].track(_BEGUN):
@@ -164,4 +164,4 @@
         size = len(pack(peer_codec.to_wire(_BEGUN)))
         assert told * size * streams_per_s / nodes <= _MAX_BYTES_PER_S / 4
 
-    play(scene, nodes)
+    play(scenario, nodes)
--- a/mallowspindle/tests/streams/test_serving.py
+++ b/mallowspindle/tests/streams/test_serving.py
@@ -30,7 +30,7 @@
 
 
 def test_a_version_that_left_before_all_nodes_died_counts() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         await asyncio.sleep(_LOGGED_S)
         venture.catalog.replace_all('v2')
@@ -41,21 +41,21 @@
         await asyncio.sleep(_STREAM_MEMORY_S)
         assert _count_several(restarted) == 0
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_a_version_that_left_while_no_node_ran_counts() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1')
         await asyncio.sleep(_LOGGED_S)
         await venture.kill_all()
         assert _count_several(await _restart(venture)) == 8
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_an_old_release_is_forgotten() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
         await asyncio.sleep(_LOGGED_S)
         venture.catalog.replace_all('v2')
@@ -63,11 +63,11 @@
         await venture.kill_all()
         assert _count_several(await _restart(venture)) == 0
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_versions_are_taken_for_several_until_they_are_known() -> None:
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         assert venture.log is not None
         venture.log.down = True
         await venture.start('v1')
@@ -77,13 +77,13 @@
         await asyncio.sleep(_LOGGED_S)
         assert _count_several(venture) == 0
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
 
 
 def test_a_node_that_starts_without_the_log_learns_versions_from_peers() -> (
     None
 ):
-    async def scene(venture: StreamVenture) -> None:
+    async def scenario(venture: StreamVenture) -> None:
         assert venture.log is not None
         names = list(venture.nodes)
         late = venture.nodes.pop(names[0])
@@ -94,4 +94,4 @@
         await asyncio.sleep(_LOGGED_S)
         assert not late.has_several_versions(SERVICE)
 
-    play(scene, make_log=CountingLog)
+    play(scenario, make_log=CountingLog)
--- a/mallowspindle/tests/streams/venture.py
+++ b/mallowspindle/tests/streams/venture.py
@@ -135,14 +135,14 @@
 
 
 def play(
-    scene: Callable[[StreamVenture], Awaitable[None]],
+    scenario: Callable[[StreamVenture], Awaitable[None]],
     nodes: int = 8,
     make_log: Callable[[], FakeLog] | None = None,
 ) -> None:
-    """Play a scene in simulated time."""
+    """Play a scenario in simulated time."""
 
     async def run() -> None:
         async with FakeMesh(nodes, 4) as mesh:
-            await scene(StreamVenture(mesh, make_log and make_log()))
+            await scenario(StreamVenture(mesh, make_log and make_log()))
 
     simulate(cast(Coroutine[Any, Any, None], run()))
--- a/mallowspindle/tests/utils/test_heap.py
+++ b/mallowspindle/tests/utils/test_heap.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mallowspindle.utils.heap import loading
+from mallowspindle.utils.heap import permanent_objects
 
 
 class _Cycle:
@@ -23,14 +23,14 @@
 
 
 def test_what_was_loaded_is_not_visited_again() -> None:
-    with loading():
+    with permanent_objects():
         assert not gc.isenabled()
     assert gc.isenabled()
     assert gc.get_freeze_count() > len(gc.get_objects())
 
 
 def test_what_comes_later_is_collected() -> None:
-    with loading():
+    with permanent_objects():
         loaded = _Cycle()
     assert loaded.own is loaded
     found = weakref.ref(_Cycle())
@@ -40,6 +40,6 @@
 
 
 def test_collections_go_on_after_an_error() -> None:
-    with pytest.raises(ValueError, match='not loaded'), loading():
+    with pytest.raises(ValueError, match='not loaded'), permanent_objects():
         raise ValueError('not loaded')
     assert gc.isenabled()
--- a/mallowspindle/utils/clock.py
+++ b/mallowspindle/utils/clock.py
@@ -13,8 +13,9 @@
 _JUMP_S = 0.25
 # How long after its start a node takes over the time of its peers.
 _SETTLING_S = 10.0
-# A peer that has run for so much longer is an elder: it is believed more.
-_ELDER_BY_S = 2.0
+# The time of a peer that has run for so much longer counts more: it may have
+# started before a jump.
+_LONGER_BY_S = 2.0
 
 
 def boot_clock_s() -> float:
@@ -27,7 +28,7 @@
     """The offset of a peer's time of day from the own steady clock."""
 
     offset_s: float
-    is_elder: bool
+    runs_longer: bool
 
 
 class SharedClock:
@@ -87,13 +88,13 @@
         if not self.is_settling:
             return
         self._peers[name] = _PeerClock(
-            time_s - self._steady(), age_s > self.age_s + _ELDER_BY_S
+            time_s - self._steady(), age_s > self.age_s + _LONGER_BY_S
         )
-        elders = [
-            peer.offset_s for peer in self._peers.values() if peer.is_elder
+        longer_running = [
+            peer.offset_s for peer in self._peers.values() if peer.runs_longer
         ]
         offset_s = self._median_s(
-            elders
+            longer_running
             or [
                 self._first_offset_s,
                 *(peer.offset_s for peer in self._peers.values()),
@@ -104,7 +105,10 @@
             self._offset_s = offset_s
             log.warning(
                 'time of day taken over from peers',
-                extra={'change_s': round(change_s, 3), 'elders': len(elders)},
+                extra={
+                    'change_s': round(change_s, 3),
+                    'of_longer_running': len(longer_running),
+                },
             )
 
     def _median_s(self, offsets_s: list[float]) -> float:
--- a/mallowspindle/utils/heap.py
+++ b/mallowspindle/utils/heap.py
@@ -6,12 +6,11 @@
 
 
 @contextmanager
-def loading() -> Iterator[None]:
-    """Collect no garbage meanwhile, and leave out what was loaded later on.
+def permanent_objects() -> Iterator[None]:
+    """Leave all objects that exist at the end out of later collections.
 
-    Modules, validators and services stay until the process ends. They are some
-    100,000 objects; to visit them all takes 0.1 s, in which a node with half of
-    a core answers nobody.
+    Modules, validators and services stay until the process ends. A collection
+    that visits them all blocks the event loop for 0.1 s of processor time.
     """
     gc.disable()
     try:
