--- a/review/harness/processes.py
+++ b/review/harness/processes.py
@@ -34,8 +34,12 @@
 
 
 def ip_of(number: int) -> str:
-    """Return the loopback address of a machine; all have the same length."""
-    return f'127.0.{50 + number}.1'
+    """Return the loopback address of a machine; all have the same length.
+
+    Cases that run at the same time use different ones, since the port of the
+    metrics is fixed in the template.
+    """
+    return f'127.{100 + os.getpid() % 100}.{50 + number}.1'
 
 
 def free_port(hosts: list[str]) -> int:
