--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,6 +25,8 @@
 _CONTACT_S = 3.0
 _STREAMS = 24
 _EVENTS = 24
+# A killed process is started again after this time, as the sheet has it.
+_DOWN_S = 3.5
 _DEADLINE_MS = 15000
 # What the rule tolerates.
 _TOLERATED = 2
@@ -54,20 +56,26 @@
             for name, version in _VERSIONS.items()
         ]
         views = []
+        addresses = {}
         for machine in venture.machines:
             view = StoreView(venture.store_address, machine)
             views.append(view)
-            await venture.start_machine(machine, await view.start())
+            addresses[machine.name] = await view.start()
+            await venture.start_machine(machine, addresses[machine.name])
             await venture.wait_until_ready(machine)
         await asyncio.sleep(_CONTACT_S)
         try:
-            return await _play(venture, paths, first, peer, servers, record)
+            return await _play(
+                venture, paths, first, peer, addresses[peer.name], servers, record
+            )
         finally:
             for view in views:
                 await view.stop()
 
 
-async def _play(venture, paths, first, peer, servers, record) -> int:
+async def _play(
+    venture, paths, first, peer, peer_store, servers, record
+) -> int:
     if TROUBLE:
         record.note(f'{first.name} is partitioned from all servers')
         paths.cut(first)
@@ -105,6 +113,9 @@
         await asyncio.sleep(1.0)
         record.note(f'{peer.name} is killed')
         peer.running_process.signal(signal.SIGKILL)
+        await asyncio.sleep(_DOWN_S)
+        await venture.start_machine(peer, peer_store)
+        record.note(f'{peer.name} is started again')
     answers = await asyncio.gather(*streams)
     runs = [
         run for server in servers for run in await venture.get(server, '/runs')
