--- a/mallowspindle/proxy/attempts.py
+++ b/mallowspindle/proxy/attempts.py
@@ -41,8 +41,7 @@
     ) -> AttemptOutcome:
         """Send the request; if its run is moved, continue it at the target."""
         outcome = await self._attempt(view, body)
-        if not isinstance(outcome, NotRun):
-            self._state.run_count += 1
+        self._state.history.note_outcome(outcome)
         self._record_outcome(view, outcome, attempt_number)
         while self._relocation is not None:
             moved = self._relocation
@@ -77,7 +76,7 @@
     async def _attempt(
         self, view: BackendView, body: bytes, continues: MovedRun | None = None
     ) -> AttemptOutcome:
-        self._state.tried_servers.add(view.server.server_id)
+        self._state.history.servers.add(view.server.server_id)
         self._state.splitter.start_response()
         send_state = SendState()
         request = self._state.request
--- a/mallowspindle/proxy/endings.py
+++ b/mallowspindle/proxy/endings.py
@@ -26,14 +26,20 @@
 
         The response says ``not run`` only if no attempt may have run.
         """
-        if self._state.run_count:
+        if self._state.history.run_count:
             return self.fail(replies.unknown_outcome())
         self.log_end('refused', reason)
         return replies.refusal(retry_after_s)
 
     def time_out(self) -> StreamResponse:
-        """End a request that has no time left."""
-        if self._state.tried_servers or self._state.relay.response is not None:
+        """End a request that has no time left.
+
+        It may still run at a server or a peer that has not answered.
+        """
+        if (
+            not self._state.history.is_empty
+            or self._state.relay.response is not None
+        ):
             return self.fail(replies.timed_out())
         self.log_end('refused', 'no time was left')
         return replies.refusal(UNAVAILABLE_RETRY_AFTER_S)
@@ -61,7 +67,7 @@
         """Return the response to a request that is not sent again."""
         match outcome:
             case PeerAnswered() if (
-                outcome.promises_not_run and self._state.run_count
+                outcome.promises_not_run and self._state.history.run_count
             ):
                 return self.fail(replies.unknown_outcome())
             case Answered(head=head, body=body) if (
@@ -75,6 +81,4 @@
 
     def log_end(self, ending: str, reason: str) -> None:
         """Log how the request ended, and why."""
-        self._state.log.log_end(
-            ending, reason, self._state.run_count, self._state.tried_servers
-        )
+        self._state.log.log_end(ending, reason, self._state.history)
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -6,7 +6,7 @@
 from aiohttp.web import StreamResponse
 
 from mallowspindle.backends.view import Pick
-from mallowspindle.outcomes import NotRun, Unknown
+from mallowspindle.outcomes import NotRun
 from mallowspindle.policies.admission import (
     QueueEstimate,
     refusal_retry_after_s,
@@ -88,11 +88,9 @@
             return self._end.refuse(refusal.reason, refusal.retry_after_s)
         peer = self._state.hop.choose_peer(self._service)
         if peer is not None:
-            outcome = await self._state.hop.send(
+            return await self._state.hop.send(
                 peer, body, self._state.time_left_s()
             )
-            self._state.run_count += isinstance(outcome, Unknown)
-            return outcome
         pick = self._pick_or_refuse(attempt_number)
         if isinstance(pick, StreamResponse):
             return pick
@@ -104,7 +102,7 @@
         pick = backends.pick(
             self._service,
             self._state.request,
-            self._state.tried_servers,
+            self._state.history.servers,
             self._state.continuation.software_version,
         )
         if pick is None:
@@ -138,7 +136,7 @@
         return (
             route.repeatable
             and self._state.splitter.can_resume
-            and self._state.run_count < route.max_attempts
+            and self._state.history.run_count < route.max_attempts
         )
 
     def _retry_after_s(self, pick: Pick) -> float:
--- a/mallowspindle/proxy/hops.py
+++ b/mallowspindle/proxy/hops.py
@@ -6,6 +6,7 @@
 from mallowspindle.proxy.connections import SendState
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.history import AttemptHistory
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.proxy.outcomes import AttemptOutcome, outcome_of_error
 from mallowspindle.proxy.records import ExchangeLog
@@ -28,6 +29,7 @@
         request: CallerRequest,
         relay: ResponseRelay,
         splitter: EventSplitter,
+        history: AttemptHistory,
         exchange_log: ExchangeLog,
     ) -> None:
         self._context = context
@@ -35,7 +37,7 @@
         self._relay = relay
         self._splitter = splitter
         self._log = exchange_log
-        self._tried: set[str] = set()
+        self._history = history
         self._failed_connections = 0
 
     def note_failed_connection(self) -> None:
@@ -52,13 +54,13 @@
             and self._failed_connections < _FAILED_CONNECTIONS
         ):
             return None
-        return self._context.peers.choose(service_name, self._tried)
+        return self._context.peers.choose(service_name, self._history.peers)
 
     async def send(
         self, peer: MemberInfo, body: bytes, time_left_s: float
     ) -> AttemptOutcome:
         """Send the request to a peer; a stream is forwarded to the caller."""
-        self._tried.add(peer.name)
+        self._history.peers.add(peer.name)
         self._splitter.start_response()
         relayed_total.add(1)
         context = self._context
@@ -76,5 +78,6 @@
                 outcome = await self._relay.receive_from_peer(answer)
         except (ClientError, OSError, TimeoutError) as error:
             outcome = outcome_of_error(error, sent=send_state.sent)
+        self._history.note_outcome(outcome)
         self._log.log_relayed(peer.name, outcome)
         return outcome
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Collection
 
 from mallowspindle.backends.view import BackendView
 from mallowspindle.catalog.configuration import Route
 from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.history import AttemptHistory
 from mallowspindle.proxy.messages import CallerRequest
 
 log = logging.getLogger(__name__)
@@ -99,8 +99,7 @@
         self,
         ending: str,
         reason: str,
-        run_count: int,
-        tried_servers: Collection[str],
+        history: AttemptHistory,
     ) -> None:
         """Log that a request ended without a complete response of a server."""
         log.info(
@@ -109,8 +108,8 @@
             extra={
                 **self._fields(),
                 'reason': reason,
-                'runs': run_count,
-                'tried': sorted(tried_servers),
+                'runs': history.run_count,
+                'tried': history.names,
             },
         )
 
--- a/mallowspindle/proxy/state.py
+++ b/mallowspindle/proxy/state.py
@@ -1,7 +1,7 @@
 """What the parts of one exchange share."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Self
 
 from aiohttp.web import BaseRequest
@@ -10,6 +10,7 @@
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.continuation import Continuation
 from mallowspindle.proxy.events import EventSplitter
+from mallowspindle.proxy.history import AttemptHistory
 from mallowspindle.proxy.hops import PeerHop
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.proxy.outcomes import Answered
@@ -24,9 +25,8 @@
 class ExchangeState:
     """One request of a caller, and what has become of it so far.
 
-    ``deadline_s`` is on the clock of the event loop. ``run_count`` is the number
-    of attempts that may have run, ``server_error`` the last error response of a
-    server.
+    ``deadline_s`` is on the clock of the event loop. ``server_error`` is the
+    last error response of a server.
     """
 
     context: ProxyContext
@@ -40,8 +40,7 @@
     relay: ResponseRelay
     log: ExchangeLog
     hop: PeerHop
-    tried_servers: set[str] = field(default_factory=set)
-    run_count: int = 0
+    history: AttemptHistory
     server_error: Answered | None = None
 
     @classmethod
@@ -73,6 +72,7 @@
             continuation,
         )
         exchange_log = ExchangeLog(request, route, began_at_s, splitter)
+        history = AttemptHistory()
         return cls(
             context=context,
             web_request=web_request,
@@ -84,7 +84,10 @@
             continuation=continuation,
             relay=relay,
             log=exchange_log,
-            hop=PeerHop(context, request, relay, splitter, exchange_log),
+            hop=PeerHop(
+                context, request, relay, splitter, history, exchange_log
+            ),
+            history=history,
         )
 
     def time_left_s(self) -> float:
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -4,12 +4,15 @@
 import socket
 import time
 from collections import Counter
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
 
 from aiohttp import ClientError, ClientSession
+from aiohttp.web import BaseRequest, StreamResponse
 
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.catalog.configuration import (
@@ -42,6 +45,7 @@
 KEY = 'key-of-farm'
 EVENTS = 3
 _TIMEOUT_S = 2.0
+_HOLD_POLL_S = 0.01
 _SERVERS = (('models', EVENTS), ('shop', 0))
 _SERVERS_EACH = 2
 
@@ -79,13 +83,14 @@
         sharing = mesh.nodes[name]
         self.name = name
         self.servers: dict[str, BackendServer] = {}
+        self._watchers: list[Callable[[], None]] = []
         self.catalog = cast(
             CatalogService,
             SimpleNamespace(
                 configuration=CONFIGURATION,
                 servers=self.servers,
                 is_current=True,
-                watch=lambda watcher: None,
+                watch=self._watchers.append,
                 note_leaving=self._note_leaving,
             ),
         )
@@ -96,6 +101,10 @@
         self.quarantine = QuarantineService(sharing)
         self.upstream = Upstream(0.2, 'Request-Id')
         self.address = ''
+        # Whether requests are held before they are handled, and answers before
+        # they are sent.
+        self.holds_requests = False
+        self.holds_answers = False
         self._sharing = sharing
         self._caller_server: CallerServer | None = None
 
@@ -103,6 +112,11 @@
         known = self.servers[server_id]
         self.servers[server_id] = replace(known, draining=True)
 
+    def note_servers(self) -> None:
+        """Tell the services of the node that its servers have changed."""
+        for watcher in self._watchers:
+            watcher()
+
     def connections(self) -> int:
         """Return the number of connections of callers and peers."""
         server = self._caller_server
@@ -141,7 +155,8 @@
         for each in (self.backends, self.streams, self.quarantine):
             await each.start()
             stack.push_async_callback(each.stop)
-        server = CallerServer(AdmissionGate(self.context()).handle)
+        gate = AdmissionGate(self.context())
+        server = CallerServer(partial(self._handle, gate))
         self._caller_server = server
         listener = await asyncio.get_running_loop().create_server(
             server, '127.0.0.1', 0
@@ -152,6 +167,16 @@
         port = listener.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
+    async def _handle(
+        self, gate: AdmissionGate, request: BaseRequest
+    ) -> StreamResponse:
+        while self.holds_requests:
+            await asyncio.sleep(_HOLD_POLL_S)
+        response = await gate.handle(request)
+        while self.holds_answers:
+            await asyncio.sleep(_HOLD_POLL_S)
+        return response
+
 
 class CutVenture:
     """Nodes before model and shop servers, some of them cut off."""
@@ -237,14 +262,28 @@
             response.raise_for_status()
 
     async def runs(self) -> list[dict[str, Any]]:
-        """Return all runs at all servers."""
+        """Return all runs at all servers, with the server's version."""
         found: list[dict[str, Any]] = []
         for entry in self._entries.values():
             url = f'http://{entry.address}/runs'
             async with self._session.get(url) as response:
-                found += await response.json()
+                found += [
+                    {**run, 'version': entry.software_version}
+                    for run in await response.json()
+                ]
         return found
 
+    def set_versions(self, **versions: str) -> None:
+        """Set the software versions of servers, by name with underscores."""
+        for name, version in versions.items():
+            self._update_entry(name.replace('_', '-'), software_version=version)
+
+    def _update_entry(self, name: str, **changes: Any) -> None:
+        self._entries[name] = replace(self._entries[name], **changes)
+        for node in self.nodes:
+            node.servers[name] = replace(node.servers[name], **changes)
+            node.note_servers()
+
     async def _start_server(self, name: str, service: str, events: int) -> None:
         standin = ServerStandin(name, events, 0.01)
         listener = Listener(standin.app(), '127.0.0.1', 0)
--- a/mallowspindle/tests/proxy/test_relayed_requests.py
+++ b/mallowspindle/tests/proxy/test_relayed_requests.py
@@ -63,6 +63,18 @@
     assert len(await _runs_of(venture, '/orders/2')) == 1
 
 
+@pytest.mark.parametrize('held', ['holds_requests', 'holds_answers'])
+async def test_an_order_that_times_out_at_a_peer_may_have_run(
+    venture: CutVenture, held: str
+) -> None:
+    """Guards against "not run" for a request that a silent peer holds."""
+    for peer in venture.nodes[1:]:
+        setattr(peer, held, True)
+    assert await venture.send(venture.nodes[0], '/orders/2') == 504
+    expected_runs = 1 if held == 'holds_answers' else 0
+    assert len(await _runs_of(venture, '/orders/2')) == expected_runs
+
+
 async def test_a_caller_that_leaves_ends_the_work_behind_the_peer(
     venture: CutVenture,
 ) -> None:
