--- a/mallowspindle/proxy/continuation.py
+++ b/mallowspindle/proxy/continuation.py
@@ -8,6 +8,7 @@
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.streams.messages import StreamBegun, StreamKey
+from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.service import StreamsService
 
 
@@ -36,14 +37,22 @@
             organisation.name if organisation else '',
             request.resumes or request.request_id,
         )
-        self._is_taken_up = request.last_event_id is not None
-        self._software_version: str | None = None
+        self._origin = request.origin
+        # Whether events exist of which it is not known who has written them.
+        self._lacks_origin = (
+            request.last_event_id is not None and request.origin is None
+        )
         self._tracking = ExitStack()
 
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """Who has begun the stream; None if it is new, or if it is not known."""
+        return self._origin
+
     @property
     def software_version(self) -> str | None:
         """The version that began the stream; None before the first event."""
-        return self._software_version
+        return self._origin.software_version if self._origin else None
 
     def __enter__(self) -> Self:
         return self
@@ -57,33 +66,51 @@
         self._tracking.close()
 
     async def find_service(self, default: str) -> str:
-        """Return the service for the request, ``default`` for a new stream.
+        """Return the service for the next attempt, ``default`` for the first.
 
-        Raise ``UnknownBegin`` if the caller takes up a stream that may have
-        begun at one of several versions, or at a service that the route no
-        longer has.
+        Raise ``UnknownBegin`` if the stream may have begun at one of several
+        versions, or at a service that the route no longer has.
         """
-        if not self._is_taken_up:
-            return default
-        begun = await self._streams.find(self._key, default)
-        if begun is None:
-            if self._streams.has_several_versions(default):
-                raise UnknownBegin('it is not known which version began it')
+        if self._lacks_origin:
+            await self._find_origin(default)
+        origin = self._origin
+        if origin is None:
             return default
-        if all(share.service != begun.service for share in self._route.shares):
-            raise UnknownBegin(f'it began at the service {begun.service}')
-        self._software_version = begun.software_version
-        return begun.service
+        if all(share.service != origin.service for share in self._route.shares):
+            raise UnknownBegin(f'it began at the service {origin.service}')
+        return origin.service
 
     def note_begun(self, server: BackendServer) -> None:
         """Bind the stream to the server that sends its first event here."""
-        self._software_version = server.software_version
+        self._bind(StreamOrigin(server.service, server.software_version))
+
+    def note_begun_at_peer(self, origin: StreamOrigin | None) -> None:
+        """Bind the stream to the server whose first event a peer passes on.
+
+        Peers that run an older build do not tell the server's version.
+        """
+        if origin is None:
+            self._lacks_origin = self._origin is None
+        else:
+            self._bind(origin)
+
+    def allows(self, server: BackendServer) -> bool:
+        """Return whether the stream may go on at a server."""
+        return self.software_version in {None, server.software_version}
+
+    def _bind(self, origin: StreamOrigin) -> None:
+        self._origin = origin
+        self._lacks_origin = False
         if self._route.resumable:
             begun = StreamBegun(
-                self._key, server.service, server.software_version
+                self._key, origin.service, origin.software_version
             )
             self._tracking.enter_context(self._streams.track(begun))
 
-    def allows(self, server: BackendServer) -> bool:
-        """Return whether the stream may go on at a server."""
-        return self._software_version in {None, server.software_version}
+    async def _find_origin(self, default: str) -> None:
+        begun = await self._streams.find(self._key, default)
+        if begun is not None:
+            self._origin = StreamOrigin(begun.service, begun.software_version)
+        elif self._streams.has_several_versions(default):
+            raise UnknownBegin('it is not known which version began it')
+        self._lacks_origin = False
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -60,13 +60,13 @@
             return self._state.relay.response or replies.unknown_outcome()
 
     async def _run_attempts(self, body: bytes) -> StreamResponse:
-        try:
-            self._service = await self._state.continuation.find_service(
-                self._service
-            )
-        except UnknownBegin as error:
-            return self._end.refuse(f'the stream can not go on: {error}')
         for attempt_number in count(1):
+            try:
+                self._service = await self._state.continuation.find_service(
+                    self._service
+                )
+            except UnknownBegin as error:
+                return self._end.refuse(f'the stream can not go on: {error}')
             outcome = await self._attempt_once(body, attempt_number)
             if isinstance(outcome, StreamResponse):
                 return outcome
--- a/mallowspindle/proxy/hops.py
+++ b/mallowspindle/proxy/hops.py
@@ -5,6 +5,7 @@
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.proxy.connections import SendState
 from mallowspindle.proxy.context import ProxyContext
+from mallowspindle.proxy.continuation import Continuation
 from mallowspindle.proxy.events import EventSplitter
 from mallowspindle.proxy.history import AttemptHistory
 from mallowspindle.proxy.messages import CallerRequest
@@ -29,6 +30,7 @@
         request: CallerRequest,
         relay: ResponseRelay,
         splitter: EventSplitter,
+        continuation: Continuation,
         history: AttemptHistory,
         exchange_log: ExchangeLog,
     ) -> None:
@@ -37,6 +39,7 @@
         self._relay = relay
         self._splitter = splitter
         self._log = exchange_log
+        self._continuation = continuation
         self._history = history
         self._failed_connections = 0
 
@@ -68,7 +71,9 @@
         headers = context.http_codec.encode_relay(
             request, time_left_s, self._splitter.last_event_id
         )
-        headers.update(context.peers.sign(request.request_id))
+        headers.update(
+            context.peers.sign(request.request_id, self._continuation.origin)
+        )
         send_state = SendState()
         url = f'http://{peer.http_address}{request.target}'
         try:
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -6,6 +6,8 @@
 
 from multidict import CIMultiDict
 
+from mallowspindle.streams.records import StreamOrigin
+
 # Large enough that no two requests of a venture share a digest by chance.
 _FINGERPRINT_BYTES = 8
 
@@ -28,7 +30,8 @@
     of the stream that the caller takes up. ``organisation`` is the owner of the
     key and ``body`` the complete body, both unknown until the request is
     admitted. ``relayed_by`` is the peer that passed the request on, None if it
-    came from its caller.
+    came from its caller, and ``origin`` tells where its stream has begun, if it
+    has and the peer knows.
     """
 
     method: str
@@ -47,6 +50,7 @@
     organisation: str | None = None
     body: bytes = b''
     relayed_by: str | None = None
+    origin: StreamOrigin | None = None
 
     @cached_property
     def path(self) -> str:
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -103,7 +103,7 @@
     ) -> AttemptOutcome:
         """Return the outcome of a request that a peer has passed on.
 
-        The peer counts its use, and tells others of the stream.
+        The peer counts its use.
         """
         head = self._context.http_codec.decode_response_head(
             answer.status, answer.headers
@@ -116,12 +116,16 @@
             if body is None:
                 return Unknown(f'the answer has over {_MAX_BODY_BYTES} bytes')
             return PeerAnswered(head, body)
+        origin = self._context.peers.take_origin(head.headers)
         async for chunk in answer.content.iter_any():
+            self._usage_counted = True
             events = self._feed(chunk)
             if isinstance(events, Unknown):
                 answer.close()
                 return events
             if events:
+                if self._response is None:
+                    self._continuation.note_begun_at_peer(origin)
                 await self._write(head, events)
         await self._write(head, self._splitter.pending)
         return Relayed()
@@ -202,6 +206,12 @@
         try:
             if self._response is None:
                 response = replies.stream(head)
+                if self._request.relayed_by is not None:
+                    response.headers.update(
+                        self._context.peers.origin_headers(
+                            self._continuation.origin
+                        )
+                    )
                 await response.prepare(self._web_request)
                 self._response = response
             if events:
--- a/mallowspindle/proxy/state.py
+++ b/mallowspindle/proxy/state.py
@@ -85,7 +85,13 @@
             relay=relay,
             log=exchange_log,
             hop=PeerHop(
-                context, request, relay, splitter, history, exchange_log
+                context,
+                request,
+                relay,
+                splitter,
+                continuation,
+                history,
+                exchange_log,
             ),
             history=history,
         )
--- a/mallowspindle/tests/proxy/test_relayed_requests.py
+++ b/mallowspindle/tests/proxy/test_relayed_requests.py
@@ -11,6 +11,8 @@
 from mallowspindle.tests.proxy.nodes import CutVenture, Node
 
 _SLOW_S = 0.2
+_EVENT_PAUSE_S = 0.3
+_STREAMS = 12
 _PATIENCE_S = 3.0
 
 
@@ -99,6 +101,37 @@
     assert (_begun(venture) - before)['farm'] == 6
 
 
+@pytest.mark.parametrize('heals', [True, False])
+async def test_streams_begun_through_a_lost_peer_stay_at_their_version(
+    venture: CutVenture, heals: bool
+) -> None:
+    """Guards against events of two software versions in one answer.
+
+    The stream goes on at a server, or through another peer.
+    """
+    venture.set_versions(models_0='v1', models_1='v2')
+    await venture.set_faults('models', slow_events_s=_EVENT_PAUSE_S)
+    first = venture.nodes[0]
+    paths = [f'/letters/begun-{number}' for number in range(_STREAMS)]
+    calls = [asyncio.create_task(venture.send(first, path)) for path in paths]
+    await asyncio.sleep(0.05)
+    if heals:
+        venture.heal([first])
+        while 'models' in first.backends.not_reached():
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(1.2 * _EVENT_PAUSE_S)
+    for peer in venture.nodes[1:]:
+        peer.break_connections()
+    statuses = await asyncio.gather(*calls)
+    versions: dict[str, list[str]] = {}
+    for run in await venture.runs():
+        if run['target'] in paths:
+            versions.setdefault(run['target'], []).append(run['version'])
+    assert sum(len(found) > 1 for found in versions.values()) >= _STREAMS / 2
+    assert all(len(set(found)) == 1 for found in versions.values())
+    assert statuses.count(200) >= _STREAMS / 2
+
+
 def _begun(venture: CutVenture) -> Counter[str]:
     """Return the requests that all nodes count as begun, by organisation."""
     total: Counter[str] = Counter()
