--- a/mallowspindle/proxy/callers.py
+++ b/mallowspindle/proxy/callers.py
@@ -1,5 +1,6 @@
 """Server side of caller connections, with idle and request head timeouts."""
 
+import asyncio
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,8 @@
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
 )
 
+_CLOSE_POLL_INTERVAL_S = 0.01
+
 Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 
 
@@ -48,6 +51,18 @@
         self._serving = False
         self._idle_since_s = time.monotonic()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a whole request has been read.
+
+        What arrives from now on stays unread, so its caller knows that it has
+        not been handled.
+        """
+        # aiohttp waits for the next request only while there is none.
+        waiter = self._waiter
+        is_idle = waiter is not None and not waiter.done()
+        if is_idle and self.transport is not None:
+            self.transport.close()
+
     def close_if_timed_out(self, limits: CallerLimits) -> None:
         """Close the connection if its idle or head timeout has passed."""
         now_s = time.monotonic()
@@ -73,6 +88,20 @@
         """Return the protocol for a new connection."""
         return CallerConnection(self, loop=self._loop, **self._options)
 
+    async def close(self, timeout_s: float) -> None:
+        """Close idle connections at once, and the others once they are idle.
+
+        Those that are not within ``timeout_s`` are cut.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + timeout_s
+        while self.connections and loop.time() < ends_at_s:
+            for connection in list(self.connections):
+                cast(CallerConnection, connection).close_if_idle()
+            await asyncio.sleep(_CLOSE_POLL_INTERVAL_S)
+        # A time-out of zero would mean to wait for ever.
+        await self.shutdown(_CLOSE_POLL_INTERVAL_S)
+
     def close_timed_out(self, limits: CallerLimits) -> None:
         """Close all connections whose idle or head timeout has passed."""
         for connection in self.connections:
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -43,8 +43,8 @@
 # Fraction of the drain timeout reserved for closing connections and for the
 # exit of the interpreter, also on a VM that is short of CPU time.
 _SHUTDOWN_FRACTION = 0.1
-# How long open connections may take to close by themselves.
-_CONNECTION_CLOSE_TIMEOUT_S = 0.3
+# How long the last responses may take to be sent.
+_CONNECTION_CLOSE_TIMEOUT_S = 0.15
 _BACKLOG = 1024
 _DRAIN_RETRY_AFTER_S = 0.1
 
@@ -161,7 +161,7 @@
         for server in self._servers:
             server.close()
         if self._caller_server is not None:
-            await self._caller_server.shutdown(_CONNECTION_CLOSE_TIMEOUT_S)
+            await self._caller_server.close(_CONNECTION_CLOSE_TIMEOUT_S)
         await self._context.upstream.close()
 
     async def _listen_on(
--- /dev/null
+++ b/mallowspindle/tests/proxy/test_callers.py
@@ -0,0 +1,89 @@
+"""Connections of callers while the server closes them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp.web import BaseRequest, Response
+
+from mallowspindle.proxy.callers import CallerServer
+
+_REQUEST = b'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n'
+_CLOSE_TIMEOUT_S = 0.3
+# The operators tolerate requests that cross the close of their connection if it
+# ends within this time.
+_LOSS_SLACK_S = 0.2
+_PATIENCE_S = 2.0
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+@asynccontextmanager
+async def _serving(work_s: float) -> AsyncIterator[tuple[CallerServer, int]]:
+    """Serve requests, each for so long; yield the server and its port."""
+
+    async def handle(request: BaseRequest) -> Response:
+        await asyncio.sleep(work_s)
+        return Response(text='done')
+
+    server = CallerServer(handle)
+    listener = await asyncio.get_running_loop().create_server(
+        server, '127.0.0.1', 0
+    )
+    yield server, listener.sockets[0].getsockname()[1]
+    await server.shutdown(0.01)
+    listener.close()
+
+
+async def _ask(connection: Connection) -> bytes:
+    """Send a request and return the response; empty if there is none."""
+    reader, writer = connection
+    try:
+        writer.write(_REQUEST)
+        async with asyncio.timeout(_PATIENCE_S):
+            head = await reader.readuntil(b'\r\n\r\n')
+            return head + await reader.readexactly(len('done'))
+    except (OSError, asyncio.IncompleteReadError):
+        return b''
+
+
+@pytest.mark.parametrize('sent_after_s', [0.02, 0.05, 0.09])
+async def test_requests_on_kept_connections_are_not_read_and_dropped(
+    sent_after_s: float,
+) -> None:
+    """Guards against callers who wait for an answer that never comes."""
+    loop = asyncio.get_running_loop()
+    async with _serving(0) as (server, port):
+        kept = await asyncio.open_connection('127.0.0.1', port)
+        assert await _ask(kept)
+        closing = asyncio.create_task(server.close(_CLOSE_TIMEOUT_S))
+        await asyncio.sleep(sent_after_s)
+        sent_at_s = loop.time()
+        answer = await _ask(kept)
+        assert answer or loop.time() - sent_at_s < _LOSS_SLACK_S / 2
+        await closing
+        kept[1].close()
+
+
+async def test_requests_in_progress_are_answered_before_the_close() -> None:
+    async with _serving(0.1) as (server, port):
+        connection = await asyncio.open_connection('127.0.0.1', port)
+        asked = asyncio.create_task(_ask(connection))
+        await asyncio.sleep(0.05)
+        await server.close(_CLOSE_TIMEOUT_S)
+        assert b'200 OK' in await asked
+        connection[1].close()
+
+
+async def test_requests_that_last_longer_do_not_delay_the_close() -> None:
+    loop = asyncio.get_running_loop()
+    async with _serving(5) as (server, port):
+        connection = await asyncio.open_connection('127.0.0.1', port)
+        asked = asyncio.create_task(_ask(connection))
+        await asyncio.sleep(0.05)
+        began_at_s = loop.time()
+        await server.close(_CLOSE_TIMEOUT_S)
+        assert loop.time() - began_at_s < 2 * _CLOSE_TIMEOUT_S
+        assert await asked == b''
+        connection[1].close()
