--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -148,7 +148,10 @@
         )
 
     async def prepare_drain(self) -> None:
-        """Notify the peers that this node is leaving."""
+        """Notify the peers that this node is leaving.
+
+        Only those that are live are waited for.
+        """
         self.update(leaving=True)
         await self._send_round()
 
@@ -205,20 +208,32 @@
         send_all = _full_sync_is_due(len(self._table), self._peers)
         watchers = self._watchers()
         sends = [
-            self._send(
-                self.link(info),
+            (
                 info.name,
-                self._heartbeat(info.name, send_all=send_all, regular=True),
+                self._send(
+                    self.link(info),
+                    info.name,
+                    self._heartbeat(info.name, send_all=send_all, regular=True),
+                ),
             )
             for info in watchers
         ]
         sends.extend(
-            self._send(link, name, self._heartbeat(name, send_all=send_all))
+            (
+                name,
+                self._send(
+                    link, name, self._heartbeat(name, send_all=send_all)
+                ),
+            )
             for name, link in self._extra_links(watchers)
         )
-        tasks = [self._tasks.spawn(send, 'heartbeat') for send in sends]
-        if wait and tasks:
-            await asyncio.wait(tasks)
+        live = {info.name for info in self._table.live()}
+        tasks = {
+            self._tasks.spawn(send, 'heartbeat'): name for name, send in sends
+        }
+        awaited = [task for task, name in tasks.items() if name in live]
+        if wait and awaited:
+            await asyncio.wait(awaited)
 
     def _watchers(self) -> list[MemberInfo]:
         """Return the members that are to notice if this node falls silent.
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -37,8 +37,9 @@
 # configured timeouts of some seconds.
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 # Callers use an address for a few seconds after it is no longer published, so a
-# draining node accepts requests for this long.
-_ADDRESS_RETENTION_S = 3.0
+# node accepts requests for this long after it was told to stop. Requests that
+# callers send later than 3 s after that must not be cut.
+_ADDRESS_RETENTION_S = 2.9
 _DRAIN_POLL_INTERVAL_S = 0.05
 # Fraction of the drain timeout reserved for closing connections and for the
 # exit of the interpreter, also on a VM that is short of CPU time.
@@ -81,8 +82,9 @@
         self._caller_server: CallerServer | None = None
         self._tasks = BackgroundTasks()
         self._open_requests = 0
-        self._draining = False
-        self._refusing = False
+        # On the clock of the event loop; None until the node is told to stop.
+        self._drain_began_at_s: float | None = None
+        self._refuses_from_s = float('inf')
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
@@ -102,10 +104,15 @@
     def ready(self) -> bool:
         """Whether this node is ready for requests."""
         return (
-            not self._draining
+            self._drain_began_at_s is None
             and self._context.catalog.configuration is not None
         )
 
+    @property
+    def _refusing(self) -> bool:
+        """Whether this node refuses all requests, since it stops soon."""
+        return asyncio.get_running_loop().time() >= self._refuses_from_s
+
     def listen_addresses(self) -> dict[str, str | int]:
         """Return the addresses that this node listens on, by name."""
         peers = self._membership.own.peer_address
@@ -139,17 +146,27 @@
 
     async def prepare_drain(self) -> None:
         """Report this node as not ready; membership informs the peers."""
-        self._draining = True
+        self._drain_began_at_s = asyncio.get_running_loop().time()
+        self._refuses_from_s = self._drain_began_at_s + _ADDRESS_RETENTION_S
 
     async def drain(self, timeout_s: float) -> None:
         """Accept requests for a while, then finish those in progress."""
         loop = asyncio.get_running_loop()
-        began_at_s = loop.time()
-        log.info('draining', extra={'open_requests': self._open_requests})
-        ends_at_s = began_at_s + request_drain_time_s(timeout_s)
-        refuses_at_s = min(began_at_s + _ADDRESS_RETENTION_S, ends_at_s)
+        now_s = loop.time()
+        began_at_s = self._drain_began_at_s
+        if began_at_s is None:
+            began_at_s = now_s
+        log.info(
+            'draining',
+            extra={
+                'open_requests': self._open_requests,
+                'asked_s_ago': round(now_s - began_at_s, 3),
+            },
+        )
+        whole_time_s = now_s + timeout_s - began_at_s
+        ends_at_s = began_at_s + request_drain_time_s(whole_time_s)
+        self._refuses_from_s = min(self._refuses_from_s, ends_at_s)
         while loop.time() < ends_at_s:
-            self._refusing = loop.time() >= refuses_at_s
             if self._refusing and not self._open_requests:
                 break
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
@@ -188,7 +205,7 @@
             connection.mark_request_finished()
         requests_total.add(1, {'status': response.status})
         request_duration.record(loop.time() - began_at_s)
-        if self._draining:
+        if self._drain_began_at_s is not None:
             response.force_close()
         return response
 
--- a/mallowspindle/tests/membership/test_mesh.py
+++ b/mallowspindle/tests/membership/test_mesh.py
@@ -1,6 +1,7 @@
 """Members on loopback: how they join, stop and detect lost ones."""
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -28,6 +29,8 @@
 # Two heartbeats of the returning node.
 RETURN_TIMEOUT_S = 1.0
 MAX_CLOCK_ERROR_S = 0.5
+# A live peer answers within milliseconds.
+MAX_ANNOUNCEMENT_S = 0.5
 # Ten times the table of 24 members, and 5 s of heartbeats.
 MAX_JOINING_BYTES = 24 * 150 * 10 + 5 * 5_000
 
@@ -94,6 +97,24 @@
         await member.stop()
 
 
+async def test_a_lost_member_does_not_delay_a_planned_stop() -> None:
+    """Guards against a drain that waits for a machine that was removed."""
+    with socket.create_server(('127.0.0.1', 0)) as silent:
+        host, port = silent.getsockname()[:2]
+        async with _mesh(3) as members:
+            first, *_ = members
+            gone = replace(
+                first.own, name='gone', peer_address=f'{host}:{port}', beat=9
+            )
+            first.table.merge(gone)
+            member = first.table.find('gone')
+            assert member is not None
+            member.lost = True
+            began_at_s = time.monotonic()
+            await first.prepare_drain()
+            assert time.monotonic() - began_at_s < MAX_ANNOUNCEMENT_S
+
+
 async def test_nodes_without_processor_time_report_no_losses(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
