SIGHUP and SIGTERM are handled while a node starts

An operator's SIGHUP ended a process that was still starting, and a SIGTERM in that time was acted on only after the start, whose wait for the store counted as time of the drain.

Cause: the handler of SIGHUP came last, and the stop signal was looked at only after the start. SIGHUP is now ignored before the settings are read and remembered until the file is watched; a SIGTERM ends the start, and the time for the drain counts from the signal.

--- a/mallowspindle/daemon.py
+++ b/mallowspindle/daemon.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 import uvloop
@@ -29,6 +30,9 @@
 
 def main() -> None:
     """Run ``mallowspindled``."""
+    # Without a handler, SIGHUP would end a process that is still starting. The
+    # settings are read later, so nothing is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path, check_only = _read_arguments()
     try:
         config = load_settings(path)
@@ -86,15 +90,20 @@
         interfaces[config.node.interface]().load_services()
         kernel = Kernel(config)
     watcher = SettingsWatcher(path, config, load_settings, kernel.reload)
-    stop_signal = _watch_stop_signals()
+    watcher.listen()
+    stop_signal = StopSignal()
+    stop_signal.listen()
     try:
-        await kernel.start()
+        started = await _start(kernel, stop_signal)
     except KernelError as error:
         log.error('not started: %s', error)
         sys.exit(_INVALID_SETTINGS)
-    _log_listen_addresses(kernel)
-    watcher.start()
-    drain_s = await _wait_for_stop(kernel, stop_signal)
+    if started:
+        _log_listen_addresses(kernel)
+        watcher.start()
+        drain_s = await _wait_for_stop(kernel, stop_signal)
+    else:
+        drain_s = await _wait_for_signal(stop_signal, kernel)
     await kernel.drain(drain_s)
     await watcher.stop()
     await kernel.stop()
@@ -108,15 +117,52 @@
     log.info('started', extra={'announced': kernel.listen_addresses()})
 
 
-def _watch_stop_signals() -> asyncio.Event:
-    loop = asyncio.get_running_loop()
-    stop_signal = asyncio.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop_signal.set)
-    return stop_signal
+class StopSignal:
+    """Whether and when this process was asked to stop."""
 
+    def __init__(self) -> None:
+        self._received = asyncio.Event()
+        self._received_at_s = 0.0
 
-async def _wait_for_stop(kernel: Kernel, stop_signal: asyncio.Event) -> float:
+    @property
+    def age_s(self) -> float:
+        """Seconds since the signal."""
+        return time.monotonic() - self._received_at_s
+
+    def listen(self) -> None:
+        """Wait for SIGTERM and SIGINT from now on."""
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self._note)
+
+    async def wait(self) -> None:
+        """Wait for the first signal."""
+        await self._received.wait()
+
+    def _note(self) -> None:
+        if not self._received.is_set():
+            self._received_at_s = time.monotonic()
+            self._received.set()
+
+
+async def _start(kernel: Kernel, stop_signal: StopSignal) -> bool:
+    """Start all services; return False if a signal ends the start before."""
+    starting = asyncio.create_task(kernel.start())
+    stopping = asyncio.create_task(stop_signal.wait())
+    await asyncio.wait(
+        {starting, stopping}, return_when=asyncio.FIRST_COMPLETED
+    )
+    stopping.cancel()
+    if not starting.done():
+        starting.cancel()
+        await asyncio.wait({starting})
+    if starting.cancelled():
+        return False
+    starting.result()
+    return True
+
+
+async def _wait_for_stop(kernel: Kernel, stop_signal: StopSignal) -> float:
     """Wait for a signal or a reclaim notice.
 
     Return the seconds that are left to drain.
@@ -133,10 +179,10 @@
     return done.pop().result()
 
 
-async def _wait_for_signal(stop_signal: asyncio.Event, kernel: Kernel) -> float:
+async def _wait_for_signal(stop_signal: StopSignal, kernel: Kernel) -> float:
     await stop_signal.wait()
     log.info('asked to stop')
-    return kernel.config.drain_timeout_s
+    return max(0, kernel.config.drain_timeout_s - stop_signal.age_s)
 
 
 if __name__ == '__main__':
--- a/mallowspindle/reloading.py
+++ b/mallowspindle/reloading.py
@@ -38,10 +38,13 @@
         self._reload_requested = asyncio.Event()
         self._tasks = BackgroundTasks()
 
-    def start(self) -> None:
-        """Start watching the file."""
+    def listen(self) -> None:
+        """Remember SIGHUP until the file is watched."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
+
+    def start(self) -> None:
+        """Start watching the file."""
         self._tasks.spawn(self._watch(), 'settings file')
 
     async def stop(self) -> None:
