--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -207,33 +207,29 @@
         self.update(beat=self._info.beat + 1)
         send_all = _full_sync_is_due(len(self._table), self._peers)
         watchers = self._watchers()
-        sends = [
-            (
-                info.name,
-                self._send(
-                    self.link(info),
-                    info.name,
-                    self._heartbeat(info.name, send_all=send_all, regular=True),
-                ),
-            )
-            for info in watchers
+        links = [
+            *((info.name, self.link(info)) for info in watchers),
+            *self._extra_links(watchers),
         ]
-        sends.extend(
-            (
-                name,
+        tasks = [
+            self._tasks.spawn(
                 self._send(
-                    link, name, self._heartbeat(name, send_all=send_all)
+                    link,
+                    name,
+                    self._heartbeat(
+                        name,
+                        send_all=send_all,
+                        regular=position < len(watchers),
+                    ),
                 ),
+                f'heartbeat to {name}',
             )
-            for name, link in self._extra_links(watchers)
-        )
-        live = {info.name for info in self._table.live()}
-        tasks = {
-            self._tasks.spawn(send, 'heartbeat'): name for name, send in sends
-        }
-        awaited = [task for task, name in tasks.items() if name in live]
-        if wait and awaited:
-            await asyncio.wait(awaited)
+            for position, (name, link) in enumerate(links)
+        ]
+        if wait:
+            live = {f'heartbeat to {info.name}' for info in self._table.live()}
+            awaited = [task for task in tasks if task.get_name() in live]
+            await asyncio.gather(*awaited, return_exceptions=True)
 
     def _watchers(self) -> list[MemberInfo]:
         """Return the members that are to notice if this node falls silent.
--- a/mallowspindle/tests/membership/test_mesh.py
+++ b/mallowspindle/tests/membership/test_mesh.py
@@ -102,7 +102,7 @@
     with socket.create_server(('127.0.0.1', 0)) as silent:
         host, port = silent.getsockname()[:2]
         async with _mesh(3) as members:
-            first, *_ = members
+            first = members[0]
             gone = replace(
                 first.own, name='gone', peer_address=f'{host}:{port}', beat=9
             )
