--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -10,6 +10,7 @@
     DutyRecord,
     Release,
     Renewal,
+    WrittenIn,
     duties_codec,
 )
 from mallowspindle.log.errors import (
@@ -21,7 +22,7 @@
 from mallowspindle.log.positions import era_of
 from mallowspindle.log.records import LogPage
 from mallowspindle.sharing.messages import LeaseUpdate
-from mallowspindle.utils.clock import boot_clock_s
+from mallowspindle.utils.clock import SharedClock, boot_clock_s
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
@@ -48,14 +49,18 @@
         incarnation: int,
         lease_s: float,
         clock: Callable[[], float] = boot_clock_s,
+        shared_clock: SharedClock | None = None,
     ) -> None:
         self._log = source
         self._node = node
         self._incarnation = incarnation
         self._lease_s = lease_s
         self._clock = clock
+        self._shared_clock = shared_clock or SharedClock()
         self._state = DutyState()
         self._next_offset: int | None = None
+        # The newest era that was read, and the Unix time of its first read.
+        self._era_read: WrittenIn | None = None
         self._holder_seen_at_s = clock()
         self._renewed_at_s = 0.0
         self._own_tenure: Tenure | None = None
@@ -67,6 +72,19 @@
         """The state that results from the records read so far."""
         return self._state
 
+    @property
+    def has_lost_nothing_since_s(self) -> float:
+        """Unix time since when the log has certainly lost no record.
+
+        Until then it may have come back from an older copy, also unseen by this
+        node. Infinite before the first read.
+        """
+        read = self._era_read
+        if read is None:
+            return float('inf')
+        logged_at_s = self._state.has_lost_nothing_since_s(read.era)
+        return read.at_s if logged_at_s is None else min(read.at_s, logged_at_s)
+
     @property
     def valid_tenure(self) -> Tenure | None:
         """This node's tenure; None if it may not act as the holder now."""
@@ -140,7 +158,7 @@
         """Claim the lease if no holder is active; return whether it did."""
         if await self.catch_up():
             return False
-        claim = Claim(self._node, self._incarnation)
+        claim = Claim(self._node, self._incarnation, self._written())
         offset = await self._append(claim)
         if offset is None:
             return False
@@ -154,7 +172,8 @@
             return
         age_s = self._clock() - self._renewed_at_s
         if age_s >= self._lease_s * _RENEW_FRACTION:
-            await self._append(Renewal(self._own_tenure.fencing_number))
+            number = self._own_tenure.fencing_number
+            await self._append(Renewal(number, self._written()))
 
     async def append(self, record: DutyRecord) -> bool:
         """Append a record as the holder; return whether it was logged."""
@@ -212,10 +231,21 @@
                 self._skip_to(error.first_offset)
                 continue
             self._next_offset = page.next_offset
+            self._note_era(era_of(page.next_offset))
             yield page
             if page.next_offset >= page.end_offset:
                 return
 
+    def _note_era(self, era: int) -> None:
+        if self._era_read is None or era > self._era_read.era:
+            self._era_read = WrittenIn(era, self._shared_clock.now_s())
+
+    def _written(self) -> WrittenIn | None:
+        """Return when and in which era a record is written now."""
+        if self._era_read is None or self._shared_clock.is_settling:
+            return None
+        return WrittenIn(self._era_read.era, self._shared_clock.now_s())
+
     def _skip_to(self, offset: int) -> None:
         """Continue to read at ``offset``; a new era ends an own tenure."""
         if self._next_offset and era_of(offset) > era_of(self._next_offset):
--- a/mallowspindle/duties/ledger.py
+++ b/mallowspindle/duties/ledger.py
@@ -8,6 +8,7 @@
     Release,
     Renewal,
     UsageReport,
+    WrittenIn,
 )
 
 # Logged windows that are kept, so that a new holder can send them again.
@@ -30,6 +31,7 @@
     def __init__(self) -> None:
         self._tenure: Tenure | None = None
         self._reports: dict[int, dict[str, int]] = {}
+        self._earliest: WrittenIn | None = None
 
     @property
     def tenure(self) -> Tenure | None:
@@ -41,8 +43,21 @@
         """The logged counts by window."""
         return self._reports
 
+    def has_lost_nothing_since_s(self, era: int) -> float | None:
+        """Return since when the log has certainly lost no record.
+
+        It is the time at which the first record in its ``era`` was written;
+        None if no record tells.
+        """
+        earliest = self._earliest
+        if earliest is None or earliest.era != era:
+            return None
+        return earliest.at_s
+
     def fold(self, offset: int, record: DutyRecord) -> bool:
         """Apply a record; return whether it shows an active holder."""
+        if isinstance(record, Claim | Renewal) and record.written is not None:
+            self._note_written(record.written)
         match record:
             case Claim(holder=holder, incarnation=incarnation):
                 self._tenure = Tenure(holder, incarnation, offset)
@@ -58,6 +73,13 @@
                 return self._is_current(number)
         return False
 
+    def _note_written(self, written: WrittenIn) -> None:
+        earliest = self._earliest
+        if earliest is None or written.era > earliest.era:
+            self._earliest = written
+        elif written.era == earliest.era and written.at_s < earliest.at_s:
+            self._earliest = written
+
     def _is_current(self, fencing_number: int) -> bool:
         tenure = self._tenure
         return tenure is not None and tenure.fencing_number == fencing_number
--- a/mallowspindle/duties/records.py
+++ b/mallowspindle/duties/records.py
@@ -8,13 +8,28 @@
 duties_codec = Codec('duty record')
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenIn:
+    """The era of the log in which a record was written, and the Unix time.
+
+    The log came back to this era before ``at_s``.
+    """
+
+    era: int
+    at_s: float
+
+
 @duties_codec.register('claim')
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A node claims the lease; the record's offset is its fencing number."""
+    """A node claims the lease; the record's offset is its fencing number.
+
+    ``written`` is None if the writer's time of day is not certain yet.
+    """
 
     holder: str
     incarnation: int
+    written: WrittenIn | None = None
 
 
 @duties_codec.register('renewal')
@@ -23,6 +38,7 @@
     """The holder renews the lease."""
 
     fencing_number: int
+    written: WrittenIn | None = None
 
 
 @duties_codec.register('release')
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -65,11 +65,18 @@
         self._section = section
         self._duties = duties
         self._catalog = catalog
-        self._followed_restore_at_s = 0.0
+        # None until the lease's stream was read for the first time.
+        self._followed_restore_at_s: float | None = None
         self._sharing = sharing
         self._own = own
         self._usage_exchange = UsageExchange(sharing, usage)
-        self._lease = Lease(source, own.name, own.incarnation, section.lease_s)
+        self._lease = Lease(
+            source,
+            own.name,
+            own.incarnation,
+            section.lease_s,
+            shared_clock=sharing.membership.clock,
+        )
         self._fleet = FleetController(catalog, duties, backends.demand)
         self._fleet_fencing_number: int | None = None
         self._claimed_at_s = 0.0
@@ -207,7 +214,9 @@
         A former holder may have sent it, and other counts must not follow.
         """
         ended_at_s = (window + 1) * self._section.usage_window_s
-        return ended_at_s <= self._catalog.restored_at_s
+        return ended_at_s <= max(
+            self._catalog.restored_at_s, self._lease.has_lost_nothing_since_s
+        )
 
     async def _send_usage(self) -> None:
         for window, counts in sorted(self._lease.state.reports.items()):
--- a/mallowspindle/tests/duties/test_lease.py
+++ b/mallowspindle/tests/duties/test_lease.py
@@ -3,10 +3,17 @@
 import pytest
 
 from mallowspindle.duties.lease import Lease
-from mallowspindle.duties.records import UsageReport
+from mallowspindle.duties.ledger import DutyState
+from mallowspindle.duties.records import (
+    Claim,
+    Renewal,
+    UsageReport,
+    WrittenIn,
+)
 from mallowspindle.log.errors import AppendUncertain, LogError
 from mallowspindle.tests.catalog.fakes import FakeLog
 from mallowspindle.tests.clock import FakeClock
+from mallowspindle.utils.clock import SharedClock
 
 LEASE_S = 3.0
 
@@ -202,6 +209,51 @@
     assert one.valid_tenure is not None
 
 
+async def test_a_new_process_knows_since_when_the_log_has_lost_nothing() -> (
+    None
+):
+    """Guards against windows that are reported again after a restored store.
+
+    Only former processes have seen the return; the log tells of it.
+    """
+    log, clock = FakeLog(), FakeClock()
+    shared_clock = SharedClock(clock, clock)
+    clock.advance(20)
+    holder = Lease(log, 'one', 1, LEASE_S, clock, shared_clock)
+    await holder.claim()
+    claimed_at_s = clock()
+    clock.advance(LEASE_S / 2)
+    await holder.renew()
+    clock.advance(5)
+    started = Lease(log, 'two', 1, LEASE_S, clock, shared_clock)
+    assert started.has_lost_nothing_since_s == float('inf')
+    await started.catch_up()
+    assert started.has_lost_nothing_since_s == claimed_at_s
+
+
+async def test_records_without_their_era_tell_nothing_of_a_return() -> None:
+    """They are of an older build, or of a node whose time is not certain."""
+    log, clock = FakeLog(), FakeClock()
+    settling = SharedClock(clock, clock)
+    await Lease(log, 'one', 1, LEASE_S, clock, settling).claim()
+    clock.advance(5)
+    started = Lease(log, 'two', 1, LEASE_S, clock, settling)
+    await started.catch_up()
+    assert started.has_lost_nothing_since_s == clock()
+
+
+def test_records_of_a_former_era_tell_nothing_of_the_present_one() -> None:
+    state = DutyState()
+    state.fold(1, Claim('one', 1, WrittenIn(1, 100)))
+    assert state.has_lost_nothing_since_s(1) == 100
+    state.fold(2, Renewal(1, WrittenIn(2, 130)))
+    state.fold(3, Renewal(1, WrittenIn(2, 131)))
+    state.fold(4, Renewal(1, WrittenIn(1, 90)))
+    assert state.has_lost_nothing_since_s(1) is None
+    assert state.has_lost_nothing_since_s(2) == 130
+    assert state.has_lost_nothing_since_s(3) is None
+
+
 async def test_a_successor_knows_the_logged_usage() -> None:
     log, clock = FakeLog(), FakeClock()
     one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
