Odd entries of servers are refused at the border, and stop no follower

One entry of another writer with a port out of range turned 9 in 10 requests of its service into 500s, as did a host of dots alone; numbers too large for a message to peers, and ids that fit into no header, were taken as well.

Cause: the wire leaves the range of ports, addresses, numbers and names open, and the entry's model checked their form only, so that the first error came from the HTTP client or the peers' codec, of a kind that nobody there expects.

Endpoints, names, counts and durations are types now (platform/fields.py) that the border checks; an entry outside of them names no server, and the others hold. A record that raises any other error is logged and skipped, where it stopped the follower before: it read the same record for ever.

--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -276,9 +276,24 @@
             if known is not None and known.offset >= record.offset:
                 continue
             self._records[record.key] = record
-            if self._fold(record):
+            if self._fold_safely(record):
                 self._changes[record.key] = record
 
+    def _fold_safely(self, record: KeyedRecord) -> bool:
+        """Apply a record; one that raises an error does not stop the others."""
+        try:
+            return self._fold(record)
+        except Exception:
+            log.exception(
+                'record skipped',
+                extra={
+                    'stream': self._stream,
+                    'key': record.key,
+                    'offset': record.offset,
+                },
+            )
+            return False
+
 
 def _error_field(error: Exception) -> dict[str, str]:
     return {'error': str(error)}
--- a/mallowspindle/platform/servers.py
+++ b/mallowspindle/platform/servers.py
@@ -1,9 +1,24 @@
 """Decoding of backend server entries."""
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    TypeAdapter,
+    ValidationError,
+)
 
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.platform.errors import DecodeError
+from mallowspindle.platform.fields import (
+    Duration,
+    Endpoint,
+    Identifier,
+    Name,
+    PositiveCount,
+    Text,
+    WholeNumber,
+)
 
 _KNOWN_STATES = frozenset(('ready', 'draining'))
 _MS = 1000
@@ -14,32 +29,36 @@
 
 
 class _LoadedModel(_Model):
-    version: int = 1
+    version: WholeNumber = 1
 
 
 class _ServerEntry(_Model):
-    service: str = Field(min_length=1, strict=True)
-    address: str = Field(pattern=r'^[0-9.]+:\d+$', strict=True)
-    zone: str = Field(strict=True)
-    slots: int = Field(ge=1, strict=True)
-    state: str = Field(strict=True)
+    service: Name
+    address: Endpoint
+    zone: Text
+    slots: PositiveCount
+    state: Text
     # Version of the server's software; that of the weights is in ``models``.
-    version: str = Field('', strict=True)
+    version: Text = ''
     # Milliseconds until the server is warm; it is slow until then.
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: Duration = 0
     # Start time of the server, in Unix milliseconds.
-    born: int = 0
-    spot: bool = False
+    born: WholeNumber = 0
+    spot: bool = Field(False, strict=True)
     models: list[_LoadedModel] = Field(default_factory=list)
 
 
+_server_id = TypeAdapter(Identifier)
+
+
 def decode_server(server_id: str, value: bytes) -> BackendServer:
     """Decode a server entry; raise ``DecodeError`` if it is invalid."""
     try:
+        _server_id.validate_python(server_id)
         entry = _ServerEntry.model_validate_json(value)
     except ValidationError as error:
         raise DecodeError(
-            f'invalid entry of server {server_id}: {error}'
+            f'invalid entry of server {server_id!r}: {error}'
         ) from error
     if entry.state not in _KNOWN_STATES:
         raise DecodeError(
--- a/mallowspindle/tests/catalog/test_following.py
+++ b/mallowspindle/tests/catalog/test_following.py
@@ -204,3 +204,24 @@
     assert update.base is not None
     assert not node.follower.has_gap
     assert node.state == {'one': b'8'}
+
+
+async def test_a_record_that_raises_an_error_does_not_stop_the_others() -> None:
+    """Guards against a follower that reads the same odd record for ever."""
+    log = FakeLog()
+    node = Node(log)
+
+    def fold(record: KeyedRecord) -> bool:
+        if record.value == b'odd':
+            raise OverflowError('too large')
+        node.state[record.key] = record.value
+        return True
+
+    follower = StreamFollower(STREAM, log, decode_keyed, fold)
+    log.put(STREAM, 'one', b'odd')
+    log.put(STREAM, 'two', b'1')
+    await follower.read()
+    log.put(STREAM, 'one', b'2')
+    await follower.read()
+    assert node.state == {'one': b'2', 'two': b'1'}
+    assert not follower.has_gap
