Numbers in headers have a range, and targets no fragment

A caller got 500 in place of 400 for a time limit or a number of tokens of thousands of digits, a negative number of tokens gave quota back, and an answer was lost, after the request had run, for an absurd number in its load header.

Cause: Python converts no text of more than 4300 digits, which raises where nobody expects it, and a time limit of 400 digits fits into no float. A target with a fragment reached the server without it.

Numbers are whole, not negative and of up to 12 digits; of callers, others are a 400 with the header's name, of servers they are ignored. The store's era has up to 6 digits, so that positions fit into messages to peers.

--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -29,6 +29,9 @@
 _MAX_PAUSE_S = 3600.0
 # Callers accept at most this many addresses.
 _MAX_ADDRESSES = 64
+# Longer numbers are out of every range; they are neither converted nor added.
+_MAX_DIGITS = 12
+_MAX_SHOWN_CHARS = 80
 _AUTH_SCHEME = 'token '
 
 # Headers that apply to one connection and are never forwarded.
@@ -87,6 +90,9 @@
         host = headers.get('Host')
         if not request_id or not host:
             raise BadRequest('a request needs an id and a host')
+        if '#' in target:
+            # It would not reach the server.
+            raise BadRequest('a request has no fragment')
         prompt_tokens, output_tokens = _decode_token_count(headers)
         return CallerRequest(
             method=method,
@@ -214,38 +220,53 @@
     text = headers.get(name)
     if text is None:
         return None
-    try:
-        return int(text)
-    except ValueError as error:
-        raise BadRequest(f'{name} is no whole number: {text!r}') from error
+    number = _whole_number(text)
+    if number is None:
+        raise BadRequest(f'{name} is no whole number: {_shortened(text)}')
+    return number
+
+
+def _whole_number(text: str) -> int | None:
+    """Return the number; None if it is none, negative or out of range."""
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= _MAX_DIGITS else None
+
+
+def _shortened(text: str) -> str:
+    return repr(text[:_MAX_SHOWN_CHARS])
 
 
 def _decode_token_count(headers: Mapping[str, str]) -> tuple[int | None, int]:
     text = headers.get('Token-Count')
     if text is None:
         return None, 0
-    try:
-        prompt_tokens, output_tokens = map(int, text.split(','))
-    except ValueError as error:
-        raise BadRequest(f'unreadable count of tokens: {text!r}') from error
+    prompt_text, separator, output_text = text.partition(',')
+    prompt_tokens = _whole_number(prompt_text.strip())
+    output_tokens = _whole_number(output_text.strip())
+    if not separator or prompt_tokens is None or output_tokens is None:
+        raise BadRequest(f'unreadable count of tokens: {_shortened(text)}')
     return prompt_tokens, output_tokens
 
 
 def _decode_prompt_parts(text: str) -> Iterator[PromptPart]:
     for entry in filter(None, text.split(',')):
-        part_id, _, tokens = entry.strip().partition(':')
-        if not tokens.isdecimal():
-            raise BadRequest(f'unreadable part of a prompt: {entry!r}')
-        yield PromptPart(part_id, int(tokens))
+        part_id, _, text = entry.strip().partition(':')
+        tokens = _whole_number(text)
+        if tokens is None:
+            raise BadRequest(
+                f'unreadable part of a prompt: {_shortened(entry)}'
+            )
+        yield PromptPart(part_id, tokens)
 
 
 def _decode_load(text: str) -> tuple[int | None, int | None]:
     """Return the running and waiting counts; None if absent or malformed."""
-    running, _, remainder = text.partition(',')
-    waiting = remainder.partition(',')[0]
-    if not (running.isdecimal() and waiting.isdecimal()):
+    running_text, _, remainder = text.partition(',')
+    running = _whole_number(running_text)
+    waiting = _whole_number(remainder.partition(',')[0])
+    if running is None or waiting is None:
         return None, None
-    return int(running), int(waiting)
+    return running, waiting
 
 
 def _decode_limit(headers: Mapping[str, str]) -> StatedLimit | None:
@@ -303,6 +324,6 @@
         until_s = parsedate_to_datetime(http_date).timestamp()
         if sent_at is not None:
             return until_s - parsedate_to_datetime(sent_at).timestamp()
-    except ValueError:
+    except (ValueError, OverflowError):
         return math.nan
     return until_s - time.time()
--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -55,6 +55,8 @@
 # A whole number that rises by one each time the store comes back from an older
 # copy. Older platforms do not send it.
 _ERA_HEADER = 'Store-Era'
+# Positions of larger eras would not fit into messages to peers.
+_MAX_ERA_DIGITS = 6
 _MAX_PAGES = 200
 
 
@@ -227,9 +229,11 @@
         """
         if text is None:
             return self._era
-        if not text.isdecimal():
+        is_number = text.isascii() and text.isdecimal()
+        if not is_number or len(text) > _MAX_ERA_DIGITS:
             raise LogError(
-                f'expected a whole number in {_ERA_HEADER}, found {text!r}'
+                f'expected a whole number of up to {_MAX_ERA_DIGITS} digits '
+                f'in {_ERA_HEADER}, found {text!r}'
             )
         era = int(text)
         if era < self._era:
--- a/mallowspindle/proxy/connections.py
+++ b/mallowspindle/proxy/connections.py
@@ -26,11 +26,13 @@
 
     ``sent`` is whether any byte of it may have been sent, ``responding`` whether
     the head of a response to it has arrived. The head counts even if the
-    connection is lost before it is processed.
+    connection is lost before it is processed. ``sent_before`` is whether an
+    earlier attempt has sent the request to the same server.
     """
 
     sent: bool = False
     responding: bool = False
+    sent_before: bool = False
 
 
 # The state of the request that the current task sends.
@@ -40,7 +42,7 @@
 # is seldom sent on a connection that the server is closing. A connection with a
 # shorter or equal server timeout (Keep-Alive header) is not reused.
 IDLE_TIMEOUT_S = 4.0
-_KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
+_KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=([0-9]{1,9})')
 
 
 # A connection whose other end acknowledges nothing is ended after this time, so
--- a/mallowspindle/tests/platform/test_codec.py
+++ b/mallowspindle/tests/platform/test_codec.py
@@ -8,6 +8,8 @@
 from mallowspindle.proxy.messages import Dispatch, PromptPart, StatedLimit
 
 CODEC = PlatformHttpCodec()
+# Python converts no numbers of more than 4300 digits.
+_HUGE = '9' * 5000
 REQUIRED_HEADERS = {'Host': 'shop.example', 'Request-Id': 'r1'}
 
 
@@ -46,6 +48,15 @@
         {'Token_Count': '5'},
         {'Token_Count': 'a,b'},
         {'Prompt_Prefix': '5c'},
+        {'Prompt_Prefix': f'5c:{_HUGE}'},
+        {'Deadline_Ms': _HUGE},
+        {'Deadline_Ms': '9' * 400},
+        {'Deadline_Ms': '-5'},
+        {'Deadline_Ms': '1_000'},
+        {'Length_Hint': _HUGE},
+        {'Token_Count': f'{_HUGE},80'},
+        {'Token_Count': '-1000,80'},
+        {'Token_Count': '1,2,3'},
         {'Request_Id': ''},
     ],
 )
@@ -54,6 +65,12 @@
         CODEC.decode_request('GET', '/', _headers(**changes))
 
 
+def test_a_target_with_a_fragment_is_refused() -> None:
+    """Guards against a server that gets another target than the caller sent."""
+    with pytest.raises(BadRequest):
+        CODEC.decode_request('GET', '/a#b', _headers())
+
+
 def test_reserved_headers_of_callers_are_not_forwarded() -> None:
     request = CODEC.decode_request(
         'POST',
@@ -165,3 +182,29 @@
     headers = CIMultiDictProxy(CIMultiDict({'Retry-After': text}))
     head = PlatformHttpCodec().decode_response_head(status, headers)
     assert head.pause_s == pytest.approx(pause_s)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'Server_Load': f'{_HUGE},1,8'},
+        {'Server_Load': f'1,{_HUGE},8'},
+        {'Server_Load': '\u0661,\u0662,8'},
+        {'Server_Limit': _HUGE},
+        {'Server_Limit': '1e999'},
+        {'Server_Limit': '-1'},
+        {'Retry_After': _HUGE},
+        {'Retry_After': 'Mon, 01 Jan 0001 00:00:00 -0000'},
+        {'Retry_After': 'Fri, 31 Dec 9999 23:59:59 -2359'},
+        {'Retry_After': f'Mon, {_HUGE} Jan 2026 00:00:00 GMT'},
+    ],
+)
+def test_statements_of_servers_that_are_out_of_range_are_ignored(
+    changes: dict[str, str],
+) -> None:
+    """Guards against answers that are lost for a header beside them."""
+    head = CODEC.decode_response_head(503, _headers(**changes))
+    assert head.status == 503
+    assert (head.running, head.waiting) == (None, None)
+    assert head.limit is None or head.limit.per_s is None
+    assert 0 <= head.pause_s <= 3600
