--- a/mallowspindle/proxy/attempts.py
+++ b/mallowspindle/proxy/attempts.py
@@ -76,9 +76,10 @@
     async def _attempt(
         self, view: BackendView, body: bytes, continues: MovedRun | None = None
     ) -> AttemptOutcome:
-        self._state.history.servers.add(view.server.server_id)
+        send_state = SendState(
+            sent_before=self._state.history.add_server(view.server.server_id)
+        )
         self._state.splitter.start_response()
-        send_state = SendState()
         request = self._state.request
         keeper = self._copy_keeper(view)
         headers = self._dispatch_headers(view, continues, keeper)
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -20,6 +20,8 @@
     ``deadly_run_s`` after it has begun to run a request to ``deadly_target``.
     ``says_leaving`` adds to all responses that the server is leaving, and
     ``turn_away`` refuses requests with this text as the time to come back.
+    ``repeats_refusals`` writes the refusal of a request once more, before the
+    response, when the same request comes again on a kept connection.
     ``slow_events_s`` is a pause before each event. ``endless`` names where
     bytes come without end: in the ``head``, a ``body`` or an ``event``.
     """
@@ -43,6 +45,7 @@
     limit_per_s: float | str | None = None
     says_leaving: bool = False
     turn_away: str = ''
+    repeats_refusals: bool = False
     slow_events_s: float = 0
     endless: str = ''
     deadly_part: str = ''
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 from typing import Any
+from weakref import WeakKeyDictionary
 
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.web import (
@@ -66,6 +67,8 @@
         self._crashes_at_s: list[float] = []
         self._turned_away_at_s: list[float] = []
         self._endless_bytes = 0
+        # The requests that were refused on each connection.
+        self._refused: WeakKeyDictionary[Any, set[str]] = WeakKeyDictionary()
         self._listener: Listener | None = None
         self._restart: asyncio.Task[None] | None = None
 
@@ -105,7 +108,11 @@
             return Response(status=503, headers=headers)
         if self._faults.consume('refuse'):
             headers['Not-Executed'] = '1'
+            self._refused.setdefault(request.transport, set()).add(
+                headers['Request-Id']
+            )
             return Response(status=503, headers=headers)
+        self._repeat_refusal(request, headers)
         run = {
             'id': request.headers['Request-Id'],
             'method': request.method,
@@ -122,6 +129,18 @@
         finally:
             run['ended'] = True
 
+    def _repeat_refusal(
+        self, request: Request, headers: dict[str, str]
+    ) -> None:
+        refused = self._refused.get(request.transport, set())
+        request_id = headers['Request-Id']
+        if not self._faults.repeats_refusals or request_id not in refused:
+            return
+        lines = [f'{name}: {text}\r\n' for name, text in headers.items()]
+        head = ''.join(['HTTP/1.1 503 Full\r\nContent-Length: 0\r\n', *lines])
+        if request.transport is not None:
+            request.transport.write(f'{head}Not-Executed: 1\r\n\r\n'.encode())
+
     async def _answer(
         self, request: Request, headers: dict[str, str], run: dict[str, Any]
     ) -> StreamResponse:
--- a/mallowspindle/tests/gateway/test_moves.py
+++ b/mallowspindle/tests/gateway/test_moves.py
@@ -15,6 +15,7 @@
 )
 
 _LONG_STREAM_EVENTS = 70
+_MOVED_STREAMS = 4
 
 
 async def _start_slow_server(venture: GatewayVenture) -> None:
@@ -252,3 +253,44 @@
     assert text == stream_text(_LONG_STREAM_EVENTS)
     (run,) = await venture.runs('model-4')
     assert 'Kv-From' in run['headers']
+
+
+async def test_a_repeated_refusal_does_not_run_a_moved_stream_twice(
+    venture: GatewayVenture,
+) -> None:
+    """Guards against an earlier refusal that is taken for the later answer.
+
+    A faulty server writes the refusal of the first attempt again when the
+    stream moves to it on the same connection.
+    """
+    for name in ('model-1', 'model-2'):
+        await venture.register(name, 'models', state='draining')
+    await _start_unregistered(venture, 'model-4', '--pause-s=0.05')
+    await venture.set_faults('model-4', refuse=100, repeats_refusals=True)
+    await venture.register('model-4', 'models')
+    await _start_slow_server(venture)
+    for name in ('model-3', 'model-4'):
+        await venture.wait_until(partial(is_registered, venture, name))
+    streams = []
+    for number in range(_MOVED_STREAMS):
+        call = venture.call('entry-1', 'POST', '/questions/x', f'r{number}')
+        streams.append(asyncio.create_task(call))
+        await venture.wait_until(
+            partial(ran_on_third_model, venture, f'r{number}')
+        )
+        # A server that has just refused a request is avoided for a moment.
+        await asyncio.sleep(0.45)
+    assert venture.log_lines('entry-1', 'attempt not run')
+    await venture.set_faults('model-4', refuse=0)
+    await venture.set_faults('model-3', leaving=True)
+    await venture.register('model-3', 'models', state='draining', spot=True)
+    for _, _, text in await asyncio.gather(*streams):
+        assert text == stream_text(_LONG_STREAM_EVENTS)
+    moved = {run['id'] for run in await venture.runs('model-4')}
+    resumed = {
+        run['id']
+        for run in await venture.runs('model-3')
+        if 'Kv-From' in run['headers']
+    }
+    assert moved
+    assert not moved & resumed
