--- a/mallowspindle/platform/migration.py
+++ b/mallowspindle/platform/migration.py
@@ -11,6 +11,8 @@
     NoSuchRun,
     TargetFull,
 )
+from mallowspindle.platform.fields import Duration, Identifier
+from mallowspindle.platform.reading import read_body
 from mallowspindle.proxy.messages import MovedRun
 
 _OK = 200
@@ -24,7 +26,7 @@
 
     # Identifies the copy at the source and at the target. Absent if there is
     # no copy and the run was not stopped.
-    handle: str | None = None
+    handle: Identifier | None = None
 
 
 class _ServerReport(BaseModel):
@@ -32,7 +34,7 @@
 
     # Milliseconds left after a reclaim notice. Absent if the server stops for
     # another reason.
-    leaves_ms: float | None = None
+    leaves_ms: Duration | None = None
 
 
 class PlatformMigrationClient(MigrationClient):
@@ -52,7 +54,7 @@
                 f'http://{address}/report', timeout=self._timeout
             ) as response:
                 report = _ServerReport.model_validate_json(
-                    await response.read()
+                    await read_body(response)
                 )
         except (ClientError, TimeoutError, ValidationError) as error:
             raise MigrationError(
@@ -94,7 +96,7 @@
             async with self._session.delete(
                 url, timeout=self._timeout
             ) as response:
-                await response.read()
+                await read_body(response)
         except (ClientError, TimeoutError) as error:
             raise MigrationError(f'copy not freed: {error!r}') from error
 
@@ -108,7 +110,7 @@
                 timeout=self._timeout,
             ) as response:
                 status = response.status
-                answer = await response.read()
+                answer = await read_body(response)
         except (ClientError, TimeoutError) as error:
             raise MigrationError(
                 f'no answer to a move request: {error!r}'
--- a/mallowspindle/platform/service.py
+++ b/mallowspindle/platform/service.py
@@ -50,7 +50,14 @@
             session, config.store.address, config.store.timeout_s
         )
         self._http_codec = PlatformHttpCodec()
-        self._migration = PlatformMigrationClient(session, _MOVE_TIMEOUT_S)
+        # Answers to moves tell no id, so that one which comes late on a kept
+        # connection would be taken for the answer to the next move.
+        self._migration_session = ClientSession(
+            connector=TCPConnector(limit=0, force_close=True)
+        )
+        self._migration = PlatformMigrationClient(
+            self._migration_session, _MOVE_TIMEOUT_S
+        )
         address = config.duties.address
         self._duties = address and PlatformDuties(
             session, address, config.node.name, config.duties.timeout_s
@@ -101,3 +108,4 @@
     async def stop(self) -> None:
         """Close the connections."""
         await self._session.close()
+        await self._migration_session.close()
