--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -118,6 +118,11 @@
         """The offset up to which all records are known; None at first."""
         return self._through
 
+    @property
+    def current_at_s(self) -> float:
+        """When the state was known to match the store, on the steady clock."""
+        return self._current_at_s
+
     @property
     def age_s(self) -> float:
         """Seconds since the state was known to match the store."""
--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -47,6 +47,9 @@
 # Peers that gave no answer are queried last for this time; a failed link or
 # process has usually recovered by then.
 _ASK_LAST_FOR_S = 5.0
+# A read that began so shortly before a question answers it too. A server that
+# has registered since can't have begun a stream that is taken up already.
+_SHARED_READ_S = 0.1
 # The store is down if no node is known to have read it for this time. A shorter
 # outage removes no server entries: they expire after three missed heartbeats.
 _OUTAGE_AFTER_S = 2.0
@@ -96,6 +99,22 @@
         if self._needs_peers:
             self._queries.spawn(self._ask_peers(), 'query peers')
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Read until the state is as of now; return whether it came so far.
+
+        Calls that come together share a read.
+        """
+        needed_at_s = time.monotonic() - _SHARED_READ_S
+        ends_at_s = time.monotonic() + timeout_s
+        while self._follower.current_at_s < needed_at_s:
+            left_s = ends_at_s - time.monotonic()
+            if left_s <= 0 or not self._reachable:
+                return False
+            if not self._reads:
+                self._reads.spawn(self._read(), self._follower.stream)
+            await self._reads.wait_for_any(left_s)
+        return True
+
     async def stop(self) -> None:
         """Cancel running reads and queries."""
         await self._reads.cancel()
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -79,6 +79,7 @@
                 ),
             )
         }
+        self._server_synchronizer = self._synchronizers[layout.servers_stream]
         follower = self._synchronizers[layout.configuration_stream].follower
         self._configurations = follower
         self._restored_at_s = 0.0
@@ -119,6 +120,18 @@
         """The registered servers by id."""
         return self._servers.servers
 
+    @property
+    def servers_age_s(self) -> float:
+        """Seconds since the registered servers were known to be up to date."""
+        return self._server_synchronizer.follower.age_s
+
+    async def confirm_servers(self, timeout_s: float) -> bool:
+        """Bring the servers up to date; return whether it was possible in time.
+
+        They are as of a moment just before the call.
+        """
+        return await self._server_synchronizer.confirm(timeout_s)
+
     def note_leaving(self, server_id: str, started_at_ms: int) -> None:
         """Treat a server as draining that has said so in a response."""
         if self._servers.note_leaving(server_id, started_at_ms):
--- a/mallowspindle/proxy/continuation.py
+++ b/mallowspindle/proxy/continuation.py
@@ -108,9 +108,12 @@
             self._tracking.enter_context(self._streams.track(begun))
 
     async def _find_origin(self, default: str) -> None:
-        begun = await self._streams.find(self._key, default)
-        if begun is not None:
-            self._origin = StreamOrigin(begun.service, begun.software_version)
-        elif self._streams.has_several_versions(default):
-            raise UnknownBegin('it is not known which version began it')
+        found = await self._streams.find(self._key, default)
+        match found:
+            case StreamBegun():
+                self._origin = StreamOrigin(
+                    found.service, found.software_version
+                )
+            case None:
+                raise UnknownBegin('it is not known which version began it')
         self._lacks_origin = False
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -121,13 +121,23 @@
         *,
         wait: bool = True,
         traces: str = '',
+        store: str = '',
+        alone: bool = False,
         **proxy: Any,
     ) -> ManagedProcess:
-        """Start a gateway; with ``wait``, return once it is ready."""
-        process = await self.start_daemon(
-            name, self.gateway_settings(name, zone, traces, **proxy)
-        )
-        self._seeds.append(process.endpoint('peers'))
+        """Start a gateway; with ``wait``, return once it is ready.
+
+        ``store`` is the address at which it reaches the store, if it is not
+        that of the stand-in. One that is ``alone`` never meets the others.
+        """
+        settings = self.gateway_settings(name, zone, traces, **proxy)
+        if store:
+            settings = settings.replace(self.process('store').address, store)
+        if alone:
+            settings = settings.replace(f'seeds = {" ".join(self._seeds)}', '')
+        process = await self.start_daemon(name, settings)
+        if not alone:
+            self._seeds.append(process.endpoint('peers'))
         if wait:
             await self.wait_until(lambda: self.is_ready(name))
         return process
--- a/mallowspindle/streams/messages.py
+++ b/mallowspindle/streams/messages.py
@@ -1,5 +1,6 @@
 """Messages of the streams service."""
 
+import math
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -38,11 +39,13 @@
 class VersionsReply:
     """By service and software version, the seconds since it last served.
 
-    ``complete`` tells that the node knows all of them.
+    ``complete`` tells that the node knows all of them, as of
+    ``servers_age_s`` ago.
     """
 
     ages_s: dict[str, dict[str, float]]
     complete: bool
+    servers_age_s: float = math.inf
 
 
 @peer_codec.register('stream-query')
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from itertools import filterfalse
 from typing import Self
 
@@ -47,6 +48,11 @@
 _MAX_STREAMS = 20_000
 
 
+@dataclass(frozen=True, slots=True)
+class OneVersion:
+    """All servers that may have begun a stream have the same version."""
+
+
 class StreamTable:
     """Streams that servers have begun, the oldest dropped first."""
 
@@ -93,7 +99,7 @@
         self._catalog = catalog
         self._sharing = sharing
         self._table = StreamTable(clock)
-        self._versions = ServingVersions(sharing, store, clock)
+        self._versions = ServingVersions(catalog, sharing, store, clock)
         self._recorder = StreamRecorder(store, clock) if store else None
         self._recorded = RecordedStreams(store, clock) if store else None
         self._told_recorders: list[str] = []
@@ -161,18 +167,22 @@
 
     async def find(
         self, key: StreamKey, service_name: str
-    ) -> StreamBegun | None:
+    ) -> StreamBegun | OneVersion | None:
         """Return a stream that a server has begun.
 
+        ``OneVersion`` means that it may go on at any server of ``service_name``.
         None means that neither this node nor those that were told know it, and
-        that the log has no record of it or did not answer. The log is not asked
-        if ``service_name``, where the stream would go on, has one version only.
+        that the log has no record of it or did not answer.
         """
         found = self._table.find(key) or await self._ask_holders(key)
-        if found is not None or self._recorded is None:
+        if found is not None:
             return found
         await self._versions.wait_until_complete(_LOG_TIMEOUT_S)
+        if not await self._versions.make_certain():
+            return None
         if not self.has_several_versions(service_name):
+            return OneVersion()
+        if self._recorded is None:
             return None
         origin = await self._recorded.find(key, _LOG_TIMEOUT_S)
         if origin is None:
--- a/mallowspindle/streams/serving.py
+++ b/mallowspindle/streams/serving.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import logging
+import math
+import random
 import time
 from collections.abc import Callable, Iterable
 from itertools import islice
 
 from mallowspindle.catalog.servers import BackendServer
+from mallowspindle.catalog.service import CatalogService
 from mallowspindle.log.errors import LogError
+from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.streams.messages import VersionsQuery, VersionsReply
 from mallowspindle.streams.store import StreamStore
@@ -20,6 +24,11 @@
 _LOAD_PAUSE_S = 0.5
 _QUERY_TIMEOUT_S = 0.5
 _ASKED_PEERS = 3
+# A caller waits while a node finds out whether it is up to date.
+_CONFIRM_TIMEOUT_S = 0.25
+# A peer whose servers are known as of this time is up to date: any node reads
+# them more often.
+MAX_SERVERS_AGE_S = 1.8
 # While a service has several versions, their ages are logged this often.
 _SAVE_INTERVAL_S = 3.0
 
@@ -33,10 +42,12 @@
 
     def __init__(
         self,
+        catalog: CatalogService,
         sharing: SharingService,
         store: StreamStore | None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._catalog = catalog
         self._sharing = sharing
         self._store = store
         self._clock = clock
@@ -70,6 +81,17 @@
         """Record the versions of the servers that are registered now."""
         self._history.update(servers)
 
+    async def make_certain(self) -> bool:
+        """Learn of versions that have come lately; return whether all are known.
+
+        A node that stood still, or was cut off from the log and from others,
+        does not know of servers that have registered meanwhile, and others may
+        have begun streams there.
+        """
+        if await self._catalog.confirm_servers(_CONFIRM_TIMEOUT_S):
+            return True
+        return await self._ask_peers_about_servers()
+
     def has_several(self, service_name: str) -> bool:
         """Return whether streams of several versions may be in progress."""
         return not self._is_complete or self._history.has_several(service_name)
@@ -122,14 +144,35 @@
     async def _ask_peers(self) -> None:
         """Learn from peers what the log does not tell."""
         for info in islice(self._sharing.peers(), _ASKED_PEERS):
-            reply = await self._sharing.ask(
-                info, VersionsQuery(), _QUERY_TIMEOUT_S
-            )
-            if isinstance(reply, VersionsReply) and reply.complete:
-                self._history.merge(reply.ages_s)
+            if await self._ask(info) is not None:
                 self._complete(info.name)
                 return
 
+    async def _ask_peers_about_servers(self) -> bool:
+        """Learn from peers what this node can't read from the log.
+
+        Return whether one of them is up to date, or whether all of them have
+        answered: then the log is down for them, too.
+        """
+        peers = self._sharing.peers()
+        asked = random.sample(peers, min(_ASKED_PEERS, len(peers)))
+        replies = await asyncio.gather(
+            *(self._ask(info, _CONFIRM_TIMEOUT_S) for info in asked)
+        )
+        ages_s = [reply.servers_age_s for reply in replies if reply is not None]
+        is_current = min(ages_s, default=math.inf) <= MAX_SERVERS_AGE_S
+        return is_current or bool(asked) and len(ages_s) == len(asked)
+
+    async def _ask(
+        self, info: MemberInfo, timeout_s: float = _QUERY_TIMEOUT_S
+    ) -> VersionsReply | None:
+        """Learn the versions that a peer knows; None if it does not know."""
+        reply = await self._sharing.ask(info, VersionsQuery(), timeout_s)
+        if not isinstance(reply, VersionsReply) or not reply.complete:
+            return None
+        self._history.merge(reply.ages_s)
+        return reply
+
     def _complete(self, source: str) -> None:
         self._completed.set()
         log.info(
@@ -138,4 +181,8 @@
         )
 
     async def _answer(self, query: VersionsQuery) -> VersionsReply:
-        return VersionsReply(self._history.ages_s(), self._is_complete)
+        return VersionsReply(
+            self._history.ages_s(),
+            self._is_complete,
+            self._catalog.servers_age_s,
+        )
--- a/mallowspindle/tests/gateway/test_software_versions.py
+++ b/mallowspindle/tests/gateway/test_software_versions.py
@@ -1,14 +1,17 @@
 """Tests of streams while servers of two software versions serve."""
 
 import asyncio
-from collections.abc import Collection
+import signal
+from collections.abc import Collection, Sequence
 from contextlib import suppress
 from functools import partial
 from typing import Any
 
+import pytest
 import pytest_asyncio
 from aiohttp import ClientError
 
+from mallowspindle.bench.proxy import FaultMode, FaultProxy
 from mallowspindle.standins.gateways import GatewayVenture
 from mallowspindle.tests.gateway.observations import (
     EVENTS,
@@ -216,6 +219,57 @@
     assert len(_mixed(await _runs(venture))) <= _TOLERATED_STREAMS
 
 
+@pytest.mark.parametrize('reaches_store', [False, True])
+async def test_a_node_out_of_step_does_not_join_streams(
+    venture: GatewayVenture, reaches_store: bool
+) -> None:
+    """Guards against a node that has not heard of a version yet.
+
+    Servers of it register, and streams begin there, while the node stands
+    still, cut off from its peers and perhaps from the store.
+    """
+    store = await FaultProxy.start(venture.process('store').address)
+    await venture.start_gateway('entry-3', store=store.address, alone=True)
+    # The former servers state no version, which is one as well.
+    former = {'model-1': '', 'model-2': ''}
+    await venture.wait_until(partial(_knows, venture, 'entry-3', former))
+    venture.process('entry-3').send_signal(signal.SIGSTOP)
+    if not reaches_store:
+        store.switch_mode(FaultMode.CUT)
+    for name in ('model-3', 'model-4'):
+        await venture.start_server(name, 'models', f'--events={EVENTS}')
+        await venture.register(name, 'models', version='v2')
+    added = {'model-3': 'v2', 'model-4': 'v2'}
+    await venture.wait_until(partial(_knows, venture, 'entry-1', added))
+    begun = await _begin_at(venture, 'entry-1')
+    venture.process('entry-3').send_signal(signal.SIGCONT)
+    await _take_up(venture, begun, ('entry-3',))
+    await store.stop()
+    assert len(begun) >= 12
+    assert len(_mixed(await _runs(venture))) <= _TOLERATED_STREAMS
+
+
+async def _begin_at(venture: GatewayVenture, gateway: str) -> dict[str, str]:
+    """Begin streams at a node and kill it; return what came of each."""
+    for name in _VERSIONS:
+        await venture.set_faults(name, slow_events_s=_EVENT_PAUSE_S)
+    ids = [f'begun-{number}' for number in range(_STREAMS)]
+    streams = [
+        asyncio.create_task(_read(venture, gateway, '/letters/x', stream_id))
+        for stream_id in ids
+    ]
+    await venture.wait_until(partial(_have_begun, venture))
+    await venture.process(gateway).kill()
+    received = await asyncio.gather(*streams)
+    for name in _VERSIONS:
+        await venture.set_faults(name, slow_events_s=0)
+    return {
+        stream_id: text
+        for stream_id, text in zip(ids, received, strict=True)
+        if 'id: ' in text
+    }
+
+
 async def _begin_streams(
     venture: GatewayVenture, servers: Collection[str] = _ALL_SERVERS
 ) -> dict[str, str]:
@@ -241,7 +295,11 @@
     }
 
 
-async def _take_up(venture: GatewayVenture, begun: dict[str, str]) -> list[str]:
+async def _take_up(
+    venture: GatewayVenture,
+    begun: dict[str, str],
+    gateways: Sequence[str] = ('entry-1', 'entry-2'),
+) -> list[str]:
     """Take each stream up once; return the texts of both parts."""
     texts = []
     for number, (stream_id, text) in enumerate(begun.items()):
@@ -251,7 +309,7 @@
         }
         rest = await _read(
             venture,
-            f'entry-{1 + number % 2}',
+            gateways[number % len(gateways)],
             '/letters/x',
             f'again-{number}',
             resuming,
--- a/mallowspindle/tests/platform/test_servers.py
+++ b/mallowspindle/tests/platform/test_servers.py
@@ -109,7 +109,7 @@
         b'\xff\xfe',
         b'null',
         b'3',
-        r'{"service": "\ud800"}'.encode(),
+        rb'{"service": "\ud800"}',
     ],
 )
 def test_an_entry_that_cannot_be_read_names_no_server(content: bytes) -> None:
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -92,6 +92,8 @@
                 is_current=True,
                 watch=self._watchers.append,
                 note_leaving=self._note_leaving,
+                servers_age_s=0,
+                confirm_servers=self._confirm_servers,
             ),
         )
         self.backends = BackendsService(self.catalog, sharing)
@@ -108,6 +110,9 @@
         self._sharing = sharing
         self._caller_server: CallerServer | None = None
 
+    async def _confirm_servers(self, timeout_s: float) -> bool:
+        return True
+
     def _note_leaving(self, server_id: str, started_at_ms: int) -> None:
         known = self.servers[server_id]
         self.servers[server_id] = replace(known, draining=True)
--- a/mallowspindle/tests/proxy/test_continuation.py
+++ b/mallowspindle/tests/proxy/test_continuation.py
@@ -17,7 +17,7 @@
 from mallowspindle.proxy.continuation import Continuation, UnknownBegin
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.streams.messages import StreamBegun, StreamKey
-from mallowspindle.streams.service import StreamsService
+from mallowspindle.streams.service import OneVersion, StreamsService
 
 _ROUTE = Route(
     'letters',
@@ -46,13 +46,11 @@
 
     async def find(
         self, key: StreamKey, service_name: str
-    ) -> StreamBegun | None:
+    ) -> StreamBegun | OneVersion | None:
         """Return the stream if it has this key."""
-        return self.begun if key == self.begun.key else None
-
-    def has_several_versions(self, service_name: str) -> bool:
-        """Return whether there are several versions."""
-        return self.several
+        if key == self.begun.key:
+            return self.begun
+        return None if self.several else OneVersion()
 
     def track(self, begun: StreamBegun) -> Any:
         """Record a stream."""
--- a/mallowspindle/tests/streams/venture.py
+++ b/mallowspindle/tests/streams/venture.py
@@ -65,6 +65,15 @@
         """Call ``watcher`` after each change."""
         self.watchers.append(watcher)
 
+    @property
+    def servers_age_s(self) -> float:
+        """The servers are always up to date."""
+        return 0
+
+    async def confirm_servers(self, timeout_s: float) -> bool:
+        """The servers are always up to date."""
+        return True
+
     def register(self, version: str) -> None:
         """Register a server of a version."""
         name = f'i-{len(self.servers)}'
--- a/mallowspindle/utils/tasks.py
+++ b/mallowspindle/utils/tasks.py
@@ -31,6 +31,15 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
+    async def wait_for_any(self, timeout_s: float) -> None:
+        """Wait until one of the current tasks has finished, or for a time."""
+        if self._tasks:
+            await asyncio.wait(
+                self._tasks,
+                timeout=timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have finished."""
         tasks = list(self._tasks)
