--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -25,6 +25,10 @@
 # ``read_latest`` returns all keys in base64, which takes 4/3 of their bytes.
 _READ_LATEST_COST = 4 / 3
 
+# The store is down if no node is known to have read it for this time. A shorter
+# outage removes no server entries: they expire after three missed heartbeats.
+OUTAGE_AFTER_S = 2.0
+
 # Apply a record and return whether peers need to receive it.
 Fold = Callable[[KeyedRecord], bool]
 DecodeKeyed = Callable[[LogRecord], KeyedRecord]
@@ -72,6 +76,20 @@
     known: int | None = None
 
 
+@peer_codec.register('outage-query')
+@dataclass(frozen=True, slots=True)
+class OutageQuery:
+    """Question whether the store was down, from a node that did not reach it."""
+
+
+@peer_codec.register('outage-reply')
+@dataclass(frozen=True, slots=True)
+class OutageReply:
+    """For how many seconds the store has been read without an outage."""
+
+    read_without_gap_s: float
+
+
 def message_for_peers(update: StreamUpdate) -> StreamUpdate | StreamEnd:
     """Return the update, or only its end if it is too large for peers."""
     size = sum(len(record.value or b'') for record in update.records)
@@ -100,6 +118,8 @@
         self._through: int | None = None
         self._current_at_s = 0.0
         self._last_read_at_s = 0.0
+        # Since then no two reads by any nodes were further apart than an outage.
+        self._read_without_gap_from_s = time.monotonic()
         self._gap_since_s = time.monotonic()
         # The offset up to which records are known to exist.
         self._known_end = 0
@@ -143,6 +163,16 @@
         """Seconds since the last read of the stream by any node, if known."""
         return time.monotonic() - self._last_read_at_s
 
+    @property
+    def read_without_gap_s(self) -> float:
+        """Seconds for which nodes have read the stream without an outage.
+
+        0 if no node is known to have read it lately.
+        """
+        if self.since_last_read_s > OUTAGE_AFTER_S:
+            return 0
+        return time.monotonic() - self._read_without_gap_from_s
+
     async def read(self, *, for_peers: bool = True) -> StreamUpdate:
         """Read new records and return the update for peers.
 
@@ -165,7 +195,7 @@
             # A log that was created anew may end before the old one did.
             self._known_end = through
         self._current_at_s = max(self._current_at_s, requested_at_s)
-        self._last_read_at_s = max(self._last_read_at_s, requested_at_s)
+        self._note_read(requested_at_s)
         if for_peers:
             self._shared_through = through
         age_s = time.monotonic() - requested_at_s
@@ -202,14 +232,18 @@
         )
 
     def _note_end(self, end: int, age_s: float) -> None:
-        self._last_read_at_s = max(
-            self._last_read_at_s, time.monotonic() - age_s
-        )
+        self._note_read(time.monotonic() - age_s)
         had_gap = self.has_gap
         self._known_end = max(self._known_end, end)
         if not had_gap:
             self._gap_since_s = time.monotonic()
 
+    def _note_read(self, read_at_s: float) -> None:
+        """Record when this node or another one has read the stream."""
+        if read_at_s - self._last_read_at_s > OUTAGE_AFTER_S:
+            self._read_without_gap_from_s = read_at_s
+        self._last_read_at_s = max(self._last_read_at_s, read_at_s)
+
     def _advance(self, through: int, age_s: float) -> None:
         if self._through is None or through < self._through:
             return
@@ -217,7 +251,7 @@
         self._shared_through = through
         read_at_s = time.monotonic() - age_s
         self._current_at_s = max(self._current_at_s, read_at_s)
-        self._last_read_at_s = max(self._last_read_at_s, read_at_s)
+        self._note_read(read_at_s)
 
     def _changes_since(self, base: int | None) -> list[KeyedRecord]:
         if base is None:
--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from mallowspindle.catalog.following import (
+    OUTAGE_AFTER_S,
     StreamEnd,
     StreamFollower,
     StreamRequest,
@@ -50,9 +51,6 @@
 # A read that began so shortly before a question answers it too. A server that
 # has registered since can't have begun a stream that is taken up already.
 _SHARED_READ_S = 0.1
-# The store is down if no node is known to have read it for this time. A shorter
-# outage removes no server entries: they expire after three missed heartbeats.
-_OUTAGE_AFTER_S = 2.0
 
 
 class StreamSynchronizer:
@@ -88,6 +86,11 @@
         """The follower that holds the state of the stream."""
         return self._follower
 
+    @property
+    def reachable(self) -> bool:
+        """Whether this node has reached the store with its last read."""
+        return self._reachable
+
     def step(self) -> None:
         """Start the read and the queries that are due."""
         now_s = time.monotonic()
@@ -170,7 +173,7 @@
 
     def _note_failure(self, error: LogError) -> None:
         """Plan the next read; note an outage if no other node reads either."""
-        if self._follower.since_last_read_s > _OUTAGE_AFTER_S:
+        if self._follower.since_last_read_s > OUTAGE_AFTER_S:
             self._note_outage()
         if self._reachable:
             extra = {'error': str(error), **self._stream_field()}
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Self
 
@@ -10,6 +11,9 @@
 from mallowspindle.adapter import AdapterService
 from mallowspindle.catalog.configuration import Configuration
 from mallowspindle.catalog.following import (
+    OUTAGE_AFTER_S,
+    OutageQuery,
+    OutageReply,
     StreamEnd,
     StreamFollower,
     StreamRequest,
@@ -31,6 +35,11 @@
 
 _TICK_S = 0.05
 _START_TIMEOUT_S = 3.0
+# Peers are asked this often whether the store is down that this node does not
+# reach, so many of them, and for so long.
+_OUTAGE_CHECK_S = 0.25
+_ASKED_PEERS = 3
+_QUERY_TIMEOUT_S = 0.25
 # A configuration must be in force within 2 s, so an older state may lack one.
 # As long as any node reads the store, the state does not get this old.
 _CURRENT_MAX_AGE_S = 1.8
@@ -148,12 +157,14 @@
         server.handle(StreamUpdate, self._receive)
         server.handle(StreamEnd, self._receive)
         server.handle(StreamRequest, self._answer_request)
+        server.handle(OutageQuery, self._answer_outage_query)
         meter.create_observable_gauge(
             'configuration_age', [self._observe_age], unit='s'
         )
         meter.create_observable_gauge('store_era', [self._observe_era])
         for stream, synchronizer in self._synchronizers.items():
             self._tasks.spawn(self._run(synchronizer), stream)
+        self._tasks.spawn(self._check_outages(), 'outages')
         try:
             await asyncio.wait_for(self._configured.wait(), _START_TIMEOUT_S)
         except TimeoutError:
@@ -179,6 +190,46 @@
             synchronizer.step()
             await asyncio.sleep(_TICK_S)
 
+    async def _check_outages(self) -> None:
+        """Ask peers whether the store was down that this node did not reach.
+
+        It may itself have been cut off, and servers may have left meanwhile.
+        """
+        while True:
+            outage_age_s = self._servers.outage_age_s
+            if outage_age_s is not None:
+                read_without_gap_s = await self._ask_about_outage()
+                if read_without_gap_s >= outage_age_s + OUTAGE_AFTER_S:
+                    log.info(
+                        'this node was cut off, the store was not down',
+                        extra={'noted_s_ago': round(outage_age_s, 2)},
+                    )
+                    self._servers.disprove_outage()
+            await asyncio.sleep(_OUTAGE_CHECK_S)
+
+    async def _ask_about_outage(self) -> float:
+        """Return for how long peers have read the store, at the longest."""
+        peers = self._sharing.peers()
+        asked = random.sample(peers, min(_ASKED_PEERS, len(peers)))
+        replies = await asyncio.gather(
+            *(
+                self._sharing.ask(info, OutageQuery(), _QUERY_TIMEOUT_S)
+                for info in asked
+            )
+        )
+        return max(
+            (
+                reply.read_without_gap_s
+                for reply in replies
+                if isinstance(reply, OutageReply)
+            ),
+            default=0,
+        )
+
+    async def _answer_outage_query(self, query: OutageQuery) -> OutageReply:
+        follower = self._server_synchronizer.follower
+        return OutageReply(follower.read_without_gap_s)
+
     async def _receive(self, update: StreamUpdate | StreamEnd) -> OkReply:
         self._apply_update(update)
         return OkReply()
--- a/mallowspindle/catalog/state.py
+++ b/mallowspindle/catalog/state.py
@@ -80,7 +80,9 @@
         self._decode = decode
         self._servers: dict[str, BackendServer] = {}
         self._lapsed: dict[str, float] = {}
-        self._grace_until_s = 0.0
+        self._outage_grace_until_s = 0.0
+        self._outage_noted_at_s = 0.0
+        self._restore_grace_until_s = 0.0
         self._removed: dict[str, int] = {}
         # Removed servers that may have an entry in a restored log. The position
         # of that entry is None until it is read.
@@ -91,9 +93,32 @@
         """The registered servers by id, draining ones included."""
         return self._servers
 
+    @property
+    def outage_age_s(self) -> float | None:
+        """Seconds since the store was first found down; None if it is not.
+
+        It counts as down until the live servers have had time to register.
+        """
+        now_s = time.monotonic()
+        if now_s >= self._outage_grace_until_s and not self._lapsed:
+            return None
+        return now_s - self._outage_noted_at_s
+
     def note_outage(self) -> None:
         """Note that the store is down now."""
-        self._grace_until_s = time.monotonic() + self._GRACE_S
+        now_s = time.monotonic()
+        if self.outage_age_s is None:
+            self._outage_noted_at_s = now_s
+        self._outage_grace_until_s = now_s + self._GRACE_S
+
+    def disprove_outage(self) -> None:
+        """Note that other nodes have read the store all the while.
+
+        Servers whose entries are gone have left.
+        """
+        self._outage_grace_until_s = 0.0
+        if time.monotonic() >= self._restore_grace_until_s:
+            self._lapsed = dict.fromkeys(self._lapsed, 0.0)
 
     def note_restored(self) -> None:
         """Note that the store came back from an older copy.
@@ -101,7 +126,7 @@
         It may lack the entries of live servers for a moment, and hold entries
         of servers that were removed.
         """
-        self.note_outage()
+        self._restore_grace_until_s = time.monotonic() + self._GRACE_S
         absent = self._removed.keys() - self._servers.keys()
         self._restored_entries = dict.fromkeys(absent)
 
@@ -180,7 +205,10 @@
 
     def _fold_removal(self, server_id: str) -> bool:
         now_s = time.monotonic()
-        if now_s < self._grace_until_s and server_id in self._servers:
+        grace_until_s = max(
+            self._outage_grace_until_s, self._restore_grace_until_s
+        )
+        if now_s < grace_until_s and server_id in self._servers:
             self._lapsed[server_id] = now_s + self._GRACE_S
             return True
         return self._remove(server_id)
--- a/mallowspindle/tests/catalog/test_venture.py
+++ b/mallowspindle/tests/catalog/test_venture.py
@@ -7,6 +7,7 @@
 
 from mallowspindle.catalog import keeping
 from mallowspindle.catalog.following import StreamEnd, StreamUpdate
+from mallowspindle.catalog.service import CatalogService
 from mallowspindle.log.records import KeyedRecord
 from mallowspindle.tests.catalog.venture import (
     CONFIGURATIONS,
@@ -35,6 +36,9 @@
 _MEASURED_S = 5.0
 # One-way delay between zones of large deployments, with processing time.
 _LINK_DELAY_S = 0.005
+_CUT_S = 5.0
+# The operators' bound from the record of a server's leaving is 2 s.
+_DRAIN_S = 1.5
 
 
 @simulated
@@ -240,3 +244,54 @@
             if version % 4 == 0:
                 venture.configure(version)
             await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize('leaves_after_cut', [True, False])
+@simulated
+async def test_a_node_that_was_cut_off_removes_servers_that_have_left(
+    leaves_after_cut: bool,
+) -> None:
+    """Guards against a node that takes its own cut for an outage of the log."""
+    async with Venture(8) as venture:
+        venture.put_server('one')
+        await seconds_until(
+            lambda: all(map(_knows_one, venture.catalogs.values()))
+        )
+        first = venture.names[0]
+        venture.read_timeout_s = 0.5
+        venture.cut_off.add(first)
+        for name in venture.names[1:]:
+            venture.mesh.cut.update(((name, first), (first, name)))
+        await asyncio.sleep(_CUT_S)
+        if not leaves_after_cut:
+            venture.log.put(SERVERS, 'one', None)
+        venture.cut_off.clear()
+        venture.mesh.cut.clear()
+        if leaves_after_cut:
+            venture.log.put(SERVERS, 'one', None)
+        catalog = venture.catalogs[first]
+        assert await seconds_until(lambda: not _knows_one(catalog)) < _DRAIN_S
+
+
+@simulated
+async def test_servers_that_lapsed_while_the_log_was_down_are_kept() -> None:
+    async with Venture(8) as venture:
+        venture.put_server('one')
+        await seconds_until(
+            lambda: all(map(_knows_one, venture.catalogs.values()))
+        )
+        venture.read_timeout_s = 0.2
+        venture.cut_off.update(venture.names)
+        await asyncio.sleep(_CUT_S)
+        venture.log.put(SERVERS, 'one', None)
+        venture.cut_off.clear()
+        for _ in range(16):
+            await asyncio.sleep(0.1)
+            assert all(map(_knows_one, venture.catalogs.values()))
+        venture.put_server('one')
+        await asyncio.sleep(1.5)
+        assert all(map(_knows_one, venture.catalogs.values()))
+
+
+def _knows_one(catalog: CatalogService) -> bool:
+    return 'one' in catalog.servers
