A restarted node takes its share of the retry allowance by and by (BUDGET)

Cause: the budget stands in memory alone. A restarted node had forgotten what it spent, and knew no peer for 0.6 s, so each took the whole allowance.

--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -1,6 +1,7 @@
 """Services and policies that all exchanges of a node share."""
 
 import logging
+import time
 from dataclasses import dataclass
 from typing import Self
 
@@ -24,9 +25,17 @@
 class RetryBudgets:
     """One retry budget for each service."""
 
-    def __init__(self, terms: BudgetTerms, sharing: SharingService) -> None:
+    def __init__(
+        self,
+        terms: BudgetTerms,
+        sharing: SharingService,
+        *,
+        first_start: bool = False,
+    ) -> None:
         self._terms = terms
         self._sharing = sharing
+        self._first_start = first_start
+        self._started_at_s = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
 
     def note_request(self, service: str) -> None:
@@ -41,7 +50,11 @@
 
     def _budget_for(self, service: str) -> RetryBudget:
         if service not in self._budgets:
-            self._budgets[service] = RetryBudget(self._terms)
+            self._budgets[service] = RetryBudget(
+                self._terms,
+                first_start=self._first_start,
+                started_at_s=self._started_at_s,
+            )
         return self._budgets[service]
 
 
@@ -82,7 +95,9 @@
             http_codec=http_codec,
             upstream=Upstream(proxy.connect_timeout_s, http_codec.id_header),
             quotas=Quotas(sharing, proxy.quota_window_s),
-            retry_budgets=RetryBudgets(terms, sharing),
+            retry_budgets=RetryBudgets(
+                terms, sharing, first_start=settings.node.bootstrap
+            ),
             quarantine=kernel.find('quarantine', QuarantineService),
             streams=kernel.find('streams', StreamsService),
             usage=UsageCounter(
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -149,6 +149,7 @@
         options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
         return (
             f'[node]\ninterface = platform\nname = {name}\nzone = {zone}\n'
+            f'bootstrap = yes\n'
             f'[listen]\ncallers = {_ANY_PORT}\nreadiness = {_ANY_PORT}\n'
             f'addresses = {_ANY_PORT}\npeers = {_ANY_PORT}\n'
             f'[peers]\nshared_key = {SHARED_KEY}\n'
