Attempts through peers count against the attempts of the route (BUDGET)

A request could run at more servers than its route allows: at the first node and then, passed on, at as many as the route allows once more.

Cause: each node counted its own runs only; another case of a hop that is not recorded where the exchange looks.

The first node counts all runs, so it allows a peer one run, and goes on through another peer, or at a server, if that fails. What a lost peer has used is then certain as well. A peer of an older build retries as before.

--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -118,7 +118,7 @@
         if self._state.time_left_s() < _MIN_ATTEMPT_S:
             return False
         match outcome:
-            case PeerAnswered():
+            case PeerAnswered(promises_not_run=True):
                 return False
             case NotRun():
                 allowed = True
@@ -133,10 +133,11 @@
     def _may_rerun(self) -> bool:
         """Return whether the request may run once more."""
         route = self._state.route
+        max_runs = self._state.request.max_runs or route.max_attempts
         return (
             route.repeatable
             and self._state.splitter.can_resume
-            and self._state.history.run_count < route.max_attempts
+            and self._state.history.run_count < max_runs
         )
 
     def _retry_after_s(self, pick: Pick) -> float:
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -31,7 +31,8 @@
     key and ``body`` the complete body, both unknown until the request is
     admitted. ``relayed_by`` is the peer that passed the request on, None if it
     came from its caller, and ``origin`` tells where its stream has begun, if it
-    has and the peer knows.
+    has and the peer knows. ``max_runs`` is how often it may run here; None if
+    only its route limits that.
     """
 
     method: str
@@ -51,6 +52,7 @@
     body: bytes = b''
     relayed_by: str | None = None
     origin: StreamOrigin | None = None
+    max_runs: int | None = None
 
     @cached_property
     def path(self) -> str:
--- a/mallowspindle/proxy/peers.py
+++ b/mallowspindle/proxy/peers.py
@@ -16,6 +16,9 @@
 # Header of requests that a peer passes on: its name and a proof that it holds
 # the key that all entry VMs share. It never reaches a server.
 _RELAY_HEADER = 'Mallowspindle-Relay'
+# Header of such requests: how often they may run at the peer. Older builds send
+# none.
+_MAX_RUNS_HEADER = 'Mallowspindle-Max-Runs'
 # Header of such requests and of their responses: the service and the software
 # version that have begun the stream. It never reaches a server or a caller.
 _ORIGIN_HEADER = 'Mallowspindle-Stream-Origin'
@@ -59,8 +62,13 @@
         ``origin`` tells where its stream has begun, if it has.
         """
         name = self._sharing.membership.own.name
-        relay = f'{name} {self._proof(name, request_id)}'
-        return {_RELAY_HEADER: relay, **self.origin_headers(origin)}
+        return {
+            _RELAY_HEADER: f'{name} {self._proof(name, request_id)}',
+            # The first node counts the runs of all attempts, so each peer gets
+            # one; a peer that is lost can't have used more.
+            _MAX_RUNS_HEADER: '1',
+            **self.origin_headers(origin),
+        }
 
     def accept(self, request: CallerRequest) -> CallerRequest:
         """Return a request without the headers, and with its sender if proved.
@@ -68,6 +76,7 @@
         A caller's own headers are dropped: they would escape the quota.
         """
         origin = self.take_origin(request.headers)
+        max_runs = _take(request.headers, _MAX_RUNS_HEADER)
         text = _take(request.headers, _RELAY_HEADER)
         if text is None:
             return request
@@ -75,7 +84,12 @@
         expected = self._proof(name, request.request_id)
         if not hmac.compare_digest(proof.encode(), expected.encode()):
             return request
-        return replace(request, relayed_by=name, origin=origin)
+        return replace(
+            request,
+            relayed_by=name,
+            origin=origin,
+            max_runs=1 if max_runs == '1' else None,
+        )
 
     def origin_headers(self, origin: StreamOrigin | None) -> dict[str, str]:
         """Return the header that tells a peer where a stream has begun."""
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -221,10 +221,16 @@
                 address = self._dead_address(silent=silent)
                 node.servers[name] = replace(entry, address=address)
 
-    def heal(self, nodes: list[Node]) -> None:
-        """Let nodes reach the servers again."""
+    def heal(self, nodes: list[Node], *names: str) -> None:
+        """Let nodes reach the servers again, or those with ``names``."""
         for node in nodes:
-            node.servers.update(self._entries)
+            node.servers.update(
+                {
+                    name: entry
+                    for name, entry in self._entries.items()
+                    if not names or name in names
+                }
+            )
 
     async def send(self, node: Node, path: str) -> int:
         """Send a request once; return its status, 0 for a broken answer."""
--- a/mallowspindle/tests/proxy/test_relayed_requests.py
+++ b/mallowspindle/tests/proxy/test_relayed_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -13,6 +14,7 @@
 _SLOW_S = 0.2
 _EVENT_PAUSE_S = 0.3
 _STREAMS = 12
+_MAX_ATTEMPTS = 2
 _PATIENCE_S = 3.0
 
 
@@ -132,6 +134,29 @@
     assert statuses.count(200) >= _STREAMS / 2
 
 
+async def test_attempts_through_peers_count_as_attempts_of_the_request() -> (
+    None
+):
+    """Guards against more runs than the route allows.
+
+    The first node reaches one of three servers, which fails, as do all others.
+    """
+    async with CutVenture(4) as venture:
+        first = venture.nodes[0]
+        venture.cut([first], silent=False)
+        venture.heal([first], 'shop-0')
+        first.servers['shop-2'] = replace(
+            first.servers['shop-1'], server_id='shop-2'
+        )
+        await venture.set_faults('shop', truncate=1000)
+        paths = [f'/status/{number}' for number in range(_STREAMS)]
+        for path in paths:
+            assert await venture.send(first, path) >= 500
+        runs = Counter(run['target'] for run in await venture.runs())
+
+        assert max(runs.values()) == _MAX_ATTEMPTS
+
+
 def _begun(venture: CutVenture) -> Counter[str]:
     """Return the requests that all nodes count as begun, by organisation."""
     total: Counter[str] = Counter()
