A time limit that is read late counts from before the pause

A caller states how long it still waits. A node that stood still, or was too busy to read, took that for the time left when it read the request: it sent orders to servers whose callers had given up, and gave servers more time than was left.

Cause: the wire tells the time left, not when it was told. Other nodes' clocks are no help, since they may differ by seconds.

Requests that peers pass on are included.

Before: an order that is read 2.5 s late, with a limit of 2 s, runs (200). After: 503 at once, and it has not run.

--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Self
 
 from mallowspindle.adapter import AdapterService, HttpCodec
@@ -18,6 +18,7 @@
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.streams.service import StreamsService
 from mallowspindle.usage import UsageCounter
+from mallowspindle.utils.stalls import StallWatch
 
 log = logging.getLogger(__name__)
 
@@ -73,6 +74,7 @@
     streams: StreamsService
     usage: UsageCounter
     peers: PeerRelays
+    stalls: StallWatch = field(default_factory=StallWatch)
 
     def nodes_not_reaching(self) -> set[str]:
         """Return the nodes that reach no server of some service."""
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -49,6 +49,8 @@
             self._state.context.backends.note_demand(
                 self._service, self._state.request
             )
+        if self._state.time_left_s() <= 0:
+            return self._end.time_out()
         try:
             with self._state.continuation:
                 async with asyncio.timeout_at(self._state.deadline_s):
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -40,7 +40,9 @@
 
     async def handle(self, web_request: BaseRequest) -> StreamResponse:
         """Process a request and return the response for the caller."""
-        began_at_s = asyncio.get_running_loop().time()
+        # Callers state the time that they had left when they sent the request.
+        read_at_s = asyncio.get_running_loop().time()
+        began_at_s = read_at_s - self._context.stalls.possible_delay_s
         configuration = self._context.catalog.configuration
         if configuration is None:
             await web_request.content.read()
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -143,6 +143,7 @@
             run_periodically(self._close_timed_out, _TIMEOUT_CHECK_INTERVAL_S),
             'slow callers',
         )
+        self._tasks.spawn(self._context.stalls.run(), 'stalls')
 
     async def prepare_drain(self) -> None:
         """Report this node as not ready; membership informs the peers."""
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -162,7 +162,10 @@
         for each in (self.backends, self.streams, self.quarantine):
             await each.start()
             stack.push_async_callback(each.stop)
-        gate = AdmissionGate(self.context())
+        context = self.context()
+        stalls = asyncio.create_task(context.stalls.run())
+        stack.callback(stalls.cancel)
+        gate = AdmissionGate(context)
         server = CallerServer(partial(self._handle, gate))
         self._caller_server = server
         listener = await asyncio.get_running_loop().create_server(
@@ -234,13 +237,7 @@
 
     async def send(self, node: Node, path: str) -> int:
         """Send a request once; return its status, 0 for a broken answer."""
-        self._sent += 1
-        headers = {
-            'Host': HOST,
-            'Request-Id': f'request-{self._sent}',
-            'Deadline-Ms': '2000',
-            'Authorization': f'Token {KEY}',
-        }
+        headers = self._headers()
         method = 'GET' if path.startswith('/status/') else 'POST'
         url = f'http://{node.address}{path}'
         try:
@@ -254,6 +251,22 @@
             return 200 if text.count('data:') == EVENTS else 0
         return response.status
 
+    def raw_request(self, path: str) -> bytes:
+        """Return the bytes of a request."""
+        lines = [f'POST {path} HTTP/1.1', 'Content-Length: 0']
+        lines += [f'{name}: {text}' for name, text in self._headers().items()]
+        return '\r\n'.join([*lines, '', '']).encode()
+
+    def _headers(self) -> dict[str, str]:
+        """Return the headers of the next request."""
+        self._sent += 1
+        return {
+            'Host': HOST,
+            'Request-Id': f'request-{self._sent}',
+            'Deadline-Ms': '2000',
+            'Authorization': f'Token {KEY}',
+        }
+
     async def set_faults(self, service: str, **faults: float) -> None:
         """Set faults of all servers of a service."""
         for entry in self._entries.values():
--- a/mallowspindle/tests/proxy/test_gate.py
+++ b/mallowspindle/tests/proxy/test_gate.py
@@ -19,6 +19,7 @@
 from mallowspindle.proxy.gate import AdmissionGate
 from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.sharing.service import SharingService
+from mallowspindle.utils.stalls import StallWatch
 
 ROUTE = Route(
     'orders',
@@ -42,6 +43,7 @@
         catalog=catalog,
         http_codec=PlatformHttpCodec(),
         peers=PeerRelays(cast(SharingService, None), b'a key'),
+        stalls=StallWatch(),
     )
     headers = {
         'Host': 'shop.example',
--- a/mallowspindle/tests/proxy/test_relayed_requests.py
+++ b/mallowspindle/tests/proxy/test_relayed_requests.py
@@ -1,6 +1,8 @@
 """Requests on their way through a peer, when something ends in between."""
 
 import asyncio
+import socket
+import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import replace
@@ -79,6 +81,22 @@
     assert len(await _runs_of(venture, '/orders/2')) == expected_runs
 
 
+async def test_an_order_that_is_read_after_its_time_does_not_run() -> None:
+    """Guards against a time limit that counts from a late read.
+
+    The node stood still while the order and the end of its caller arrived.
+    """
+    async with CutVenture(2) as venture:
+        host, port = venture.nodes[0].address.split(':')
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(venture.raw_request('/orders/7'))
+            # Callers wait for 2 s.
+            time.sleep(2.5)  # noqa: ASYNC251
+            answer = await asyncio.to_thread(caller.recv, 100)
+        assert b' 503 ' in answer
+        assert not await _runs_of(venture, '/orders/7')
+
+
 async def test_a_caller_that_leaves_ends_the_work_behind_the_peer(
     venture: CutVenture,
 ) -> None:
