--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Tests run in this many processes, on half of the cores by default.
 TEST_PROCESSES ?= $(shell echo $$(( ($$(nproc) + 1) / 2 )))
 
-.PHONY: setup demo platform-demo test lint check-format check-style check-types format bench lab slopes mesh reclaims proofs
+.PHONY: setup demo platform-demo test lint check-format check-style check-types format bench lab slopes mesh reclaims proofs soak
 
 $(BIN)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -53,6 +53,10 @@
 reclaims: setup
 	$(BIN)/python -m mallowspindle.bench.reclaims
 
+SEEDS ?= 50
+soak: setup
+	$(BIN)/python -m mallowspindle.soak run --seeds $(SEEDS) --jobs 4
+
 proofs: setup
 	$(BIN)/python -m pytest -v mallowspindle/tests/integration mallowspindle/tests/gateway mallowspindle/tests/effects
 	$(BIN)/python -m mallowspindle.bench.reclaims
--- a/mallowspindle/bench/proxy.py
+++ b/mallowspindle/bench/proxy.py
@@ -38,10 +38,12 @@
         self._server: asyncio.Server | None = None
 
     @classmethod
-    async def start(cls, target: str) -> Self:
-        """Start a proxy on a free port in front of ``host:port``."""
+    async def start(
+        cls, target: str, host: str = '127.0.0.1', port: int = 0
+    ) -> Self:
+        """Start a proxy in front of a target; on a free port by default."""
         proxy = cls(target)
-        proxy._server = await asyncio.start_server(proxy._serve, '127.0.0.1', 0)
+        proxy._server = await asyncio.start_server(proxy._serve, host, port)
         return proxy
 
     @property
@@ -49,8 +51,8 @@
         """The ``host:port`` that clients should use."""
         if self._server is None:
             return ''
-        port = self._server.sockets[0].getsockname()[1]
-        return f'127.0.0.1:{port}'
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
 
     @property
     def url(self) -> str:
--- /dev/null
+++ b/mallowspindle/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Plays seeded schedules of disturbances against real processes."""
--- /dev/null
+++ b/mallowspindle/soak/playing.py
@@ -0,0 +1,145 @@
+"""Plays one schedule against real processes."""
+
+import asyncio
+import json
+import random
+import time
+from collections import Counter
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, Self
+
+from mallowspindle.soak.callers import Callers
+from mallowspindle.soak.checks import broken_promises
+from mallowspindle.soak.disturbances import Scene, registry
+from mallowspindle.soak.records import Observations, Run
+from mallowspindle.soak.schedules import Entry, Schedule
+from mallowspindle.soak.world import World
+from mallowspindle.standins.gateways import CONFIGURATION
+
+DEFAULT_SIZE = 4
+# Time after the last disturbance has ended until nodes count as in touch.
+_CALM_S = 3.5
+# Usage of the last windows is reported in this time.
+_REPORTING_S = 2.0
+_LAST_TRIES = 3
+_RESULT = 'result.json'
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a run broke; ``statuses`` counts the answers of callers by kind."""
+
+    seed: int
+    size: int
+    entries: list[dict[str, Any]]
+    broken: list[str]
+    statuses: dict[str, dict[str, int]]
+    duration_s: float
+
+    @classmethod
+    def load(cls, folder: Path) -> Self:
+        """Read the result in a run's folder."""
+        return cls(**json.loads((folder / _RESULT).read_text()))
+
+    def save(self, folder: Path) -> None:
+        """Write the result into the run's folder."""
+        text = json.dumps(asdict(self), indent=1)
+        (folder / _RESULT).write_text(f'{text}\n')
+
+    @property
+    def schedule(self) -> Schedule:
+        """The schedule that was played."""
+        entries = (Entry(**entry) for entry in self.entries)
+        return Schedule(self.seed, tuple(entries))
+
+
+async def play(
+    schedule: Schedule, folder: Path, size: int = DEFAULT_SIZE
+) -> Result:
+    """Play a schedule, write logs and the result into a folder."""
+    await asyncio.to_thread(folder.mkdir, parents=True, exist_ok=True)
+    rng = random.Random(schedule.seed)  # noqa: S311
+    seen = Observations(only_planned=schedule.only_planned)
+    began_at_s = time.monotonic()
+    async with World(folder, rng, size) as world:
+        await world.begin()
+        await _disturb(world, seen, schedule, rng)
+        await _observe(world, seen)
+    result = Result(
+        schedule.seed,
+        size,
+        [asdict(entry) for entry in schedule.entries],
+        broken_promises(seen),
+        _count_statuses(seen),
+        round(time.monotonic() - began_at_s, 1),
+    )
+    result.save(folder)
+    _save_tries(seen, folder)
+    return result
+
+
+async def _disturb(
+    world: World, seen: Observations, schedule: Schedule, rng: random.Random
+) -> None:
+    """Play the disturbances under load, and ask all nodes at the end."""
+    callers = Callers(world, rng)
+    load = asyncio.create_task(callers.run())
+    await asyncio.gather(
+        *(_start(entry, world, seen) for entry in schedule.entries)
+    )
+    await world.settle()
+    await asyncio.sleep(_CALM_S)
+    callers.stopped.set()
+    await load
+    seen.tries = callers.tries
+    # The allowance for retries is used up by what came before.
+    await _restore_servers(world)
+    seen.last_tries = await callers.ask_all_nodes(_LAST_TRIES)
+
+
+async def _start(entry: Entry, world: World, seen: Observations) -> None:
+    await asyncio.sleep(entry.at_s)
+    rng = random.Random(entry.seed)  # noqa: S311
+    scene = Scene(world, seen, rng)
+    if scene.running():
+        await registry[entry.name].disturb(scene)
+
+
+async def _restore_servers(world: World) -> None:
+    """End the faults that are left, and the effects of all changes."""
+    await world.change_configuration(routes=CONFIGURATION['routes'], limits={})
+    for name in world.servers:
+        await world.set_faults(
+            name, refuse=0, truncate=0, lose_answers=0, cuts=0
+        )
+    await world.set_faults('store', lose_answers=0)
+    await asyncio.sleep(_REPORTING_S)
+
+
+async def _observe(world: World, seen: Observations) -> None:
+    """Ask the servers and the platform what they have seen."""
+    await asyncio.sleep(_REPORTING_S)
+    seen.ended_by_themselves = world.ended_by_themselves
+    seen.duty_calls = await world.duty_calls()
+    for server in world.servers:
+        version = world.version_of(server)
+        seen.runs += [
+            Run(server, version, run['id'], run['began_at_s'], run['headers'])
+            for run in await world.runs(server)
+        ]
+
+
+def _count_statuses(seen: Observations) -> dict[str, dict[str, int]]:
+    counts: dict[str, Counter[str]] = {}
+    for attempt in seen.tries:
+        counts.setdefault(attempt.kind, Counter())[str(attempt.status)] += 1
+    return {kind: dict(count) for kind, count in counts.items()}
+
+
+def _save_tries(seen: Observations, folder: Path) -> None:
+    with (folder / 'tries.jsonl').open('w') as output:
+        output.writelines(
+            f'{json.dumps(asdict(attempt))}\n'
+            for attempt in (*seen.tries, *seen.last_tries)
+        )
--- a/mallowspindle/tests/conftest.py
+++ b/mallowspindle/tests/conftest.py
@@ -13,7 +13,7 @@
 _TEST_PREFIX = 'test: '
 _TESTS = Path(__file__).parent
 # Packages whose tests start processes, several for each test.
-_PACKAGES_WITH_PROCESSES = frozenset(('gateway', 'integration'))
+_PACKAGES_WITH_PROCESSES = frozenset(('gateway', 'integration', 'soak'))
 # So many of these tests run at the same time at most.
 _PROCESS_GROUPS = 2
 
--- /dev/null
+++ b/mallowspindle/tests/soak/test_play.py
@@ -0,0 +1,36 @@
+"""Fixed seeds against real processes, and the command's bad input."""
+
+from pathlib import Path
+
+import pytest
+
+from mallowspindle.soak.__main__ import main
+from mallowspindle.soak.playing import Result, play
+from mallowspindle.soak.schedules import Schedule
+
+
+@pytest.mark.parametrize('seed', [2, 14])
+async def test_a_seed_breaks_no_promise(seed: int, tmp_path: Path) -> None:
+    """A cut from all servers; planned stops one after the other."""
+    result = await play(Schedule.from_seed(seed), tmp_path)
+    assert not result.broken
+    assert Result.load(tmp_path) == result
+    assert result.schedule == Schedule.from_seed(seed)
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ['report', 'missing'],
+        ['run', '--seeds', '0'],
+        ['run', '--jobs', '0'],
+        ['replay', 'seven'],
+    ],
+)
+def test_bad_input_is_one_clear_line(
+    arguments: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit) as ending:
+        main(arguments)
+    assert ending.value.code == 2
+    assert capsys.readouterr().err
