--- a/mallowspindle/soak/__main__.py
+++ b/mallowspindle/soak/__main__.py
@@ -1,6 +1,7 @@
 """``mallowspindle-soak``: plays schedules of disturbances by their seeds."""
 
 import asyncio
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -216,6 +217,8 @@
 
 def main(arguments: list[str] | None = None) -> None:
     """Run ``mallowspindle-soak``."""
+    # As for Ctrl-C, all processes are ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     cappa.invoke(Soak, argv=arguments)
 
 
--- a/mallowspindle/soak/disturbances.py
+++ b/mallowspindle/soak/disturbances.py
@@ -2,7 +2,7 @@
 
 A disturbance is a coroutine of a ``Scene`` that a decorator registers::
 
-    @disturbance('kill')
+    @disturbance('kill', weight=_OFTEN)
     async def kill(scene: Scene) -> None:
         ...
 """
@@ -25,6 +25,8 @@
 # How often an odd entry is deeply nested, and an old server leaves.
 _DEEP_SHARE = 0.2
 _LEAVING_SHARE = 0.5
+# Weight of what hurts most together with something else.
+_OFTEN = 4
 
 _names = count()
 
@@ -55,29 +57,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A registered disturbance; ``planned`` is work that loses nothing."""
+    """A registered disturbance; ``planned`` is work that loses nothing.
+
+    One with a higher ``weight`` is drawn more often.
+    """
 
     name: str
     disturb: Disturb
     planned: bool
+    weight: int
 
 
 registry: dict[str, Disturbance] = {}
 
 
 def disturbance(
-    name: str, *, planned: bool = False
+    name: str, *, planned: bool = False, weight: int = 1
 ) -> Callable[[Disturb], Disturb]:
     """Return a decorator that registers a disturbance under ``name``."""
 
     def decorate(disturb: Disturb) -> Disturb:
-        registry[name] = Disturbance(name, disturb, planned)
+        registry[name] = Disturbance(name, disturb, planned, weight)
         return disturb
 
     return decorate
 
 
-@disturbance('kill')
+@disturbance('kill', weight=_OFTEN)
 async def kill(scene: Scene) -> None:
     """Kill a node, which starts again."""
     name = scene.pick_node()
@@ -96,7 +102,7 @@
         scene.world.restart_later(name, 0.3)
 
 
-@disturbance('stand-still')
+@disturbance('stand-still', weight=_OFTEN)
 async def stand_still(scene: Scene) -> None:
     """Let a node stand still for seconds."""
     name = scene.pick_node()
@@ -108,7 +114,7 @@
     scene.trouble(name)
 
 
-@disturbance('cut-from-servers')
+@disturbance('cut-from-servers', weight=_OFTEN)
 async def cut_from_servers(scene: Scene) -> None:
     """Cut a node off from all servers; its connections are reset or hang."""
     name = scene.pick_node()
@@ -139,7 +145,7 @@
     scene.trouble(*scene.world.nodes)
 
 
-@disturbance('store-restored')
+@disturbance('store-restored', weight=_OFTEN)
 async def store_restored(scene: Scene) -> None:
     """Let the store come back from an older copy; others write again."""
     scene.trouble(*scene.world.nodes)
@@ -222,7 +228,7 @@
     )
 
 
-@disturbance('release')
+@disturbance('release', weight=_OFTEN)
 async def release(scene: Scene) -> None:
     """Let servers of a new software version join; some old ones leave."""
     old = scene.world.servers_of('models')
@@ -236,7 +242,7 @@
             scene.seen.left_at_s[name] = time.monotonic()
 
 
-@disturbance('stop', planned=True)
+@disturbance('stop', planned=True, weight=_OFTEN)
 async def stop(scene: Scene) -> None:
     """Stop one node as planned; it starts again."""
     await scene.world.stop_node(scene.pick_node())
--- a/mallowspindle/soak/schedules.py
+++ b/mallowspindle/soak/schedules.py
@@ -8,7 +8,7 @@
 
 # When disturbances begin, in seconds from the begin of the load.
 _FIRST_S = 3.0
-_LAST_S = 8.0
+_LAST_S = 10.0
 _MAX_ENTRIES = 4
 # Two events within this time find most faults.
 _PAIR_S = 2.0
@@ -34,17 +34,18 @@
 
     @classmethod
     def from_seed(cls, seed: int) -> Self:
-        """Draw one to four disturbances, often two close together."""
+        """Draw two to four disturbances, often two close together."""
         rng = random.Random(seed)  # noqa: S311
         only_planned = rng.random() < _PLANNED_SHARE
         names = sorted(
             name
             for name, each in registry.items()
             if each.planned or not only_planned
+            for _ in range(each.weight)
         )
-        at_s = rng.uniform(_FIRST_S, _LAST_S - _PAIR_S)
+        at_s = rng.uniform(_FIRST_S, _FIRST_S + _PAIR_S)
         entries = []
-        for _ in range(rng.randint(1, _MAX_ENTRIES)):
+        for _ in range(rng.randint(2, _MAX_ENTRIES)):
             entries.append(
                 Entry(round(at_s, 2), rng.choice(names), rng.getrandbits(32))
             )
