--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -86,11 +86,6 @@
         """The follower that holds the state of the stream."""
         return self._follower
 
-    @property
-    def reachable(self) -> bool:
-        """Whether this node has reached the store with its last read."""
-        return self._reachable
-
     def step(self) -> None:
         """Start the read and the queries that are due."""
         now_s = time.monotonic()
