--- a/mallowspindle/soak/disturbances.py
+++ b/mallowspindle/soak/disturbances.py
@@ -154,9 +154,7 @@
     await scene.world.restore_store(scene.rng.uniform(2, 6))
     await scene.world.set_faults('store', down=False)
     await scene.world.change_configuration()
-    for service in ('models', 'shop'):
-        for name in scene.world.servers_of(service):
-            await scene.world.write_entry(name)
+    await scene.world.write_entries()
     scene.trouble(*scene.world.nodes)
 
 
--- a/mallowspindle/soak/world.py
+++ b/mallowspindle/soak/world.py
@@ -139,6 +139,14 @@
         entry = {**self._entries[name], **changes}
         await self.register(name, entry.pop('service'), **entry)
 
+    async def write_entries(self) -> None:
+        """Write all entries again, and remove those that are gone."""
+        for name, entry in self._entries.items():
+            if entry.get('gone'):
+                await self.remove_entry(name)
+            else:
+                await self.write_entry(name)
+
     async def remove_entry(self, name: str) -> None:
         """Remove the entry of a server, which goes on serving."""
         self._entries[name]['gone'] = True
