--- a/mallowspindle/soak/paths.py
+++ b/mallowspindle/soak/paths.py
@@ -13,6 +13,7 @@
 
 _OK = 200
 _UNAVAILABLE = 503
+_SHUTDOWN_TIMEOUT_S = 0.1
 _KEPT_HEADERS = frozenset(('Store-Era', 'Content-Type'))
 
 
@@ -46,7 +47,10 @@
         self._own = f'{own}:'.encode()
         self._host = own
         self._session = ClientSession()
-        self._runner = ServerRunner(Server(self._serve, access_log=None))
+        self._runner = ServerRunner(
+            Server(self._serve, access_log=None),
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        )
         self.reached = True
 
     @classmethod
@@ -54,7 +58,7 @@
         """Start to listen on a free port of the node's address."""
         view = cls(store, registered, own)
         await view._runner.setup()
-        await TCPSite(view._runner, own, 0, shutdown_timeout=0.1).start()
+        await TCPSite(view._runner, own, 0).start()
         return view
 
     @property
--- a/mallowspindle/tests/platform/test_servers.py
+++ b/mallowspindle/tests/platform/test_servers.py
@@ -21,6 +21,7 @@
 }
 _HUGE = '9' * 5000
 _DEPTH = 100_000
+_LONE_SURROGATE = 0xD800
 _DEEP = b'[' * _DEPTH
 _DEEP_LIST = b''.join((_DEEP, b']' * _DEPTH))
 
@@ -109,7 +110,7 @@
         b'\xff\xfe',
         b'null',
         b'3',
-        rb'{"service": "\ud800"}',
+        json.dumps({'service': chr(_LONE_SURROGATE)}).encode(),
     ],
 )
 def test_an_entry_that_cannot_be_read_names_no_server(content: bytes) -> None:
