The soak starts a stopped node once, and leaves no process behind

Seven daemons of ended runs were still there: a node that was stopped a second time while it was draining was started twice, and the first of the two was no longer known. Such a node also had two processes under one name for the rest of a run.

A node has one pending restart; that of a node which is removed is dropped, and the end of a run waits for the starts in progress to be undone.

--- a/mallowspindle/soak/world.py
+++ b/mallowspindle/soak/world.py
@@ -35,7 +35,7 @@
         self._views: list[StoreView] = []
         self._listeners: list[socket.socket] = []
         self._entries: dict[str, dict[str, Any]] = {}
-        self._restarts: set[asyncio.Task[None]] = set()
+        self._restarts: dict[str, asyncio.Task[None]] = {}
         self._config_version = int(CONFIGURATION['version'])
         self.size = size
         # Nodes that were told to stop, or removed, and must not be restarted.
@@ -165,15 +165,19 @@
         self._views[int(node.partition('-')[2])].reached = reached
 
     def restart_later(self, name: str, after_s: float) -> None:
-        """Start a node again once its process has ended."""
+        """Start a node again once its process has ended.
+
+        One that is about to be started again already is started once.
+        """
 
         async def restart() -> None:
             await self.process(name).wait()
             await asyncio.sleep(after_s)
             await self.start_node(name)
 
-        task = asyncio.create_task(restart())
-        self._restarts.add(task)
+        former = self._restarts.get(name)
+        if former is None or former.done():
+            self._restarts[name] = asyncio.create_task(restart())
 
     async def stop_node(self, name: str) -> None:
         """Tell a node to stop, as the platform does."""
@@ -184,6 +188,9 @@
     async def remove_node(self, name: str) -> None:
         """Stop a node for good; nothing answers at its address any more."""
         self.removed.add(name)
+        restart = self._restarts.pop(name, None)
+        if restart is not None:
+            restart.cancel()
         process = self.process(name)
         peers = process.endpoint('peers')
         self.stopped_at_s[name].append(time.monotonic())
@@ -199,7 +206,7 @@
     async def settle(self) -> None:
         """Wait until restarts have ended and all nodes are ready."""
         if self._restarts:
-            await asyncio.wait(self._restarts)
+            await asyncio.wait(self._restarts.values())
         for name in self.nodes:
             if not self.is_running(name):
                 self.ended_by_themselves.append(name)
@@ -208,8 +215,10 @@
 
     async def stop(self) -> None:
         """End all processes and close all paths."""
-        for task in self._restarts:
+        for task in self._restarts.values():
             task.cancel()
+        # A process that is being started is killed by its own task.
+        await asyncio.gather(*self._restarts.values(), return_exceptions=True)
         await super().stop()
         for view in self._views:
             await view.stop()
