--- a/mallowspindle/soak/world.py
+++ b/mallowspindle/soak/world.py
@@ -144,7 +144,7 @@
 
     async def write_entries(self) -> None:
         """Write all entries again, and remove those that are gone."""
-        for name, entry in self._entries.items():
+        for name, entry in list(self._entries.items()):
             if entry.get('gone'):
                 await self.remove_entry(name)
             else:
