A test of passed-on streams breaks the peer while the streams still run

Cause: the test's streams last 0.9 s, and it broke the peer 0.36 s after the node reached the servers again, which comes 0.5 s after the begin or later, so most streams had ended.

The peer is broken once each stream has run for longer than an event takes, and events are 0.4 s apart.

--- a/mallowspindle/tests/proxy/test_relayed_requests.py
+++ b/mallowspindle/tests/proxy/test_relayed_requests.py
@@ -14,7 +14,7 @@
 from mallowspindle.tests.proxy.nodes import CutVenture, Node
 
 _SLOW_S = 0.2
-_EVENT_PAUSE_S = 0.3
+_EVENT_PAUSE_S = 0.4
 _STREAMS = 12
 _MAX_ATTEMPTS = 2
 _PATIENCE_S = 3.0
@@ -138,8 +138,10 @@
     if heals:
         venture.heal([first])
         while 'models' in first.backends.not_reached():
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(1.2 * _EVENT_PAUSE_S)
+            await asyncio.sleep(0.01)
+    # Each stream has sent an event and has others to send.
+    while not await _have_sent_an_event(venture, paths):
+        await asyncio.sleep(0.01)
     for peer in venture.nodes[1:]:
         peer.break_connections()
     statuses = await asyncio.gather(*calls)
@@ -175,6 +177,20 @@
         assert max(runs.values()) == _MAX_ATTEMPTS
 
 
+async def _have_sent_an_event(venture: CutVenture, paths: list[str]) -> bool:
+    """Return whether all streams have run for longer than an event takes."""
+    began_at_s = [
+        run['began_at_s']
+        for run in await venture.runs()
+        if run['target'] in paths
+    ]
+    now_s = asyncio.get_running_loop().time()
+    return (
+        len(began_at_s) == len(paths)
+        and now_s - max(began_at_s) > 1.2 * _EVENT_PAUSE_S
+    )
+
+
 def _begun(venture: CutVenture) -> Counter[str]:
     """Return the requests that all nodes count as begun, by organisation."""
     total: Counter[str] = Counter()
