The time that a message takes counts in the ages that it tells (CONFIG)

Cause: an update of the configuration told its age when it was made. Its time in the queue of a link, of its sender or of a relay was left out, so a node took news of seconds ago for new: it neither read the store in its turn nor doubted its configuration.

Ruled out on the way: two nodes alone do not show it, since each takes the other for lost after 1.5 s and reads for itself; nor does a path that is slow in one direction only.

Fix: messages with an age are stamped with the time of the receiver that had last reached the sender, so the receiver bounds the delay without a common clock. The same for states of work (limits, quotas, silent relays), the lease and replies; a relay adds what it has found. Nodes of older builds get no stamps.

--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -1,7 +1,6 @@
 """Follow a keyed stream by reading it and by updates from peers."""
 
 import logging
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -15,6 +14,8 @@
     LogRecord,
 )
 from mallowspindle.peers.codec import peer_codec
+from mallowspindle.peers.transit import DatedMessage
+from mallowspindle.utils.clock import boot_clock_s
 
 log = logging.getLogger(__name__)
 
@@ -36,11 +37,11 @@
 
 @peer_codec.register('stream-news')
 @dataclass(frozen=True, slots=True)
-class StreamUpdate:
+class StreamUpdate(DatedMessage):
     """Records of a stream that a peer has read.
 
     They are all changes between the offsets ``base`` and ``through``, as of
-    ``age_s`` before the message was sent. Without a ``base`` they are all keys
+    ``age_s`` ago. Without a ``base`` they are all keys
     of the stream.
     """
 
@@ -53,7 +54,7 @@
 
 @peer_codec.register('stream-end')
 @dataclass(frozen=True, slots=True)
-class StreamEnd:
+class StreamEnd(DatedMessage):
     """The end offset of a stream ``age_s`` ago, without its records.
 
     It is sent in place of an update that is too large for peers.
@@ -119,8 +120,8 @@
         self._current_at_s = 0.0
         self._last_read_at_s = 0.0
         # Since then no two reads by any nodes were further apart than an outage.
-        self._read_without_gap_from_s = time.monotonic()
-        self._gap_since_s = time.monotonic()
+        self._read_without_gap_from_s = boot_clock_s()
+        self._gap_since_s = boot_clock_s()
         # The offset up to which records are known to exist.
         self._known_end = 0
         # Peers have sent or been sent all updates up to this offset.
@@ -140,13 +141,13 @@
 
     @property
     def current_at_s(self) -> float:
-        """When the state was known to match the store, on the steady clock."""
+        """When the state was known to match the store, on the boot clock."""
         return self._current_at_s
 
     @property
     def age_s(self) -> float:
         """Seconds since the state was known to match the store."""
-        return time.monotonic() - self._current_at_s
+        return boot_clock_s() - self._current_at_s
 
     @property
     def has_gap(self) -> bool:
@@ -156,12 +157,12 @@
     @property
     def gap_age_s(self) -> float:
         """Seconds for which records have been missing; 0 without a gap."""
-        return time.monotonic() - self._gap_since_s if self.has_gap else 0
+        return boot_clock_s() - self._gap_since_s if self.has_gap else 0
 
     @property
     def since_last_read_s(self) -> float:
         """Seconds since the last read of the stream by any node, if known."""
-        return time.monotonic() - self._last_read_at_s
+        return boot_clock_s() - self._last_read_at_s
 
     @property
     def read_without_gap_s(self) -> float:
@@ -171,7 +172,7 @@
         """
         if self.since_last_read_s > OUTAGE_AFTER_S:
             return 0
-        return time.monotonic() - self._read_without_gap_from_s
+        return boot_clock_s() - self._read_without_gap_from_s
 
     async def read(self, *, for_peers: bool = True) -> StreamUpdate:
         """Read new records and return the update for peers.
@@ -179,7 +180,7 @@
         It holds all changes since the last update, those of reads that were
         not ``for_peers`` too.
         """
-        requested_at_s = time.monotonic()
+        requested_at_s = boot_clock_s()
         base = self._shared_through
         previous_end = self._known_end
         try:
@@ -198,7 +199,7 @@
         self._note_read(requested_at_s)
         if for_peers:
             self._shared_through = through
-        age_s = time.monotonic() - requested_at_s
+        age_s = boot_clock_s() - requested_at_s
         records = self._changes_since(base)
         return StreamUpdate(self._stream, base, through, age_s, records)
 
@@ -232,11 +233,11 @@
         )
 
     def _note_end(self, end: int, age_s: float) -> None:
-        self._note_read(time.monotonic() - age_s)
+        self._note_read(boot_clock_s() - age_s)
         had_gap = self.has_gap
         self._known_end = max(self._known_end, end)
         if not had_gap:
-            self._gap_since_s = time.monotonic()
+            self._gap_since_s = boot_clock_s()
 
     def _note_read(self, read_at_s: float) -> None:
         """Record when this node or another one has read the stream."""
@@ -249,7 +250,7 @@
             return
         self._through = through
         self._shared_through = through
-        read_at_s = time.monotonic() - age_s
+        read_at_s = boot_clock_s() - age_s
         self._current_at_s = max(self._current_at_s, read_at_s)
         self._note_read(read_at_s)
 
--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -18,6 +18,7 @@
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.policies.polling import polling_delay_s
 from mallowspindle.sharing.service import SharingService
+from mallowspindle.utils.clock import boot_clock_s
 from mallowspindle.utils.identifiers import rendezvous_weight
 from mallowspindle.utils.tasks import BackgroundTasks
 
@@ -102,10 +103,10 @@
 
         Calls that come together share a read.
         """
-        needed_at_s = time.monotonic() - _SHARED_READ_S
-        ends_at_s = time.monotonic() + timeout_s
+        needed_at_s = boot_clock_s() - _SHARED_READ_S
+        ends_at_s = boot_clock_s() + timeout_s
         while self._follower.current_at_s < needed_at_s:
-            left_s = ends_at_s - time.monotonic()
+            left_s = ends_at_s - boot_clock_s()
             if left_s <= 0 or not self._reachable:
                 return False
             if not self._reads:
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -89,8 +89,9 @@
             )
         }
         self._server_synchronizer = self._synchronizers[layout.servers_stream]
-        follower = self._synchronizers[layout.configuration_stream].follower
-        self._configurations = follower
+        self._configuration_synchronizer = self._synchronizers[
+            layout.configuration_stream
+        ]
         self._restored_at_s = 0.0
         self._watchers: list[Callable[[], None]] = []
         self._configured = asyncio.Event()
@@ -116,7 +117,7 @@
 
         While it is not, a route or key that it lacks may exist all the same.
         """
-        follower = self._configurations
+        follower = self._configuration_synchronizer.follower
         return not follower.has_gap and follower.age_s < _CURRENT_MAX_AGE_S
 
     @property
@@ -179,10 +180,14 @@
             await synchronizer.stop()
 
     def _observe_age(self, options: CallbackOptions) -> list[Observation]:
-        return [Observation(self._configurations.age_s)]
+        return [Observation(self._configuration_synchronizer.follower.age_s)]
 
     def _observe_era(self, options: CallbackOptions) -> list[Observation]:
-        return [Observation(era_of(self._configurations.through or 0))]
+        return [
+            Observation(
+                era_of(self._configuration_synchronizer.follower.through or 0)
+            )
+        ]
 
     async def _run(self, synchronizer: StreamSynchronizer) -> None:
         while True:
@@ -196,10 +201,14 @@
         It may itself have been cut off, and servers may have left meanwhile.
         """
         while True:
-            outage_age_s = self._servers.outage_age_s
-            if outage_age_s is not None:
+            if self._servers.outage_age_s is not None:
                 read_without_gap_s = await self._ask_about_outage()
-                if read_without_gap_s >= outage_age_s + OUTAGE_AFTER_S:
+                # As of now: the replies may have been on their way.
+                outage_age_s = self._servers.outage_age_s
+                if (
+                    outage_age_s is not None
+                    and read_without_gap_s >= outage_age_s + OUTAGE_AFTER_S
+                ):
                     log.info(
                         'this node was cut off, the store was not down',
                         extra={'noted_s_ago': round(outage_age_s, 2)},
--- a/mallowspindle/peers/connection.py
+++ b/mallowspindle/peers/connection.py
@@ -13,10 +13,22 @@
     PeerUnreachable,
 )
 from mallowspindle.peers.frames import FrameStream
+from mallowspindle.peers.transit import (
+    ConnectionClock,
+    DatedMessage,
+    PeerTime,
+    Stamp,
+    aged,
+    read_peer_time,
+)
+from mallowspindle.utils.clock import boot_clock_s
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
 
+_MS = 1000
+# The tag and the fields of a message without a stamp.
+_UNSTAMPED = 2
 # Limit on pending calls to one peer, equal to the default limit on requests in
 # progress at a node. Further calls fail at once instead of queueing behind a
 # blocked peer.
@@ -24,11 +36,22 @@
 
 
 class PeerConnection:
-    """Sends numbered calls and matches replies to them by number."""
+    """Sends numbered calls and matches replies to them by number.
+
+    Messages with an age are stamped if the peer has sent its time.
+    """
 
-    def __init__(self, address: str, stream: FrameStream) -> None:
+    def __init__(
+        self,
+        address: str,
+        stream: FrameStream,
+        clock: ConnectionClock,
+        peer_time: PeerTime | None,
+    ) -> None:
         self._address = address
         self._stream = stream
+        self._clock = clock
+        self._peer_time = peer_time
         self._call_numbers = count()
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._unanswered_since_s: float | None = None
@@ -67,8 +90,16 @@
             return 0
         return time.monotonic() - self._unanswered_since_s
 
-    async def call(self, message: object, timeout_s: float) -> Any:
-        """Send a message and return the peer's reply."""
+    async def call(
+        self, message: object, timeout_s: float, made_at_s: float | None = None
+    ) -> Any:
+        """Send a message and return the peer's reply.
+
+        Ages in the message are as of ``made_at_s`` on the boot clock, those in
+        the reply as of now.
+        """
+        if made_at_s is None:
+            made_at_s = boot_clock_s()
         if len(self._pending) >= _MAX_PENDING_CALLS:
             raise PeerUnreachable(f'{self._address}: too many pending calls')
         number = next(self._call_numbers)
@@ -79,8 +110,9 @@
             self._unanswered_since_s = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
-                await self._send([number, *peer_codec.to_wire(message)])
-                return await reply
+                sent_at_s = await self._send(number, message, made_at_s)
+                # The peer has made its reply later than that.
+                return aged(await reply, boot_clock_s() - sent_at_s)
         except TimeoutError as error:
             raise PeerTimeout(
                 f'{self._address} did not reply in time'
@@ -88,15 +120,26 @@
         finally:
             self._pending.pop(number, None)
 
-    async def _send(self, frame: list[Any]) -> None:
+    async def _send(
+        self, number: int, message: object, made_at_s: float
+    ) -> float:
         """Write a frame once most of the earlier ones have left this process.
 
         A call that times out before that is never sent, so that a slow link
-        does not carry messages whose callers have given up.
+        does not carry messages whose callers have given up. Return when it was
+        written on the boot clock.
         """
+        frame = [number, *peer_codec.to_wire(message)]
         async with self._write_lock:
             await self._stream.drain()
+            sent_at_s = boot_clock_s()
+            if isinstance(message, DatedMessage) and self._peer_time:
+                waited_ms = max(0, int((sent_at_s - made_at_s) * _MS))
+                frame.append(
+                    Stamp(self._clock.now_ms(), waited_ms, *self._peer_time)
+                )
             self._sent_bytes += self._stream.enqueue(frame)
+            return sent_at_s
 
     def close(self, error: PeerError) -> None:
         """Abort the connection; pending calls fail with ``error``."""
@@ -106,7 +149,9 @@
     async def _read_replies(self) -> None:
         try:
             while True:
-                number, *wire = await self._stream.read()
+                number, wire = await self._stream.read_numbered()
+                if len(wire) > _UNSTAMPED:
+                    self._peer_time = read_peer_time(wire.pop(), self._clock)
                 self._handle_reply(number, _decode_reply(wire))
         except (PeerError, ValueError) as error:
             log.info('link to %s lost: %s', self._address, error)
--- a/mallowspindle/peers/frames.py
+++ b/mallowspindle/peers/frames.py
@@ -36,6 +36,13 @@
         except (IncompleteReadError, OSError, CodecError) as error:
             raise PeerError(f'connection lost: {error}') from error
 
+    async def read_numbered(self) -> tuple[Any, list[Any]]:
+        """Read one frame; return the call number and the rest of it."""
+        frame = await self.read()
+        if not isinstance(frame, list) or not frame:
+            raise PeerError('malformed frame: expected a call number')
+        return frame[0], frame[1:]
+
     @property
     def queued_bytes(self) -> int:
         """Bytes buffered in this process that are still to be sent."""
--- a/mallowspindle/peers/handshake.py
+++ b/mallowspindle/peers/handshake.py
@@ -10,6 +10,12 @@
 
 from mallowspindle.peers.errors import HandshakeFailed, PeerError
 from mallowspindle.peers.frames import FrameStream
+from mallowspindle.peers.transit import (
+    ConnectionClock,
+    PeerTime,
+    read_peer_time,
+)
+from mallowspindle.utils.codec import CodecError
 
 PROTOCOL_VERSION = 1
 _NONCE_BYTES = 16
@@ -28,11 +34,16 @@
 
 
 async def handshake_as_server(
-    stream: FrameStream, credentials: Credentials
+    stream: FrameStream, credentials: Credentials, clock: ConnectionClock
 ) -> str:
-    """Authenticate a peer that connected to this node; return its name."""
+    """Authenticate a peer that connected to this node; return its name.
+
+    The time in the greeting tells the peer that this node understands stamps.
+    """
     nonce = secrets.token_bytes(_NONCE_BYTES)
-    await stream.write([PROTOCOL_VERSION, credentials.name, nonce])
+    await stream.write(
+        [PROTOCOL_VERSION, credentials.name, nonce, clock.now_ms()]
+    )
     name, peer_nonce, proof = _parse_proof(await _read_greeting(stream))
     _verify_proof(credentials.key, 'client', name, nonce, proof)
     reply = _compute_proof(
@@ -43,11 +54,15 @@
 
 
 async def handshake_as_client(
-    stream: FrameStream, credentials: Credentials
-) -> str:
-    """Authenticate the peer that this node connected to; return its name."""
+    stream: FrameStream, credentials: Credentials, clock: ConnectionClock
+) -> PeerTime | None:
+    """Authenticate the peer that this node connected to.
+
+    Return the peer's time; None if it does not understand stamps of messages.
+    """
     greeting = await _read_greeting(stream)
-    name, server_nonce = greeting[1], greeting[2]
+    peer_time = _peer_time(greeting, clock)
+    server_nonce = greeting[2]
     nonce = secrets.token_bytes(_NONCE_BYTES)
     proof = _compute_proof(
         credentials.key, 'client', credentials.name, server_nonce
@@ -55,7 +70,7 @@
     await stream.write([PROTOCOL_VERSION, credentials.name, nonce, proof])
     server_name, _, server_proof = _parse_proof(await _read_greeting(stream))
     _verify_proof(credentials.key, 'server', server_name, nonce, server_proof)
-    return str(name)
+    return peer_time
 
 
 async def _read_greeting(stream: FrameStream) -> list[object]:
@@ -72,6 +87,17 @@
     return frame
 
 
+def _peer_time(
+    greeting: list[object], clock: ConnectionClock
+) -> PeerTime | None:
+    if len(greeting) == _MIN_FIELDS:
+        return None
+    try:
+        return read_peer_time(greeting[_MIN_FIELDS], clock)
+    except CodecError as error:
+        raise HandshakeFailed(f'malformed greeting: {error}') from error
+
+
 def _parse_proof(frame: list[object]) -> tuple[str, bytes, bytes]:
     match frame:
         case [_, str() as name, bytes() as nonce, bytes() as proof]:
--- a/mallowspindle/peers/link.py
+++ b/mallowspindle/peers/link.py
@@ -15,6 +15,8 @@
 )
 from mallowspindle.peers.frames import FrameStream
 from mallowspindle.peers.handshake import Credentials, handshake_as_client
+from mallowspindle.peers.transit import ConnectionClock
+from mallowspindle.utils.clock import boot_clock_s
 
 log = logging.getLogger(__name__)
 _CONNECT_TIMEOUT_S = 1.0
@@ -64,12 +66,20 @@
         """Bytes buffered in this process that are still to be sent."""
         return self._connection.queued_bytes if self._connection else 0
 
-    async def call(self, message: object, timeout_s: float) -> Any:
-        """Send a message and return the peer's reply."""
+    async def call(
+        self, message: object, timeout_s: float, made_at_s: float | None = None
+    ) -> Any:
+        """Send a message and return the peer's reply.
+
+        Ages in the message are as of ``made_at_s`` on the boot clock; without
+        it, as of now.
+        """
+        if made_at_s is None:
+            made_at_s = boot_clock_s()
         connection = await self._get_connection()
         due_at_s = time.monotonic() + timeout_s
         try:
-            reply = await connection.call(message, timeout_s)
+            reply = await connection.call(message, timeout_s, made_at_s)
         except PeerTimeout:
             if time.monotonic() < due_at_s + _MAX_TIMEOUT_DELAY_S:
                 self._close_if_silent(connection)
@@ -86,21 +96,24 @@
     async def _get_connection(self) -> PeerConnection:
         async with self._connect_lock:
             if self._connection is None or self._connection.lost:
-                stream = await self._connect()
+                connection = await self._connect()
                 self._closed_connections_bytes = self.sent_bytes
-                self._connection = PeerConnection(self._address, stream)
+                self._connection = connection
             return self._connection
 
-    async def _connect(self) -> FrameStream:
+    async def _connect(self) -> PeerConnection:
         host, port = self._address.rsplit(':', 1)
+        clock = ConnectionClock()
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, int(port))
                 stream = FrameStream(reader, writer, self._max_frame_bytes)
-                await handshake_as_client(stream, self._credentials)
+                peer_time = await handshake_as_client(
+                    stream, self._credentials, clock
+                )
         except (OSError, TimeoutError, PeerError) as error:
             raise PeerUnreachable(f'{self._address}: {error}') from error
-        return stream
+        return PeerConnection(self._address, stream, clock, peer_time)
 
     def _close_if_silent(self, connection: PeerConnection) -> None:
         """Close a connection that has been silent for too long.
--- a/mallowspindle/peers/server.py
+++ b/mallowspindle/peers/server.py
@@ -9,16 +9,48 @@
 from mallowspindle.peers.errors import PeerError
 from mallowspindle.peers.frames import FrameStream
 from mallowspindle.peers.handshake import Credentials, handshake_as_server
+from mallowspindle.peers.transit import ConnectionClock, TransitBound, aged
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
 _HANDSHAKE_TIMEOUT_S = 2.0
 # Kinds of messages of one connection that are logged as not understood.
 _MAX_LOGGED = 20
+# The tag and the fields of a message without a stamp.
+_UNSTAMPED = 2
 
 Handler = Callable[[Any], Awaitable[object]]
 
 
+class _MessageReader:
+    """Decodes the messages of one connection."""
+
+    def __init__(self, peer: str, clock: ConnectionClock) -> None:
+        self._peer = peer
+        self._transit = TransitBound(clock)
+        self._logged: set[str] = set()
+
+    def read(self, wire: list[Any]) -> Any:
+        """Return a message with its present age, or an error for the peer."""
+        try:
+            message = peer_codec.from_wire(wire[:_UNSTAMPED])
+            if len(wire) > _UNSTAMPED:
+                return aged(message, self._transit.delay_s(wire[_UNSTAMPED]))
+        except CodecError as error:
+            # The peer may be of another build, whose other messages count.
+            self._log_once(str(error))
+            return ErrorReply(str(error))
+        return message
+
+    def _log_once(self, error: str) -> None:
+        if error not in self._logged and len(self._logged) < _MAX_LOGGED:
+            self._logged.add(error)
+            log.warning(
+                'message not understood',
+                extra={'peer': self._peer, 'error': error},
+            )
+
+
 class PeerServer:
     """Accepts connections and passes each message to its handler."""
 
@@ -50,34 +82,36 @@
     ) -> None:
         stream = FrameStream(reader, writer, self._max_frame_bytes)
         self._connections.add(stream)
+        clock = ConnectionClock()
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
-                peer = await handshake_as_server(stream, self._credentials)
-            await self._answer_calls(stream, peer)
+                peer = await handshake_as_server(
+                    stream, self._credentials, clock
+                )
+            await self._answer_calls(stream, peer, clock)
         except (PeerError, TimeoutError, ValueError) as error:
             log.debug('peer connection ended: %s', error)
         finally:
             self._connections.discard(stream)
             stream.close()
 
-    async def _answer_calls(self, stream: FrameStream, peer: str) -> None:
-        logged: set[str] = set()
+    async def _answer_calls(
+        self, stream: FrameStream, peer: str, clock: ConnectionClock
+    ) -> None:
+        reader = _MessageReader(peer, clock)
         while True:
-            number, *wire = await stream.read()
-            try:
-                message = peer_codec.from_wire(wire)
-            except CodecError as error:
-                # The peer may be of another build, whose other messages count.
-                reply: object = ErrorReply(str(error))
-                if str(error) not in logged and len(logged) < _MAX_LOGGED:
-                    logged.add(str(error))
-                    log.warning(
-                        'message not understood',
-                        extra={'peer': peer, 'error': str(error)},
-                    )
-            else:
-                reply = await self.dispatch_message(message)
-            await stream.write([number, *peer_codec.to_wire(reply)])
+            number, wire = await stream.read_numbered()
+            is_stamped = len(wire) > _UNSTAMPED
+            message = reader.read(wire)
+            reply = (
+                message
+                if isinstance(message, ErrorReply)
+                else await self.dispatch_message(message)
+            )
+            frame = [number, *peer_codec.to_wire(reply)]
+            if is_stamped:
+                frame.append(clock.now_ms())
+            await stream.write(frame)
 
     async def dispatch_message(self, message: object) -> object:
         """Return the reply of the message's handler, or an ``ErrorReply``."""
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -1,9 +1,10 @@
 """Messages of the sharing service."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
 from mallowspindle.peers.codec import peer_codec
+from mallowspindle.peers.transit import DatedMessage
 
 
 class ServerLoad(NamedTuple):
@@ -98,10 +99,29 @@
     released: bool = False
 
 
+class WorkState(DatedMessage):
+    """A state of work ``age_s`` ago, with a lease update of that moment."""
+
+    __slots__ = ()
+
+    lease: LeaseUpdate | None
+    age_s: float
+
+    @property
+    def lease_by_now(self) -> LeaseUpdate | None:
+        """The lease update with its present age."""
+        if self.lease is None:
+            return None
+        return replace(self.lease, age_s=self.lease.age_s + self.age_s)
+
+
 @peer_codec.register('node-state')
 @dataclass(frozen=True, slots=True)
-class NodeState:
-    """The work of one entry VM; ``number`` increases with each state."""
+class NodeState(WorkState):
+    """The work of one entry VM ``age_s`` ago.
+
+    ``number`` increases with each state.
+    """
 
     node: str
     incarnation: int
@@ -109,23 +129,25 @@
     number: int
     work: WorkSum
     lease: LeaseUpdate | None = None
+    age_s: float = 0
 
 
 @peer_codec.register('zone-state')
 @dataclass(frozen=True, slots=True)
-class ZoneState:
-    """The work of the entry VMs of a zone, summed by its relay."""
+class ZoneState(WorkState):
+    """The work of the entry VMs of a zone ``age_s`` ago, summed by its relay."""
 
     zone: str
     relay: str
     work: WorkSum
     lease: LeaseUpdate | None = None
+    age_s: float = 0
 
 
 @peer_codec.register('venture-state')
 @dataclass(frozen=True, slots=True)
-class VentureState:
-    """The work of all entry VMs, sent by a relay to the nodes of its zone.
+class VentureState(WorkState):
+    """The work of all entry VMs ``age_s`` ago, as a relay tells its zone.
 
     ``included`` holds the number of the state of each node that is part of the
     sum, so that the node can subtract its own part.
@@ -135,11 +157,16 @@
     work: WorkSum
     included: dict[str, int]
     lease: LeaseUpdate | None = None
+    age_s: float = 0
 
 
 @peer_codec.register('pass-on')
 @dataclass(frozen=True, slots=True)
-class ForwardMessage:
-    """Request to a relay to send an encoded message to its zone's nodes."""
+class ForwardMessage(DatedMessage):
+    """Request to a relay to send an encoded message to its zone's nodes.
+
+    The message was encoded ``age_s`` ago.
+    """
 
     message: list[Any]
+    age_s: float = 0
--- a/mallowspindle/sharing/service.py
+++ b/mallowspindle/sharing/service.py
@@ -16,7 +16,12 @@
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.peers.codec import OkReply, peer_codec
 from mallowspindle.peers.errors import PeerError
-from mallowspindle.sharing.aggregation import recent_uptimes, total
+from mallowspindle.peers.transit import aged
+from mallowspindle.sharing.aggregation import (
+    projected,
+    recent_uptimes,
+    total,
+)
 from mallowspindle.sharing.messages import (
     ForwardMessage,
     LeaseUpdate,
@@ -27,6 +32,7 @@
 )
 from mallowspindle.sharing.relays import relays_of, uses_full_mesh
 from mallowspindle.sharing.states import PeerStates
+from mallowspindle.utils.clock import boot_clock_s
 from mallowspindle.utils.tasks import BackgroundTasks, wait_for_event
 from mallowspindle.utils.telemetry import meter
 
@@ -64,6 +70,7 @@
         self._incarnation = own.incarnation
         self._numbers = count(own.incarnation)
         self._last_sent: NodeState | None = None
+        self._last_sent_at_s = 0.0
         self._sources: list[WorkSource] = []
         self._lease_source: LeaseSource | None = None
         self._lease_watchers: list[Callable[[LeaseUpdate], None]] = []
@@ -147,8 +154,11 @@
 
     def send_to(self, infos: Sequence[MemberInfo], message: object) -> None:
         """Send a message to some peers, without waiting for answers."""
+        made_at_s = boot_clock_s()
         for info in infos:
-            self._tasks.spawn(self._send(info, message), 'send to peer')
+            self._tasks.spawn(
+                self._send(info, message, made_at_s), 'send to peer'
+            )
 
     async def ask(
         self, info: MemberInfo, message: object, timeout_s: float
@@ -204,6 +214,7 @@
         peers = self.peers()
         state = self._own_state()
         self._last_sent = state
+        self._last_sent_at_s = self._clock()
         self._peer_states.record_own_state(state)
         if self.is_full_mesh:
             self.send_to(peers, state)
@@ -236,7 +247,8 @@
 
     def _relay(self, peers: Sequence[MemberInfo], own: NodeState) -> None:
         """Send the zone's work to other relays and all work to the zone."""
-        zone_work = total([self._peer_states.zone_work(), own.work])
+        own_work = projected(own.work, self._clock() - self._last_sent_at_s)
+        zone_work = total([self._peer_states.zone_work(), own_work])
         zone_state = ZoneState(
             own.zone, own.node, zone_work, self._peer_states.zone_lease
         )
@@ -247,7 +259,7 @@
         self.send_to(_with_names(relays, peers), zone_state)
         venture_state = VentureState(
             own.node,
-            total([self._peer_states.collected_work(), own.work]),
+            total([self._peer_states.collected_work(), own_work]),
             self._peer_states.included(),
             self._peer_states.venture_lease,
         )
@@ -271,9 +283,12 @@
             lease=lease,
         )
 
-    async def _send(self, info: MemberInfo, message: object) -> None:
+    async def _send(
+        self, info: MemberInfo, message: object, made_at_s: float
+    ) -> None:
+        link = self._membership.link(info)
         try:
-            await self._membership.link(info).call(message, _SEND_TIMEOUT_S)
+            await link.call(message, _SEND_TIMEOUT_S, made_at_s)
         except PeerError as error:
             log.debug('message to %s not delivered: %s', info.name, error)
 
@@ -283,9 +298,10 @@
         self._peer_states.receive(state)
         if not self.is_full_mesh:
             self._forward_around_cut(state)
-        if state.lease is not None:
+        lease = state.lease_by_now
+        if lease is not None:
             for watcher in self._lease_watchers:
-                watcher(state.lease)
+                watcher(lease)
         return OkReply()
 
     def _forward_around_cut(
@@ -308,7 +324,7 @@
 
     async def _forward(self, envelope: ForwardMessage) -> object:
         """Send the message to the nodes of this zone and handle it here."""
-        message = peer_codec.from_wire(envelope.message)
+        message = aged(peer_codec.from_wire(envelope.message), envelope.age_s)
         own = self._membership.own
         self.send_to(_in_zone(own.zone, self.peers()), message)
         return await self._membership.server.dispatch_message(message)
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from mallowspindle.bench.local import SHARED_KEY, LocalProcesses
+from mallowspindle.bench.peer_paths import PeerPaths
 from mallowspindle.bench.processes import ManagedProcess
 
 HOST = 'shop.example'
@@ -73,11 +74,23 @@
 
 
 class GatewayVenture(LocalProcesses):
-    """Starts stand-ins and gateways and sends requests as callers do."""
+    """Starts stand-ins and gateways and sends requests as callers do.
 
-    def __init__(self, folder: Path) -> None:
+    With ``peer_paths``, gateways reach each other through these.
+    """
+
+    def __init__(
+        self, folder: Path, peer_paths: PeerPaths | None = None
+    ) -> None:
         super().__init__(folder)
         self._seeds: list[str] = []
+        self._peer_paths = peer_paths
+
+    async def stop(self) -> None:
+        """End all processes, then close the paths between gateways."""
+        await super().stop()
+        if self._peer_paths is not None:
+            await self._peer_paths.stop()
 
     async def start_platform(self) -> None:
         """Start the store and the duties interface."""
@@ -136,8 +149,11 @@
         if alone:
             settings = settings.replace(f'seeds = {" ".join(self._seeds)}', '')
         process = await self.start_daemon(name, settings)
+        endpoint = process.endpoint('peers')
+        if self._peer_paths is not None:
+            endpoint = await self._peer_paths.add(name, endpoint)
         if not alone:
-            self._seeds.append(process.endpoint('peers'))
+            self._seeds.append(endpoint)
         if wait:
             await self.wait_until(lambda: self.is_ready(name))
         return process
@@ -147,11 +163,13 @@
     ) -> str:
         """Return the settings of a gateway as INI text."""
         options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
+        paths = self._peer_paths
+        peers = f'{paths.listening}:0' if paths else _ANY_PORT
         return (
             f'[node]\ninterface = platform\nname = {name}\nzone = {zone}\n'
             f'bootstrap = yes\n'
             f'[listen]\ncallers = {_ANY_PORT}\nreadiness = {_ANY_PORT}\n'
-            f'addresses = {_ANY_PORT}\npeers = {_ANY_PORT}\n'
+            f'addresses = {_ANY_PORT}\npeers = {peers}\n'
             f'[peers]\nshared_key = {SHARED_KEY}\n'
             f'seeds = {" ".join(self._seeds)}\n'
             f'[store]\naddress = {self.process("store").address}\n'
--- a/mallowspindle/streams/messages.py
+++ b/mallowspindle/streams/messages.py
@@ -1,10 +1,11 @@
 """Messages of the streams service."""
 
 import math
-from dataclasses import dataclass
-from typing import NamedTuple
+from dataclasses import dataclass, replace
+from typing import NamedTuple, Self
 
 from mallowspindle.peers.codec import peer_codec
+from mallowspindle.peers.transit import DatedMessage
 
 
 class StreamKey(NamedTuple):
@@ -36,7 +37,7 @@
 
 @peer_codec.register('versions-reply')
 @dataclass(frozen=True, slots=True)
-class VersionsReply:
+class VersionsReply(DatedMessage):
     """By service and software version, the seconds since it last served.
 
     ``complete`` tells that the node knows all of them, as of
@@ -47,6 +48,13 @@
     complete: bool
     servers_age_s: float = math.inf
 
+    def older_by(self, delay_s: float) -> Self:
+        """Return the reply as it reads later.
+
+        Versions that seem to have served more recently are kept for longer.
+        """
+        return replace(self, servers_age_s=self.servers_age_s + delay_s)
+
 
 @peer_codec.register('stream-query')
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/tests/sharing/fakes.py
+++ b/mallowspindle/tests/sharing/fakes.py
@@ -11,6 +11,7 @@
 from mallowspindle.membership.table import MemberTable
 from mallowspindle.peers.codec import peer_codec
 from mallowspindle.peers.errors import PeerTimeout
+from mallowspindle.peers.transit import aged
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.utils.clock import SharedClock
 from mallowspindle.utils.codec import pack, unpack
@@ -45,7 +46,12 @@
     source: str
     target: str
 
-    async def call(self, message: object, timeout_s: float) -> object:
+    async def call(
+        self,
+        message: object,
+        timeout_s: float,
+        made_at_s: float | None = None,
+    ) -> object:
         """Encode, count and deliver a message, and return the reply."""
         payload = pack(peer_codec.to_wire(message))
         self.mesh.note_sent(self.source, len(payload) + _FRAME_BYTES)
@@ -67,9 +73,8 @@
         if delay_s:
             await asyncio.sleep(delay_s)
         server = self.mesh.servers[self.target]
-        return await server.dispatch_message(
-            peer_codec.from_wire(unpack(payload))
-        )
+        message = peer_codec.from_wire(unpack(payload))
+        return await server.dispatch_message(aged(message, delay_s))
 
 
 class FakeMembership:
--- a/mallowspindle/tests/simulation.py
+++ b/mallowspindle/tests/simulation.py
@@ -49,13 +49,16 @@
 def simulated(
     test: Callable[Parameters, Coroutine[Any, Any, None]],
 ) -> Callable[Parameters, None]:
-    """Run a test in simulated time, that of ``time.monotonic`` included."""
+    """Run a test in simulated time, the steady and boot clocks included."""
 
     @wraps(test)
     def run(*args: Parameters.args, **kwargs: Parameters.kwargs) -> None:
         async def with_clock() -> None:
             clock = asyncio.get_running_loop().time
-            with patch('time.monotonic', clock):
+            with (
+                patch('time.monotonic', clock),
+                patch('time.clock_gettime', lambda _: clock()),
+            ):
                 await test(*args, **kwargs)
 
         simulate(with_clock())
