A node that may be behind reads the store before it refuses (CONFIG)

Callers got 503 for a new route or key at a node that had heard of no read for 1.8 s, although it reached the store; a moment's read would have let it serve or deny them.

Cause: the node only told them to come back. It now reads once, shared by all requests that wait, for 0.25 s at most, and decides by what it has read; without an answer it refuses as before.

--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -135,6 +135,13 @@
         """Seconds since the registered servers were known to be up to date."""
         return self._server_synchronizer.follower.age_s
 
+    async def confirm_configuration(self, timeout_s: float) -> bool:
+        """Bring the configuration up to date; return whether it was possible.
+
+        It is as of a moment just before the call.
+        """
+        return await self._configuration_synchronizer.confirm(timeout_s)
+
     async def confirm_servers(self, timeout_s: float) -> bool:
         """Bring the servers up to date; return whether it was possible in time.
 
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -7,7 +7,12 @@
 from aiohttp.web import BaseRequest, Response, StreamResponse
 from opentelemetry.trace import SpanKind
 
-from mallowspindle.catalog.configuration import CallerLimits, Configuration
+from mallowspindle.catalog.configuration import (
+    CallerLimits,
+    Configuration,
+    Organisation,
+    Route,
+)
 from mallowspindle.proxy import replies
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.errors import BadRequest
@@ -24,6 +29,8 @@
 # Retry-After for an unknown route or key while the configuration may be stale:
 # a node that reaches the store or its peers reads the newer one in this time.
 _STALE_CONFIGURATION_RETRY_AFTER_S = 0.5
+# A caller waits while a node finds out whether its configuration is up to date.
+_CONFIRM_TIMEOUT_S = 0.25
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -32,6 +39,18 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class _Allowed:
+    route: Route
+    organisation: Organisation | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Denied:
+    reason: str
+    denial: Response
+
+
 class AdmissionGate:
     """Matches requests to routes and organisations and applies limits."""
 
@@ -72,18 +91,13 @@
         configuration: Configuration,
         began_at_s: float,
     ) -> StreamResponse:
-        host = request.host.partition(':')[0]
-        route = configuration.find_route(host, request.path)
-        if route is None:
-            return self._deny(
-                request, configuration, 'no route', replies.not_found()
-            )
-        organisation = configuration.find_organisation(request.key or '')
-        needs_key = configuration.requires_key and not route.public
-        if needs_key and organisation is None:
-            return self._deny(
-                request, configuration, 'unknown key', replies.unauthorized()
-            )
+        match = _match(request, configuration)
+        if isinstance(match, _Denied) and await self._was_behind():
+            configuration = self._context.catalog.configuration or configuration
+            match = _match(request, configuration)
+        if isinstance(match, _Denied):
+            return self._deny(request, configuration, match)
+        organisation = match.organisation
         body = await self._read_body(web_request, configuration.limits)
         if isinstance(body, Response):
             _log_refusal(request, configuration, f'status {body.status}')
@@ -107,29 +121,36 @@
             self._context,
             web_request,
             admitted,
-            route,
+            match.route,
             organisation,
             began_at_s,
         )
         return await Exchange(state).run(body.payload)
 
+    async def _was_behind(self) -> bool:
+        """Return whether a configuration that was old is up to date now."""
+        catalog = self._context.catalog
+        if catalog.is_current:
+            return False
+        return await catalog.confirm_configuration(_CONFIRM_TIMEOUT_S)
+
     def _deny(
         self,
         request: CallerRequest,
         configuration: Configuration,
-        reason: str,
-        denial: Response,
+        denied: _Denied,
     ) -> Response:
-        """Return ``denial``, or ask the caller to retry if it may be wrong.
+        """Return the denial, or ask the caller to retry if it may be wrong.
 
         A newer configuration may have the route or the key. Requests that a
         stale configuration allows are still served: operators want no node to
         stop serving because it gets no updates.
         """
         if self._context.catalog.is_current:
-            _log_refusal(request, configuration, reason)
-            return denial
-        _log_refusal(request, configuration, f'{reason}, may be behind')
+            _log_refusal(request, configuration, denied.reason)
+            return denied.denial
+        reason = f'{denied.reason}, may be behind'
+        _log_refusal(request, configuration, reason)
         return replies.refusal(_STALE_CONFIGURATION_RETRY_AFTER_S)
 
     async def _read_body(
@@ -149,6 +170,20 @@
             return replies.body_timed_out()
 
 
+def _match(
+    request: CallerRequest, configuration: Configuration
+) -> _Allowed | _Denied:
+    host = request.host.partition(':')[0]
+    route = configuration.find_route(host, request.path)
+    if route is None:
+        return _Denied('no route', replies.not_found())
+    organisation = configuration.find_organisation(request.key or '')
+    needs_key = configuration.requires_key and not route.public
+    if needs_key and organisation is None:
+        return _Denied('unknown key', replies.unauthorized())
+    return _Allowed(route, organisation)
+
+
 async def _read_up_to(
     web_request: BaseRequest, max_bytes: int
 ) -> _Body | Response:
