--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mallowspindle.adapter import HttpCodec
-from mallowspindle.proxy.errors import BadRequest
+from mallowspindle.proxy.errors import BadRequest, BadResponse
 from mallowspindle.proxy.messages import (
     CallerRequest,
     Dispatch,
@@ -25,6 +25,7 @@
 _MS = 1000
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+_FINAL_STATUSES = range(200, 600)
 # A server that asks for a longer pause is asked again after this time.
 _MAX_PAUSE_S = 3600.0
 # Callers accept at most this many addresses.
@@ -154,7 +155,12 @@
     def decode_response_head(
         self, status: int, headers: CIMultiDictProxy[str]
     ) -> ResponseHead:
-        """Return the decoded status and headers of a server's response."""
+        """Return the decoded status and headers of a server's response.
+
+        Raise ``BadResponse`` if its status is no final one.
+        """
+        if status not in _FINAL_STATUSES:
+            raise BadResponse(f'the server answered with status {status}')
         running, waiting = _decode_load(headers.get('Server-Load', ''))
         misdirected = status == _MISDIRECTED
         return ResponseHead(
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -11,7 +11,7 @@
 from mallowspindle.proxy.connections import MatchedResponse
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.continuation import Continuation
-from mallowspindle.proxy.errors import CallerDisconnected
+from mallowspindle.proxy.errors import BadResponse, CallerDisconnected
 from mallowspindle.proxy.events import EventSplitter, OutOfOrder, OversizedEvent
 from mallowspindle.proxy.messages import CallerRequest, ResponseHead
 from mallowspindle.proxy.outcomes import (
@@ -73,12 +73,9 @@
         Raise ``CallerDisconnected`` if the caller has left.
         """
         self._context.backends.record_answering(view)
-        head = self._context.http_codec.decode_response_head(
-            answer.status, answer.headers
-        )
-        if head.request_id != self._request.request_id:
-            answer.close()
-            return Unknown(f'answer to another request: {head.request_id}')
+        head = self._decode_head(answer, {self._request.request_id})
+        if isinstance(head, Unknown):
+            return head
         if not head.misdirected:
             self._context.backends.record_statements(view, head)
         if head.not_run:
@@ -105,12 +102,9 @@
 
         The peer counts its use.
         """
-        head = self._context.http_codec.decode_response_head(
-            answer.status, answer.headers
-        )
-        if head.request_id not in {None, self._request.request_id}:
-            answer.close()
-            return Unknown(f'answer to another request: {head.request_id}')
+        head = self._decode_head(answer, {None, self._request.request_id})
+        if isinstance(head, Unknown):
+            return head
         if head.status != _OK or self._route.kind is not RouteKind.STREAM:
             body = await _read_body(answer)
             if body is None:
@@ -130,6 +124,22 @@
         await self._write(head, self._splitter.pending)
         return Relayed()
 
+    def _decode_head(
+        self, answer: MatchedResponse, expected_ids: set[str | None]
+    ) -> ResponseHead | Unknown:
+        """Return the head of the answer, or why it is unusable."""
+        try:
+            head = self._context.http_codec.decode_response_head(
+                answer.status, answer.headers
+            )
+        except BadResponse as error:
+            answer.close()
+            return Unknown(str(error))
+        if head.request_id not in expected_ids:
+            answer.close()
+            return Unknown(f'answer to another request: {head.request_id}')
+        return head
+
     async def _relay(
         self,
         answer: MatchedResponse,
