The text of an error is no part of a stream that goes on (ORDER)

Callers got the text of an error in the middle of their stream, which ended as if it were whole, when a stream had broken off and the next server answered with an error of status 200; so after a next server that broke off behind a head without a length.

Cause: what follows the last whole event of a framed answer was passed on without the check that events are in order, and an end by a close counted although no event had come.

Fix: such text has to continue the stream, if no event of the answer has; an answer without a length needs an event. Else the stream goes on elsewhere or is cut. Ruled out: errors with another status were never written into a stream (gateway/test_streams.py).

Evidence: gateway/test_odd_answers.py, six cases failed on the code as found (five texts, one empty continuation) and pass now; a last event without its end still goes through.

--- a/mallowspindle/proxy/events.py
+++ b/mallowspindle/proxy/events.py
@@ -73,16 +73,28 @@
             self._record_events(events)
         return events
 
+    @property
+    def awaits_continuation(self) -> bool:
+        """Whether a continuation has brought no event yet."""
+        return self._checks_continuation
+
+    def finish(self) -> bytes:
+        """Return the last event of a whole response if it lacks its end.
+
+        Raises ``OutOfOrder`` if it does not continue the stream: it may be the
+        text of an error.
+        """
+        if self._checks_continuation and self._pending.strip():
+            self._check_continuation(_ids_in(self._pending))
+        return self._pending
+
     def start_response(self) -> None:
         """Prepare for the next response; discard an incomplete event."""
         self._pending = b''
         self._checks_continuation = self._has_emitted_id
 
     def _record_events(self, events: bytes) -> None:
-        ids = [
-            field.strip().decode('utf-8', 'replace')
-            for field in _ID_LINE.findall(events)
-        ]
+        ids = _ids_in(events)
         if not ids and not _DATA_LINE.search(events):
             # Comments do not affect the order of events.
             return
@@ -122,6 +134,13 @@
         self._has_emitted_id = True
 
 
+def _ids_in(events: bytes) -> list[str]:
+    return [
+        field.strip().decode('utf-8', 'replace')
+        for field in _ID_LINE.findall(events)
+    ]
+
+
 def _id_difference(earlier: str | None, later: str | None) -> int | None:
     """Return the difference of two ids; None if they are not numeric."""
     if earlier is None or later is None:
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -121,8 +121,7 @@
                 if self._response is None:
                     self._continuation.note_begun_at_peer(origin)
                 await self._write(head, events)
-        await self._write(head, self._splitter.pending)
-        return Relayed()
+        return await self._finish(head)
 
     def _decode_head(
         self, answer: MatchedResponse, expected_ids: set[str | None]
@@ -166,7 +165,15 @@
             await self._context.quarantine.record_unframed_end(
                 view.server, self._request
             )
-        await self._write(head, self._splitter.pending)
+        return await self._finish(head)
+
+    async def _finish(self, head: ResponseHead) -> AttemptOutcome:
+        """Forward what is left of a whole stream, if it continues it."""
+        try:
+            rest = self._splitter.finish()
+        except OutOfOrder as error:
+            return Diverged(str(error))
+        await self._write(head, rest)
         return Relayed()
 
     def _feed(self, chunk: bytes) -> bytes | Unknown:
@@ -207,6 +214,7 @@
         is_new = self._request.last_event_id is None
         return (
             (is_new and not has_event)
+            or self._splitter.awaits_continuation
             or bool(self._splitter.pending.strip())
             or await in_flight.was_stopped_for_move()
         )
--- a/mallowspindle/tests/gateway/test_odd_answers.py
+++ b/mallowspindle/tests/gateway/test_odd_answers.py
@@ -10,6 +10,8 @@
 
 from mallowspindle.standins.gateways import GatewayVenture
 
+_FIRST_EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+_LAST_CHUNK = b'0\r\n\r\n'
 # A server that has failed is not used for a moment.
 _RECOVERY_S = 0.6
 _INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
@@ -139,3 +141,81 @@
     assert found == [
         (*answer, 'HTTP/1.1 502 Bad Gateway') for answer in answers
     ]
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        b'no such run',
+        b'{"error": "no such run"}',
+        b'<h1>Bad gateway</h1>\n',
+        b'data: no such run',
+        b'id: 7\ndata: c',
+    ],
+)
+async def test_text_of_an_error_is_no_part_of_a_stream(
+    tmp_path: Path, error: bytes
+) -> None:
+    """Guards against the text of an error in a stream that goes on."""
+
+    def respond(headers: dict[str, str]) -> bytes:
+        if len(server.requests) == 1:
+            length = len(_FIRST_EVENTS) + 1
+            head = _head(headers, '200 OK', f'Content-Length: {length}')
+            return head + _FIRST_EVENTS
+        head = _head(headers, '200 OK', f'Content-Length: {len(error)}')
+        return head + error
+
+    async with _venture(tmp_path) as venture:
+        server = await _start_odd_server(venture, 'models', respond)
+        await venture.start_gateway('entry-1')
+        _, rest = await _exchange(venture, '/letters/1', 'r1')
+        server.stop()
+    assert _FIRST_EVENTS in rest
+    assert error not in rest
+    assert not rest.endswith(_LAST_CHUNK)
+    assert len(server.requests) == 2
+
+
+async def test_a_last_event_without_its_end_goes_on_in_a_stream(
+    tmp_path: Path,
+) -> None:
+    last_event = b'id: 3\ndata: c'
+
+    def respond(headers: dict[str, str]) -> bytes:
+        if len(server.requests) == 1:
+            length = len(_FIRST_EVENTS) + 1
+            head = _head(headers, '200 OK', f'Content-Length: {length}')
+            return head + _FIRST_EVENTS
+        head = _head(headers, '200 OK', f'Content-Length: {len(last_event)}')
+        return head + last_event
+
+    async with _venture(tmp_path) as venture:
+        server = await _start_odd_server(venture, 'models', respond)
+        await venture.start_gateway('entry-1')
+        _, rest = await _exchange(venture, '/letters/1', 'r1')
+        server.stop()
+    assert last_event in rest
+    assert rest.endswith(_LAST_CHUNK)
+
+
+async def test_a_continuation_without_length_and_events_is_no_end(
+    tmp_path: Path,
+) -> None:
+    """Guards against a stream that seems whole after its next server broke."""
+
+    def respond(headers: dict[str, str]) -> bytes:
+        if len(server.requests) == 1:
+            length = len(_FIRST_EVENTS) + 1
+            head = _head(headers, '200 OK', f'Content-Length: {length}')
+            return head + _FIRST_EVENTS
+        return _head(headers, '200 OK')
+
+    async with _venture(tmp_path) as venture:
+        server = await _start_odd_server(venture, 'models', respond)
+        await venture.start_gateway('entry-1')
+        _, rest = await _exchange(venture, '/letters/1', 'r1')
+        server.stop()
+    assert _FIRST_EVENTS in rest
+    assert not rest.endswith(_LAST_CHUNK)
+    assert len(server.requests) == 2
