A time of day that was long on its way is not taken over

A node that starts takes over the time of day of its peers; one that came through a slow link set its clock back by the delay (shown by reading: a heartbeat told the time at which it was made, and nothing counted the way). Usage windows are cut by that clock.

Fix: a heartbeat with a time is stamped like other messages with an age, and the time is dropped if it may be more than 0.25 s off, the size of a jump. Heartbeats without a time carry no stamp, so joining sends no more bytes.

--- a/mallowspindle/membership/messages.py
+++ b/mallowspindle/membership/messages.py
@@ -1,8 +1,11 @@
 """Messages of the membership service."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Self
 
 from mallowspindle.peers.codec import peer_codec
+from mallowspindle.peers.transit import DatedMessage
+from mallowspindle.utils.clock import MAX_ERROR_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +66,7 @@
 
 @peer_codec.register('heartbeat')
 @dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(DatedMessage):
     """Updates of the sender, of other members and of leaving servers.
 
     With ``regular``, the sender sends again within its heartbeat interval, so
@@ -82,6 +85,15 @@
     usage: list[UsageReport] = field(default_factory=list)
     clock: tuple[float, float] | None = None
 
+    @property
+    def is_dated(self) -> bool:
+        """Whether it has a time of day."""
+        return self.clock is not None
+
+    def older_by(self, delay_s: float) -> Self:
+        """Return the heartbeat without a time of day that may be wrong."""
+        return replace(self, clock=None) if delay_s > MAX_ERROR_S else self
+
 
 @peer_codec.register('member_question')
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/peers/connection.py
+++ b/mallowspindle/peers/connection.py
@@ -133,7 +133,8 @@
         async with self._write_lock:
             await self._stream.drain()
             sent_at_s = boot_clock_s()
-            if isinstance(message, DatedMessage) and self._peer_time:
+            is_dated = isinstance(message, DatedMessage) and message.is_dated
+            if is_dated and self._peer_time:
                 waited_ms = max(0, int((sent_at_s - made_at_s) * _MS))
                 frame.append(
                     Stamp(self._clock.now_ms(), waited_ms, *self._peer_time)
--- a/mallowspindle/peers/transit.py
+++ b/mallowspindle/peers/transit.py
@@ -27,6 +27,11 @@
 
     __slots__ = ()
 
+    @property
+    def is_dated(self) -> bool:
+        """Whether anything in the message depends on its age."""
+        return True
+
     def older_by(self, delay_s: float) -> Self:
         """Return the message as it reads ``delay_s`` later."""
         age_s = self.age_s + delay_s  # type: ignore[attr-defined]
--- a/mallowspindle/tests/peers/test_transit.py
+++ b/mallowspindle/tests/peers/test_transit.py
@@ -8,6 +8,7 @@
 
 from mallowspindle.bench.proxy import FaultMode, FaultProxy
 from mallowspindle.catalog.following import StreamEnd, StreamRequest
+from mallowspindle.membership.messages import Heartbeat, MemberInfo
 from mallowspindle.peers.codec import OkReply
 from mallowspindle.peers.handshake import Credentials
 from mallowspindle.peers.link import PeerLink
@@ -115,6 +116,16 @@
     assert aged(ForwardMessage([], 1), 2).age_s == 3
 
 
+def test_a_time_of_day_that_was_long_on_its_way_is_dropped() -> None:
+    """Guards against a clock that is set back by the delay of a message."""
+    sender = MemberInfo('one', 'r', 'a', '', '', 1, 1)
+    heartbeat = Heartbeat(sender, clock=(1000.0, 5.0))
+    assert aged(heartbeat, 0.1) == heartbeat
+    assert aged(heartbeat, _DELAY_S) == Heartbeat(sender)
+    assert heartbeat.is_dated
+    assert not Heartbeat(sender).is_dated
+
+
 class _Bound:
     """A bound on the transit of messages, at a clock that tests control."""
 
--- a/mallowspindle/utils/clock.py
+++ b/mallowspindle/utils/clock.py
@@ -11,6 +11,8 @@
 # Larger differences between two readings of a VM's time of day are jumps; time
 # synchronisation corrects smaller ones.
 _JUMP_S = 0.25
+# A time of day that may be further from the sender's is not taken over.
+MAX_ERROR_S = _JUMP_S
 # How long after its start a node takes over the time of its peers.
 _SETTLING_S = 10.0
 # The time of a peer that has run for so much longer counts more: it may have
