--- a/mallowspindle/soak/callers.py
+++ b/mallowspindle/soak/callers.py
@@ -42,6 +42,7 @@
 _DEADLINES_MS = MappingProxyType(
     {LOOKUP: 2500, ORDER: 2500, LETTER: 15_000, QUESTION: 15_000}
 )
+_TICK_S = 0.02
 _MAX_TRIES = 3
 _MAX_WAIT_S = 1.0
 # Callers give up a stream after so long a gap.
@@ -56,16 +57,18 @@
         self._rng = rng
         self._numbers = count()
         self.tries: list[Try] = []
+        self.stalls: list[tuple[float, float]] = []
         self.stopped = asyncio.Event()
 
     async def run(self) -> None:
         """Send requests until ``stopped``, and end those in progress."""
         await asyncio.gather(
+            self._watch_stalls(),
             *(
                 self._run_caller(load)
                 for load in _LOADS
                 for _ in range(load.callers)
-            )
+            ),
         )
 
     async def ask_all_nodes(self, times: int) -> list[Try]:
@@ -80,6 +83,15 @@
             await asyncio.gather(*(self._send(session, each) for each in tries))
         return tries
 
+    async def _watch_stalls(self) -> None:
+        """Record when this process stands still for longer than a tick."""
+        while not self.stopped.is_set():
+            began_at_s = time.monotonic()
+            await asyncio.sleep(_TICK_S)
+            ended_at_s = time.monotonic()
+            if ended_at_s - began_at_s > 2 * _TICK_S:
+                self.stalls.append((began_at_s + _TICK_S, ended_at_s))
+
     async def _run_caller(self, load: _Load) -> None:
         async with ClientSession() as session:
             while not self.stopped.is_set():
--- a/mallowspindle/soak/checks.py
+++ b/mallowspindle/soak/checks.py
@@ -171,7 +171,7 @@
     if not seen.only_planned:
         return
     for attempt in _all_tries(seen):
-        waited_s = attempt.ended_at_s - attempt.sent_at_s
+        waited_s = seen.waited_s(attempt)
         if attempt.status == 0 and waited_s > _LOSS_SLACK_S:
             yield (
                 f'{attempt.request_id} got no answer from {attempt.node} after '
@@ -222,6 +222,19 @@
             yield f'{attempt.request_id} got {attempt.status} at {attempt.node}'
 
 
+@check('CONFIG')
+def denied_by_an_older_version(seen: Observations) -> Iterator[str]:
+    """A node in touch denies a route after it has to be in force."""
+    for attempt in seen.route_tries:
+        troubled_at_s = seen.troubled_at_s.get(attempt.node, -_CONTACT_S)
+        in_touch = troubled_at_s <= attempt.sent_at_s - _CONTACT_S
+        if attempt.status in _DENIALS and in_touch:
+            yield (
+                f'{attempt.request_id} for a new route got {attempt.status} '
+                f'at {attempt.node}'
+            )
+
+
 @check('DRAIN')
 def sent_to_leaving_servers(seen: Observations) -> Iterator[str]:
     """A request reaches a server too late after its entry was removed."""
--- a/mallowspindle/soak/disturbances.py
+++ b/mallowspindle/soak/disturbances.py
@@ -13,12 +13,15 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from itertools import count
 from typing import Any
 
+from aiohttp import ClientError
+
 from mallowspindle.bench.proxy import FaultMode
-from mallowspindle.soak.records import Observations
+from mallowspindle.soak.records import Observations, Try
 from mallowspindle.soak.world import NEW_VERSION, World
 from mallowspindle.standins.gateways import CONFIGURATION
 
@@ -28,6 +31,11 @@
 # Weight of what hurts most together with something else.
 _OFTEN = 4
 
+# The operators' pages: from then on a new configuration is in force.
+APPLY_S = 2.0
+_ROUTE_CHECKS = 10
+_ROUTE_CHECK_PAUSE_S = 0.1
+
 _names = count()
 
 
@@ -124,6 +132,31 @@
     scene.world.cut_from_servers(name, FaultMode.PASS)
 
 
+@disturbance('slow-paths', weight=_OFTEN)
+async def slow_paths(scene: Scene) -> None:
+    """Let what a node and its peers send each other wait for seconds."""
+    name = scene.pick_node()
+    scene.trouble(name)
+    scene.world.slow_down_paths(name, scene.rng.uniform(0.3, 3.5))
+    await asyncio.sleep(scene.rng.uniform(2, 5))
+    scene.world.slow_down_paths(name, 0)
+    scene.trouble(name)
+
+
+@disturbance('cut-from-peers')
+async def cut_from_peers(scene: Scene) -> None:
+    """Cut a node off from one of its peers, or from all of them."""
+    name = scene.pick_node()
+    others = [other for other in scene.world.nodes if other != name]
+    others = others[: scene.rng.choice([1, len(others)])]
+    mode = scene.rng.choice([FaultMode.CUT, FaultMode.FREEZE])
+    scene.trouble(name, *others)
+    scene.world.cut_from_peers(name, others, mode)
+    await asyncio.sleep(scene.rng.uniform(2, 5))
+    scene.world.cut_from_peers(name, others, FaultMode.PASS)
+    scene.trouble(name, *others)
+
+
 @disturbance('cut-from-store')
 async def cut_from_store(scene: Scene) -> None:
     """Cut a node off from the store."""
@@ -279,3 +312,27 @@
         ]
         await scene.world.change_configuration(routes=routes)
         await asyncio.sleep(scene.rng.uniform(0.1, 0.6))
+
+
+@disturbance('new-route', planned=True, weight=2)
+async def new_route(scene: Scene) -> None:
+    """Add a route, and ask all nodes for it once it has to be in force."""
+    prefix = await scene.world.add_route()
+    await asyncio.sleep(APPLY_S)
+    for _ in range(_ROUTE_CHECKS):
+        await asyncio.gather(
+            *(_ask_for_route(scene, name, prefix) for name in scene.running())
+        )
+        await asyncio.sleep(_ROUTE_CHECK_PAUSE_S)
+
+
+async def _ask_for_route(scene: Scene, name: str, prefix: str) -> None:
+    request_id = f'route-{next(_names)}'
+    attempt = Try(request_id, 'route', name, time.monotonic())
+    with suppress(ClientError, TimeoutError, OSError):
+        answer = await scene.world.call(
+            name, 'GET', f'{prefix}{request_id}', request_id
+        )
+        attempt.status = answer[0]
+    attempt.ended_at_s = time.monotonic()
+    scene.seen.route_tries.append(attempt)
--- a/mallowspindle/soak/paths.py
+++ b/mallowspindle/soak/paths.py
@@ -35,6 +35,16 @@
         """The address at which servers register."""
         return f'{self._prefix}.10'
 
+    @property
+    def listening_for_peers(self) -> str:
+        """The address on which nodes listen for each other."""
+        return f'{self._prefix}.98'
+
+    @property
+    def shown_to_peers(self) -> str:
+        """The address at which nodes see each other."""
+        return f'{self._prefix}.99'
+
     def of_node(self, number: int) -> str:
         """Return the address of a node's paths; numbers begin with 0."""
         return f'{self._prefix}.{number + 11}'
--- a/mallowspindle/soak/playing.py
+++ b/mallowspindle/soak/playing.py
@@ -93,6 +93,7 @@
     callers.stopped.set()
     await load
     seen.tries = callers.tries
+    seen.stalls = callers.stalls
     # The allowance for retries is used up by what came before.
     await _restore_servers(world)
     seen.last_tries = await callers.ask_all_nodes(_LAST_TRIES)
--- a/mallowspindle/soak/records.py
+++ b/mallowspindle/soak/records.py
@@ -42,17 +42,33 @@
 class Observations:
     """All that was seen in one run; times are on the steady clock.
 
+    ``route_tries`` are for routes that were added long enough before.
     ``troubled_at_s`` has by node when it was last disturbed, ``left_at_s`` by
     server when its entry was removed, and ``stopped_at_s`` by node when it was
-    told to stop.
+    told to stop. ``stalls`` has the begins and ends of the times in which the
+    process of the callers itself stood still.
     """
 
     tries: list[Try] = field(default_factory=list)
     last_tries: list[Try] = field(default_factory=list)
+    route_tries: list[Try] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     duty_calls: list[dict[str, Any]] = field(default_factory=list)
     ended_by_themselves: list[str] = field(default_factory=list)
     troubled_at_s: dict[str, float] = field(default_factory=dict)
     left_at_s: dict[str, float] = field(default_factory=dict)
     stopped_at_s: dict[str, list[float]] = field(default_factory=dict)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
     only_planned: bool = False
+
+    def waited_s(self, attempt: Try) -> float:
+        """Return how long a caller waited, while its own process ran."""
+        stalled_s = sum(
+            max(
+                0,
+                min(end_s, attempt.ended_at_s)
+                - max(begin_s, attempt.sent_at_s),
+            )
+            for begin_s, end_s in self.stalls
+        )
+        return attempt.ended_at_s - attempt.sent_at_s - stalled_s
--- a/mallowspindle/soak/world.py
+++ b/mallowspindle/soak/world.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from mallowspindle.bench.peer_paths import PeerPaths
 from mallowspindle.bench.proxy import FaultMode
 from mallowspindle.soak.paths import AddressRange, ServerPaths, StoreView
 from mallowspindle.standins.gateways import CONFIGURATION, GatewayVenture
@@ -29,14 +30,18 @@
     """Nodes before servers of two kinds, each node with paths of its own."""
 
     def __init__(self, folder: Path, rng: random.Random, size: int) -> None:
-        super().__init__(folder)
         self._addresses = AddressRange(rng)
+        self._between_nodes = PeerPaths(
+            self._addresses.listening_for_peers, self._addresses.shown_to_peers
+        )
+        super().__init__(folder, self._between_nodes)
         self._paths = ServerPaths(self._addresses)
         self._views: list[StoreView] = []
         self._listeners: list[socket.socket] = []
         self._entries: dict[str, dict[str, Any]] = {}
         self._restarts: dict[str, asyncio.Task[None]] = {}
         self._config_version = int(CONFIGURATION['version'])
+        self._added_routes: list[dict[str, Any]] = []
         self.size = size
         # Nodes that were removed for good.
         self.removed: set[str] = set()
@@ -111,9 +116,30 @@
         )
 
     async def change_configuration(self, **changes: Any) -> None:
-        """Write the next version of the configuration."""
+        """Write the next version of the configuration.
+
+        Routes that were added stay.
+        """
         self._config_version += 1
-        await self.configure(version=self._config_version, **changes)
+        routes = changes.pop('routes', CONFIGURATION['routes'])
+        await self.configure(
+            version=self._config_version,
+            routes=[*routes, *self._added_routes],
+            **changes,
+        )
+
+    async def add_route(self) -> str:
+        """Add a route for lookups; return its path prefix."""
+        name = f'added-{len(self._added_routes)}'
+        prefix = f'/{name}/'
+        route = {
+            **CONFIGURATION['routes'][-1],
+            'name': name,
+            'path_prefix': prefix,
+        }
+        self._added_routes.append(route)
+        await self.change_configuration()
+        return prefix
 
     async def add_server(
         self, name: str, service: str, version: str = OLD_VERSION
@@ -160,6 +186,20 @@
         number = int(node.partition('-')[2])
         self._paths.switch(mode, lambda each, _: each == number)
 
+    def slow_down_paths(self, node: str, delay_s: float) -> None:
+        """Let what a node and the others send each other arrive later."""
+        for other in self.nodes:
+            if other != node:
+                self._between_nodes.delay(node, other, delay_s)
+                self._between_nodes.delay(other, node, delay_s)
+
+    def cut_from_peers(
+        self, node: str, others: list[str], mode: FaultMode
+    ) -> None:
+        """Change the paths between a node and others."""
+        for other in others:
+            self._between_nodes.switch(mode, node, other)
+
     def cut_from_store(self, node: str, *, reached: bool) -> None:
         """Change whether a node reaches the store."""
         self._views[int(node.partition('-')[2])].reached = reached
--- a/mallowspindle/tests/soak/test_checks.py
+++ b/mallowspindle/tests/soak/test_checks.py
@@ -94,6 +94,10 @@
     seen.duty_calls.append({**_usage(9, 1), 'holder': 'entry-1'})
 
 
+def _denied_new_route(seen: Observations) -> None:
+    seen.route_tries.append(_try('route', 404))
+
+
 def _unanswered(seen: Observations) -> None:
     seen.tries[1].status = 0
     seen.tries[1].ended_at_s = 100.3
@@ -150,6 +154,22 @@
     assert not broken_promises(seen)
 
 
+def test_the_time_for_which_callers_stood_still_is_no_wait() -> None:
+    seen = _sound()
+    _unanswered(seen)
+    seen.stalls.append((99.0, 100.15))
+    assert not broken_promises(seen)
+    seen.stalls[0] = (99.0, 100.05)
+    assert broken_promises(seen)
+
+
+def test_a_disturbed_node_may_deny_a_new_route() -> None:
+    seen = _sound()
+    _denied_new_route(seen)
+    seen.troubled_at_s[_NODE] = 98.0
+    assert not broken_promises(seen)
+
+
 @pytest.mark.parametrize(
     ('rule', 'breaks'),
     [
@@ -164,6 +184,7 @@
         ('LOST', _cut_after_a_late_begin),
         ('BUDGET', _many_attempts),
         ('DENIED', _denied),
+        ('CONFIG', _denied_new_route),
         ('DRAIN', _sent_too_late),
         ('FAULT', _failed),
         ('FAULT', _ended),
@@ -189,6 +210,7 @@
         'LOST',
         'BUDGET',
         'DENIED',
+        'CONFIG',
         'DRAIN',
         'FAULT',
         'RECOVER',
