--- a/mallowspindle/catalog/following.py
+++ b/mallowspindle/catalog/following.py
@@ -2,7 +2,8 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Self
 
 from mallowspindle.log.errors import RecordsExpired
 from mallowspindle.log.interface import Log
@@ -35,13 +36,27 @@
 DecodeKeyed = Callable[[LogRecord], KeyedRecord]
 
 
+class _DelayedMessage(DatedMessage):
+    """A message that keeps its age apart from the time on its way."""
+
+    __slots__ = ()
+
+    def older_by(self, delay_s: float) -> Self:
+        """Return the message with more time on its way."""
+        told_s = self.delay_s  # type: ignore[attr-defined]
+        return replace(  # type: ignore[type-var]
+            self, delay_s=told_s + delay_s
+        )
+
+
 @peer_codec.register('stream-news')
 @dataclass(frozen=True, slots=True)
-class StreamUpdate(DatedMessage):
+class StreamUpdate(_DelayedMessage):
     """Records of a stream that a peer has read.
 
     They are all changes between the offsets ``base`` and ``through``, as of
-    ``age_s`` ago. Without a ``base`` they are all keys
+    ``age_s`` before they were sent, and have taken ``delay_s`` at the most since.
+    Without a ``base`` they are all keys
     of the stream.
     """
 
@@ -50,12 +65,13 @@
     through: int
     age_s: float
     records: list[KeyedRecord] = field(default_factory=list)
+    delay_s: float = 0
 
 
 @peer_codec.register('stream-end')
 @dataclass(frozen=True, slots=True)
-class StreamEnd(DatedMessage):
-    """The end offset of a stream ``age_s`` ago, without its records.
+class StreamEnd(_DelayedMessage):
+    """The end offset of a stream ``age_s`` before it was sent.
 
     It is sent in place of an update that is too large for peers.
     """
@@ -63,6 +79,7 @@
     stream: str
     through: int
     age_s: float
+    delay_s: float = 0
 
 
 @peer_codec.register('stream-request')
@@ -96,7 +113,9 @@
     size = sum(len(record.value or b'') for record in update.records)
     if size <= MAX_UPDATE_BYTES:
         return update
-    return StreamEnd(update.stream, update.through, update.age_s)
+    return StreamEnd(
+        update.stream, update.through, update.age_s, update.delay_s
+    )
 
 
 class StreamFollower:
@@ -118,6 +137,8 @@
         self._records: dict[str, KeyedRecord] = {}
         self._through: int | None = None
         self._current_at_s = 0.0
+        # Like that, with the time on the way of what peers have sent.
+        self._certain_at_s = 0.0
         self._last_read_at_s = 0.0
         # Since then no two reads by any nodes were further apart than an outage.
         self._read_without_gap_from_s = boot_clock_s()
@@ -140,15 +161,24 @@
         return self._through
 
     @property
-    def current_at_s(self) -> float:
-        """When the state was known to match the store, on the boot clock."""
-        return self._current_at_s
+    def certain_at_s(self) -> float:
+        """When the state certainly matched the store, on the boot clock."""
+        return self._certain_at_s
 
     @property
     def age_s(self) -> float:
-        """Seconds since the state was known to match the store."""
+        """Seconds since the state matched the store, as peers have told it.
+
+        It lacks the time for which what they sent was on its way. While all
+        nodes are busy, they read the store no more often because of it.
+        """
         return boot_clock_s() - self._current_at_s
 
+    @property
+    def certain_age_s(self) -> float:
+        """Seconds since the state certainly matched the store."""
+        return boot_clock_s() - self._certain_at_s
+
     @property
     def has_gap(self) -> bool:
         """Whether records that are known to exist are missing."""
@@ -196,6 +226,7 @@
             # A log that was created anew may end before the old one did.
             self._known_end = through
         self._current_at_s = max(self._current_at_s, requested_at_s)
+        self._certain_at_s = max(self._certain_at_s, requested_at_s)
         self._note_read(requested_at_s)
         if for_peers:
             self._shared_through = through
@@ -209,27 +240,33 @@
             if self._through is None or update.through > self._through:
                 self._replace(KeyedState(update.records, update.through))
         elif self._through is None or update.base > self._through:
-            self._note_end(update.through, update.age_s)
+            self._note_end(update.through, update.age_s + update.delay_s)
             if self._through is not None:
                 # A record replaces the former one even if others are missing.
                 self._apply(update.records)
             return
         self._apply(update.records)
-        self._advance(update.through, update.age_s)
+        self._advance(update.through, update.age_s, update.delay_s)
 
     def apply_end(self, end: StreamEnd) -> None:
         """Note the end of the stream; missing records need a read."""
-        self._note_end(end.through, end.age_s)
+        self._note_end(end.through, end.age_s + end.delay_s)
         if not self.has_gap:
-            self._advance(end.through, end.age_s)
+            self._advance(end.through, end.age_s, end.delay_s)
 
     def state(self) -> StreamUpdate | None:
         """Return all records, for a peer that can't read the store."""
         if self._through is None:
             return None
         records = list(self._records.values())
+        age_s = self.age_s
         return StreamUpdate(
-            self._stream, None, self._through, self.age_s, records
+            self._stream,
+            None,
+            self._through,
+            age_s,
+            records,
+            max(0, self.certain_age_s - age_s),
         )
 
     def _note_end(self, end: int, age_s: float) -> None:
@@ -245,13 +282,15 @@
             self._read_without_gap_from_s = read_at_s
         self._last_read_at_s = max(self._last_read_at_s, read_at_s)
 
-    def _advance(self, through: int, age_s: float) -> None:
+    def _advance(self, through: int, age_s: float, delay_s: float) -> None:
         if self._through is None or through < self._through:
             return
         self._through = through
         self._shared_through = through
-        read_at_s = boot_clock_s() - age_s
-        self._current_at_s = max(self._current_at_s, read_at_s)
+        told_at_s = boot_clock_s() - age_s
+        read_at_s = told_at_s - delay_s
+        self._current_at_s = max(self._current_at_s, told_at_s)
+        self._certain_at_s = max(self._certain_at_s, read_at_s)
         self._note_read(read_at_s)
 
     def _changes_since(self, base: int | None) -> list[KeyedRecord]:
--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -90,14 +90,26 @@
     def step(self) -> None:
         """Start the read and the queries that are due."""
         now_s = time.monotonic()
-        if not self._reads and now_s >= self._next_read_s and self._is_due():
-            self._next_read_s = now_s + _MIN_PAUSE_S
-            self._reads.spawn(self._read(), self._follower.stream)
+        if not self._reads and now_s >= self._next_read_s:
+            self._read_if_due(now_s)
         if self._queries or now_s < self._next_query_s:
             return
         if self._needs_peers:
             self._queries.spawn(self._ask_peers(), 'query peers')
 
+    def _read_if_due(self, now_s: float) -> None:
+        """Read in turn for all nodes, or only for this one.
+
+        A node whose updates take long reads for itself: while all nodes are
+        busy, news of each of these reads to all others would delay them more.
+        """
+        in_turn = self._is_due()
+        if in_turn or self._follower.certain_age_s > _OUTDATED_AFTER_S:
+            self._next_read_s = now_s + _MIN_PAUSE_S
+            self._reads.spawn(
+                self._read(in_turn=in_turn), self._follower.stream
+            )
+
     async def confirm(self, timeout_s: float) -> bool:
         """Read until the state is as of now; return whether it came so far.
 
@@ -105,12 +117,14 @@
         """
         needed_at_s = boot_clock_s() - _SHARED_READ_S
         ends_at_s = boot_clock_s() + timeout_s
-        while self._follower.current_at_s < needed_at_s:
+        while self._follower.certain_at_s < needed_at_s:
             left_s = ends_at_s - boot_clock_s()
             if left_s <= 0 or not self._reachable:
                 return False
             if not self._reads:
-                self._reads.spawn(self._read(), self._follower.stream)
+                self._reads.spawn(
+                    self._read(in_turn=False), self._follower.stream
+                )
             await self._reads.wait_for_any(left_s)
         return True
 
@@ -151,10 +165,10 @@
             self._weights[name] = weight
         return weight
 
-    async def _read(self) -> None:
+    async def _read(self, *, in_turn: bool) -> None:
         # Peers know of the missing records, and all of them may be reading them
         # at the same time.
-        for_peers = not self._follower.has_gap
+        for_peers = in_turn and not self._follower.has_gap
         try:
             update = await self._follower.read(for_peers=for_peers)
         except LogError as error:
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -118,7 +118,9 @@
         While it is not, a route or key that it lacks may exist all the same.
         """
         follower = self._configuration_synchronizer.follower
-        return not follower.has_gap and follower.age_s < _CURRENT_MAX_AGE_S
+        return (
+            not follower.has_gap and follower.certain_age_s < _CURRENT_MAX_AGE_S
+        )
 
     @property
     def restored_at_s(self) -> float:
@@ -133,7 +135,7 @@
     @property
     def servers_age_s(self) -> float:
         """Seconds since the registered servers were known to be up to date."""
-        return self._server_synchronizer.follower.age_s
+        return self._server_synchronizer.follower.certain_age_s
 
     async def confirm_configuration(self, timeout_s: float) -> bool:
         """Bring the configuration up to date; return whether it was possible.
@@ -258,7 +260,9 @@
         if state is None:
             return ErrorReply('the stream is not known here')
         if request.known is not None and state.through <= request.known:
-            return StreamEnd(state.stream, state.through, state.age_s)
+            return StreamEnd(
+                state.stream, state.through, state.age_s, state.delay_s
+            )
         return state
 
     def _apply_update(self, update: StreamUpdate | StreamEnd) -> None:
--- a/mallowspindle/sharing/states.py
+++ b/mallowspindle/sharing/states.py
@@ -24,10 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Received(Generic[StateT]):
-    """A state, and when it was sent on the monotonic clock."""
+    """A state and its time of arrival on the monotonic clock."""
 
     state: StateT
-    sent_at_s: float
+    received_at_s: float
 
 
 class LatestStates(Generic[StateT]):
@@ -39,15 +39,15 @@
 
     def put(self, sender: str, state: StateT) -> None:
         """Replace the former state of a sender."""
-        self._states[sender] = Received(state, self._clock() - state.age_s)
+        self._states[sender] = Received(state, self._clock())
 
     def fresh(self, within_s: float = _STALE_AFTER_S) -> list[Received[StateT]]:
-        """Return the states that were sent within the last ``within_s``."""
+        """Return the states that arrived within the last ``within_s``."""
         oldest_s = self._clock() - within_s
         return [
             received
             for received in self._states.values()
-            if received.sent_at_s > oldest_s
+            if received.received_at_s > oldest_s
         ]
 
 
@@ -196,9 +196,7 @@
             # The relay has projected this part to its own time as well.
             work = subtract(
                 work,
-                projected(
-                    own_work, max(0, most_complete.sent_at_s - sent_at_s)
-                ),
+                projected(own_work, most_complete.received_at_s - sent_at_s),
             )
         return projected(work, age_s)
 
@@ -211,14 +209,14 @@
         ]
 
     def _with_age(self, received: Received[StateT]) -> tuple[WorkSum, float]:
-        return received.state.work, self._clock() - received.sent_at_s
+        return received.state.work, self._clock() - received.received_at_s
 
 
 def _completeness(
     received: Received[ZoneState] | Received[VentureState],
 ) -> tuple[int, float]:
     """Return a sort key for sums of the same nodes, the best last."""
-    return received.state.work.nodes, received.sent_at_s
+    return received.state.work.nodes, received.received_at_s
 
 
 def _lease_order(update: LeaseUpdate) -> tuple[int, bool, float]:
