--- a/mallowspindle/peers/frames.py
+++ b/mallowspindle/peers/frames.py
@@ -36,12 +36,16 @@
         except (IncompleteReadError, OSError, CodecError) as error:
             raise PeerError(f'connection lost: {error}') from error
 
-    async def read_numbered(self) -> tuple[Any, list[Any]]:
+    async def read_numbered(self) -> tuple[int, list[Any]]:
         """Read one frame; return the call number and the rest of it."""
-        frame = await self.read()
-        if not isinstance(frame, list) or not frame:
-            raise PeerError('malformed frame: expected a call number')
-        return frame[0], frame[1:]
+        match await self.read():
+            case [int() as number, *message]:
+                return number, message
+            case frame:
+                raise PeerError(
+                    'malformed frame: expected a list that begins with a call '
+                    f'number, found {type(frame).__name__}'
+                )
 
     @property
     def queued_bytes(self) -> int:
--- a/mallowspindle/tests/peers/test_link.py
+++ b/mallowspindle/tests/peers/test_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, cast
 
 import pytest
 import pytest_asyncio
@@ -19,7 +19,7 @@
 from mallowspindle.peers.handshake import PROTOCOL_VERSION, Credentials
 from mallowspindle.peers.link import PeerLink
 from mallowspindle.peers.server import PeerServer
-from mallowspindle.utils.codec import CodecError
+from mallowspindle.utils.codec import CodecError, pack
 
 KEY = b'the-shared-key'
 MAX_FRAME_BYTES = 10_000
@@ -134,6 +134,20 @@
     stream.close()
 
 
+@pytest.mark.parametrize('frame', [7, [], None, [[], 'ok', {}], ['1', 'ok']])
+async def test_frame_without_call_number_ends_the_connection(
+    frame: object,
+) -> None:
+    reader = asyncio.StreamReader()
+    payload = pack(frame)
+    reader.feed_data(len(payload).to_bytes(4) + payload)
+    stream = FrameStream(
+        reader, cast(asyncio.StreamWriter, None), MAX_FRAME_BYTES
+    )
+    with pytest.raises(PeerError, match='expected a list that begins'):
+        await stream.read_numbered()
+
+
 async def test_too_long_frame_ends_the_connection(address: str) -> None:
     reader, writer = await _open(address)
     stream = FrameStream(reader, writer, MAX_FRAME_BYTES)
