A node that hears neither the store nor a peer refuses new requests

Cause: a node doubted its configuration only before it denied a request.

Once the configuration is older than [proxy] config_apply_ms (from when it certainly matched the store) and no call was answered that was sent within the last half of that, the node answers 503, is not ready and hands out only the others' addresses. It ends when the configuration is certain again, or when a peer answers that the store is down for it too. Empty or absent setting: off.

--- a/mallowspindle/catalog/keeping.py
+++ b/mallowspindle/catalog/keeping.py
@@ -81,6 +81,15 @@
         self._next_query_s = 0.0
         self._unanswered: dict[str, float] = {}
         self._weights: dict[str, int] = {}
+        self._outage_told_at_s = 0.0
+
+    @property
+    def outage_told_at_s(self) -> float:
+        """When a peer was asked that had not heard from the store either.
+
+        Only questions that were answered count. It is on the boot clock.
+        """
+        return self._outage_told_at_s
 
     @property
     def follower(self) -> StreamFollower:
@@ -202,7 +211,7 @@
         ]:
             if not self._needs_peers:
                 break
-            query = self._queries.spawn(self._ask(info), 'query a peer')
+            query = self._queries.spawn(self.ask(info), 'query a peer')
             await asyncio.wait({query}, timeout=_NEXT_PEER_DELAY_S)
         pause_s = _PAUSE_WITHOUT_GAP_S if without_gap else _QUERY_PAUSE_S
         self._next_query_s = time.monotonic() + pause_s
@@ -225,7 +234,9 @@
         )
         return shuffled
 
-    async def _ask(self, info: MemberInfo) -> None:
+    async def ask(self, info: MemberInfo) -> None:
+        """Ask a peer for its state of the stream, and apply it."""
+        asked_at_s = boot_clock_s()
         request = StreamRequest(self._follower.stream, self._follower.through)
         # Sorts the peer behind the others until it has answered.
         self._unanswered[info.name] = time.monotonic()
@@ -236,6 +247,10 @@
             self._note_update(reply)
         elif isinstance(reply, StreamEnd):
             self._follower.apply_end(reply)
+        else:
+            return
+        if reply.age_s > _OUTDATED_AFTER_S:
+            self._outage_told_at_s = max(self._outage_told_at_s, asked_at_s)
 
     def _stream_field(self) -> dict[str, str]:
         return {'stream': self._follower.stream}
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -10,6 +10,7 @@
 
 from mallowspindle.adapter import AdapterService
 from mallowspindle.catalog.configuration import Configuration
+from mallowspindle.catalog.contact import ConfigurationContact
 from mallowspindle.catalog.following import (
     OUTAGE_AFTER_S,
     OutageQuery,
@@ -54,6 +55,7 @@
         adapter: AdapterService,
         sharing: SharingService,
         read_interval_s: float,
+        apply_s: float | None = None,
     ) -> None:
         self._sharing = sharing
         layout = adapter.layout
@@ -92,6 +94,9 @@
         self._configuration_synchronizer = self._synchronizers[
             layout.configuration_stream
         ]
+        self._contact = ConfigurationContact(
+            apply_s, self._configuration_synchronizer, sharing
+        )
         self._restored_at_s = 0.0
         self._watchers: list[Callable[[], None]] = []
         self._configured = asyncio.Event()
@@ -100,10 +105,12 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service from the log of the ``border`` service."""
+        settings = kernel.settings(PlatformSettings)
         return cls(
             kernel.find('border', AdapterService),
             kernel.find('sharing', SharingService),
-            kernel.settings(PlatformSettings).store.read_interval_s,
+            settings.store.read_interval_s,
+            settings.proxy.config_apply_s,
         )
 
     @property
@@ -122,6 +129,11 @@
             not follower.has_gap and follower.certain_age_s < _CURRENT_MAX_AGE_S
         )
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this node can't know which configuration is in force."""
+        return self._contact.is_cut_off
+
     @property
     def restored_at_s(self) -> float:
         """Unix time at which the store was found restored from a copy, or 0."""
@@ -144,6 +156,10 @@
         """
         return await self._configuration_synchronizer.confirm(timeout_s)
 
+    async def regain_contact(self) -> bool:
+        """Wait a short time if just cut off; return whether that has ended."""
+        return await self._contact.regain()
+
     async def confirm_servers(self, timeout_s: float) -> bool:
         """Bring the servers up to date; return whether it was possible in time.
 
@@ -175,6 +191,7 @@
         for stream, synchronizer in self._synchronizers.items():
             self._tasks.spawn(self._run(synchronizer), stream)
         self._tasks.spawn(self._check_outages(), 'outages')
+        self._tasks.spawn(self._contact.run(), 'contact')
         try:
             await asyncio.wait_for(self._configured.wait(), _START_TIMEOUT_S)
         except TimeoutError:
@@ -185,6 +202,7 @@
     async def stop(self) -> None:
         """Stop following."""
         await self._tasks.cancel()
+        await self._contact.stop()
         for synchronizer in self._synchronizers.values():
             await synchronizer.stop()
 
--- a/mallowspindle/config/platform.py
+++ b/mallowspindle/config/platform.py
@@ -7,6 +7,8 @@
 from mallowspindle.config.common import CommonSettings, WordList
 from mallowspindle.config.ini import Section
 
+_MS = 1000
+
 
 def _split_endpoint(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
@@ -19,6 +21,8 @@
 
 Endpoint = Annotated[str, Field(pattern=r'^[^:]+:\d+$')]
 OptionalEndpoint = Annotated[Endpoint | None, BeforeValidator(_none_if_empty)]
+# Empty where the deployment has no such bound.
+OptionalMs = Annotated[float | None, BeforeValidator(_none_if_empty)]
 
 
 class ListenSection(Section):
@@ -50,7 +54,7 @@
 
 
 class ProxySection(Section):
-    """Timeouts, retry budget and quota window of the proxy."""
+    """Timeouts and bounds of the proxy."""
 
     connect_timeout_s: float = Field(0.5, gt=0)
     address_validity_s: float = Field(1.5, gt=0)
@@ -59,6 +63,14 @@
     retry_window_s: float = Field(10.0, gt=0)
     retry_slack: float = Field(10.0, ge=0)
     quota_window_s: float = Field(8.0, gt=0)
+    config_apply_ms: OptionalMs = Field(None, gt=0)
+
+    @property
+    def config_apply_s(self) -> float | None:
+        """Seconds until a new configuration is in force; None if unbounded."""
+        if self.config_apply_ms is None:
+            return None
+        return self.config_apply_ms / _MS
 
 
 class PlatformSettings(CommonSettings):
--- a/mallowspindle/peers/connection.py
+++ b/mallowspindle/peers/connection.py
@@ -56,6 +56,7 @@
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._unanswered_since_s: float | None = None
         self._answered = False
+        self._answered_call_at_s = 0.0
         self._lost = False
         self._write_lock = asyncio.Lock()
         self._sent_bytes = 0
@@ -73,6 +74,11 @@
         """Whether any reply has arrived on this connection."""
         return self._answered
 
+    @property
+    def answered_call_at_s(self) -> float:
+        """When the newest call with a reply was sent, on the boot clock."""
+        return self._answered_call_at_s
+
     @property
     def sent_bytes(self) -> int:
         """Bytes sent on this connection."""
@@ -112,13 +118,15 @@
             async with asyncio.timeout(timeout_s):
                 sent_at_s = await self._send(number, message, made_at_s)
                 # The peer has made its reply later than that.
-                return aged(await reply, boot_clock_s() - sent_at_s)
+                answer = aged(await reply, boot_clock_s() - sent_at_s)
         except TimeoutError as error:
             raise PeerTimeout(
                 f'{self._address} did not reply in time'
             ) from error
         finally:
             self._pending.pop(number, None)
+        self._answered_call_at_s = max(self._answered_call_at_s, sent_at_s)
+        return answer
 
     async def _send(
         self, number: int, message: object, made_at_s: float
--- a/mallowspindle/peers/link.py
+++ b/mallowspindle/peers/link.py
@@ -48,6 +48,7 @@
         self._connect_lock = asyncio.Lock()
         self._silence_limit_s = _INITIAL_SILENCE_LIMIT_S
         self._closed_connections_bytes = 0
+        self._answered_call_at_s = 0.0
 
     @property
     def address(self) -> str:
@@ -61,6 +62,11 @@
             return self._closed_connections_bytes
         return self._closed_connections_bytes + self._connection.sent_bytes
 
+    @property
+    def answered_call_at_s(self) -> float:
+        """When the newest call with a reply was sent, on the boot clock."""
+        return self._answered_call_at_s
+
     @property
     def queued_bytes(self) -> int:
         """Bytes buffered in this process that are still to be sent."""
@@ -84,6 +90,9 @@
             if time.monotonic() < due_at_s + _MAX_TIMEOUT_DELAY_S:
                 self._close_if_silent(connection)
             raise
+        self._answered_call_at_s = max(
+            self._answered_call_at_s, connection.answered_call_at_s
+        )
         if isinstance(reply, ErrorReply):
             raise PeerRefused(reply.text)
         return reply
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -19,9 +19,10 @@
 from mallowspindle.proxy.exchange import Exchange
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.proxy.state import ExchangeState
-from mallowspindle.utils.telemetry import hop_span
+from mallowspindle.utils.telemetry import hop_span, meter
 
 log = logging.getLogger(__name__)
+cut_off_refusals = meter.create_counter('cut_off_refusals')
 
 # Retry-After while this node has no configuration, which it gets within
 # 1 or 2 s of its start.
@@ -31,6 +32,9 @@
 _STALE_CONFIGURATION_RETRY_AFTER_S = 0.5
 # A caller waits while a node finds out whether its configuration is up to date.
 _CONFIRM_TIMEOUT_S = 0.25
+# Retry-After while this node is cut off from the store and all peers. Nobody
+# knows for how long; another node may answer at once.
+_CUT_OFF_RETRY_AFTER_S = 0.5
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -62,6 +66,8 @@
         # Callers state the time that they had left when they sent the request.
         read_at_s = asyncio.get_running_loop().time()
         began_at_s = read_at_s - self._context.stalls.possible_delay_s
+        if not await self._may_serve():
+            return self._refuse_cut_off(web_request)
         configuration = self._context.catalog.configuration
         if configuration is None:
             await web_request.content.read()
@@ -127,6 +133,27 @@
         )
         return await Exchange(state).run(body.payload)
 
+    async def _may_serve(self) -> bool:
+        """Return whether this node can know which configuration is in force."""
+        catalog = self._context.catalog
+        return not catalog.is_cut_off or await catalog.regain_contact()
+
+    def _refuse_cut_off(self, web_request: BaseRequest) -> Response:
+        cut_off_refusals.add(1)
+        configuration = self._context.catalog.configuration
+        log.info(
+            'request refused',
+            extra={
+                'request': web_request.headers.get(
+                    self._context.http_codec.id_header
+                ),
+                'path': web_request.path,
+                'version': configuration and configuration.version,
+                'reason': 'cut off from store and peers',
+            },
+        )
+        return replies.refusal(_CUT_OFF_RETRY_AFTER_S)
+
     async def _was_behind(self) -> bool:
         """Return whether a configuration that was old is up to date now."""
         catalog = self._context.catalog
@@ -143,8 +170,8 @@
         """Return the denial, or ask the caller to retry if it may be wrong.
 
         A newer configuration may have the route or the key. Requests that a
-        stale configuration allows are still served: operators want no node to
-        stop serving because it gets no updates.
+        stale configuration allows are still served unless this node is cut off:
+        operators want nodes to serve while the store is down.
         """
         if self._context.catalog.is_current:
             _log_refusal(request, configuration, denied.reason)
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import Self, cast
 
 from aiohttp.web import BaseRequest, Response, Server, StreamResponse
@@ -106,6 +107,7 @@
         return (
             self._drain_began_at_s is None
             and self._context.catalog.configuration is not None
+            and not self._context.catalog.is_cut_off
         )
 
     @property
@@ -227,13 +229,27 @@
         http_codec = self._context.http_codec
         own = self._membership.own
         zone = http_codec.decode_zone(web_request.query) or own.zone
-        live = self._membership.table.live()
+        if self._context.catalog.is_cut_off:
+            addresses = self._addresses_of_others(zone)
+        else:
+            live = self._membership.table.live()
+            disconnected = self._context.nodes_not_reaching()
+            addresses = addresses_for(zone, own, live, disconnected)
         body = http_codec.encode_addresses(
-            addresses_for(zone, own, live, self._context.nodes_not_reaching()),
+            addresses,
             self._context.config.address_validity_s,
         )
         return Response(body=body, content_type='application/json')
 
+    def _addresses_of_others(self, zone: str) -> list[str]:
+        """Return the other nodes while this one is cut off.
+
+        It can't tell which of them are live, but callers may reach them.
+        """
+        own = replace(self._membership.own, http_address='')
+        known = [member.info for member in self._membership.table.known()]
+        return addresses_for(zone, own, known)
+
 
 def request_drain_time_s(timeout_s: float) -> float:
     """Return how long requests may run during a drain of ``timeout_s``."""
--- a/mallowspindle/tests/config/test_ini.py
+++ b/mallowspindle/tests/config/test_ini.py
@@ -7,6 +7,7 @@
 from mallowspindle.config.errors import ConfigError
 from mallowspindle.config.ini import load_model
 from mallowspindle.config.native import NativeSettings
+from mallowspindle.config.platform import PlatformSettings
 from mallowspindle.daemon import load_settings
 
 VALID = """
@@ -23,6 +24,25 @@
 cloud_url = http://127.0.0.1:2
 """
 
+PLATFORM = """
+[node]
+name = entry-1
+zone = a
+
+[listen]
+callers = 127.0.0.1:1
+readiness = 127.0.0.1:2
+addresses = 127.0.0.1:3
+peers = 127.0.0.1:4
+
+[peers]
+shared_key = a-key-of-sixteen-characters
+
+[store]
+address = 127.0.0.1:5
+
+"""
+
 
 def test_absent_options_have_defaults() -> None:
     loaded = load_model(NativeSettings, VALID)
@@ -64,3 +84,16 @@
 def test_missing_file_is_reported(tmp_path: Path) -> None:
     with pytest.raises(ConfigError):
         load_settings(tmp_path / 'nothing.ini')
+
+
+@pytest.mark.parametrize(
+    ('text', 'apply_s'), [('', None), ('2000', 2.0), (' 3500', 3.5)]
+)
+def test_bound_that_the_deployment_lacks_is_off(
+    text: str, apply_s: float | None
+) -> None:
+    """Guards against a start that fails where the template renders nothing."""
+    settings = load_model(
+        PlatformSettings, f'{PLATFORM}[proxy]\nconfig_apply_ms = {text}\n'
+    )
+    assert settings.proxy.config_apply_s == apply_s
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -90,6 +90,7 @@
                 configuration=CONFIGURATION,
                 servers=self.servers,
                 is_current=True,
+                is_cut_off=False,
                 watch=self._watchers.append,
                 note_leaving=self._note_leaving,
                 servers_age_s=0,
--- a/mallowspindle/tests/proxy/test_gate.py
+++ b/mallowspindle/tests/proxy/test_gate.py
@@ -41,10 +41,15 @@
     """A catalog that is up to date, or gets there if ``newer`` is read."""
 
     def __init__(
-        self, *, is_current: bool, newer: Configuration | None = None
+        self,
+        *,
+        is_current: bool,
+        newer: Configuration | None = None,
+        is_cut_off: bool = False,
     ) -> None:
         self.configuration = CONFIGURATION
         self.is_current = is_current
+        self.is_cut_off = is_cut_off
         self._newer = newer
 
     async def confirm_configuration(self, timeout_s: float) -> bool:
@@ -54,6 +59,9 @@
         self.is_current = True
         return True
 
+    async def regain_contact(self) -> bool:
+        return await self.confirm_configuration(0)
+
 
 async def _answer(path: str, key: str, catalog: _Catalog) -> StreamResponse:
     context = SimpleNamespace(
@@ -118,3 +126,20 @@
     catalog = _Catalog(is_current=False, newer=replace(newer, limits=limits))
     # The body is read after the route and the key have been found.
     assert (await _answer('/other/1', 'new', catalog)).status == 413
+
+
+async def test_node_that_is_cut_off_refuses_what_its_configuration_allows() -> (
+    None
+):
+    """Guards against responses by a configuration that was replaced."""
+    catalog = _Catalog(is_current=False, is_cut_off=True)
+    answer = await _answer('/orders/1', 'known', catalog)
+    assert answer.status == 503
+    assert 0 < float(answer.headers['Retry-After']) <= 1
+
+
+async def test_node_that_regains_contact_goes_by_what_it_has_read() -> None:
+    """Guards against a request that is matched before the newer version."""
+    newer = replace(CONFIGURATION, version=4, routes=())
+    catalog = _Catalog(is_current=False, newer=newer, is_cut_off=True)
+    assert (await _answer('/orders/1', 'known', catalog)).status == 404
