Place requests by the speed of servers that state their slowdown

Servers that share their machines need 2.5 times as long at times. Placement counted requests only, and for plain services all nodes chose the least loaded server by the same old reports.

The fourth figure of the load header is decoded, kept with its time and told to peers. Services whose servers state it are placed by learnt pace, present slowdown and queue, with a weighted draw among the nodes. Others are placed as before.

--- a/mallowspindle/backends/candidates.py
+++ b/mallowspindle/backends/candidates.py
@@ -1,6 +1,8 @@
 """Candidates and placements that the placement policy compares."""
 
 from mallowspindle.backends.view import NO_WORK, BackendView
+from mallowspindle.catalog.configuration import EngineModel
+from mallowspindle.catalog.service import CatalogService
 from mallowspindle.policies.placement import Candidate, Placement
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.sharing.messages import (
@@ -21,6 +23,13 @@
     return Placement(zone, tokens, shared_tokens, unreported_s)
 
 
+def engine_of(catalog: CatalogService, service_name: str) -> EngineModel | None:
+    """Return the engine of a service; None if it runs plain requests."""
+    configuration = catalog.configuration
+    spec = configuration and configuration.services.get(service_name)
+    return spec.engine if spec else None
+
+
 def newest_at_each_address(views: list[BackendView]) -> list[BackendView]:
     """Return the server that started last at each address."""
     by_start = sorted(views, key=lambda view: view.server.started_at_ms)
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -4,11 +4,11 @@
 import time
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
-from operator import attrgetter
 from typing import Self
 
 from mallowspindle.backends.candidates import (
     candidate_of,
+    engine_of,
     newest_at_each_address,
     placement_of,
     unreported_s,
@@ -22,6 +22,7 @@
     own_report,
     reported_unreachable,
 )
+from mallowspindle.backends.speeds import ServerSpeeds
 from mallowspindle.backends.view import (
     NO_WORK,
     BackendView,
@@ -53,7 +54,6 @@
 # they might send requests behind it, which would be late.
 _SEND_SOON_PREFILL_S = 0.1
 _MS = 1000
-_address_of = attrgetter('server.address')
 
 
 @service('backends', requires=('catalog', 'sharing'))
@@ -73,8 +73,11 @@
         self._views: dict[str, BackendView] = {}
         self._limits = ServerLimits(sharing, clock)
         self._demands = DemandMeters(clock)
+        self._speeds = ServerSpeeds(catalog, sharing, clock)
         self._leaving = LeavingServers(catalog, sharing, clock)
-        self._links = ServerLinks(self.views, self._tell_peers, clock)
+        self._links = ServerLinks(
+            self.views, lambda: sharing.send_soon(), clock
+        )
 
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
@@ -154,7 +157,7 @@
             and view.server.server_id not in avoid
             and software_version in {None, view.server.software_version}
         ]
-        if len(set(map(_address_of, serving))) < len(serving):
+        if len({view.server.address for view in serving}) < len(serving):
             serving = newest_at_each_address(serving)
         serving = self._limits.with_room(serving)
         healthy = [view for view in serving if not view.ejected]
@@ -178,6 +181,8 @@
 
     def record_statements(self, view: BackendView, head: ResponseHead) -> None:
         """Record what a server says of itself in a response."""
+        if head.load is not None:
+            self._speeds.record(view.server, head.load)
         if head.limit is not None:
             self._limits.record(view.server, head.limit.per_s)
         if head.leaving:
@@ -192,6 +197,12 @@
                 },
             )
 
+    def record_response(
+        self, view: BackendView, in_flight: InFlightRequest
+    ) -> None:
+        """Record that a request has got its answer or first event."""
+        self._speeds.record_response(view, in_flight)
+
     def claim(self, view: BackendView) -> bool:
         """Count a request to a server; return False if it may not get one."""
         if view.pause_left_s or self._limits.wait_s(view.server):
@@ -246,9 +257,8 @@
         The run can go on there only if it has the same software version.
         """
         service_name = running.server.service
-        configuration = self._catalog.configuration
-        spec = configuration and configuration.services.get(service_name)
-        if not (spec and spec.engine and spec.engine.supports_kv_backup):
+        engine = engine_of(self._catalog, service_name)
+        if engine is None or not engine.supports_kv_backup:
             return None
         usable = self.usable(
             service_name,
@@ -284,8 +294,10 @@
         """Count a request while it is at a server."""
         peers = self._sharing.peer_work().loads
         peer_load = peers.get(view.server.server_id, NO_WORK)
-        wait_ms = peer_load.backlog_ms + view.load().backlog_ms
-        with view.track_request(request, wait_ms / _MS) as tracked:
+        wait_s = (peer_load.backlog_ms + view.load().backlog_ms) / _MS
+        pace = self._speeds.prefill_pace(view)
+        with view.track_request(request, wait_s, pace) as tracked:
+            self._speeds.note_sent(view, tracked, wait_s)
             if tracked.prefill_s >= _SEND_SOON_PREFILL_S:
                 self._sharing.send_soon()
             yield tracked
@@ -300,18 +312,17 @@
             return None
         peer_loads = self._sharing.peer_work().loads
         owners = self._prefix_owners(usable, request)
-        chosen = choose_server(
-            [
-                candidate_of(
-                    view,
-                    peer_loads,
-                    view.prefix_cache.cached_tokens(request.prompt),
-                    is_owner=view.server.server_id in owners,
-                )
-                for view in usable
-            ],
-            placement,
-        )
+        candidates = [
+            candidate_of(
+                view,
+                peer_loads,
+                view.prefix_cache.cached_tokens(request.prompt),
+                is_owner=view.server.server_id in owners,
+            )
+            for view in usable
+        ]
+        placement, policy = self._speeds.apply(usable, candidates, placement)
+        chosen = choose_server(candidates, placement, policy)
         view = self._views[chosen.server_id]
         self._limits.note_sent(view.server)
         return Pick(view, chosen.backlog_s)
@@ -342,11 +353,10 @@
             ),
             not_reached=self._own_not_reached(),
             leaving=self._leaving.own(),
+            reports=self._speeds.own_reports(),
+            times=self._speeds.own_times(),
         )
 
-    def _tell_peers(self) -> None:
-        self._sharing.send_soon()
-
     def _own_not_reached(self) -> dict[str, list[str]]:
         services = self._links.not_reached()
         return {self._sharing.membership.own.name: services} if services else {}
@@ -373,8 +383,8 @@
             if server_id in self._catalog.servers or view.in_flight
         }
         self._limits.forget_gone(self._views)
+        self._speeds.forget_gone(self._views)
 
     def _cache_capacity(self, server: BackendServer) -> int:
-        configuration = self._catalog.configuration
-        spec = configuration and configuration.services.get(server.service)
-        return spec.engine.cache_tokens if spec and spec.engine else 0
+        engine = engine_of(self._catalog, server.service)
+        return engine.cache_tokens if engine else 0
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -37,6 +37,9 @@
     ``prefill_starts_at_s`` is when the server should start the prefill.
     ``streaming`` is set when the first event arrives, and ``settled`` once the
     server has outlived the begin of its response.
+    ``work`` is the expected work of the request and of what was ahead of it, in
+    units of the server's pace, from ``sent_at_s`` to ``expected_s`` later; it
+    is 0 if the server's speed is not followed.
     ``move`` is set when a move of the run to another server begins. Its result
     is None if the run was not stopped; it is cancelled if that is unknown.
     """
@@ -47,6 +50,9 @@
     streaming: bool = False
     settled: bool = False
     move: asyncio.Future[Relocation | None] | None = None
+    sent_at_s: float = 0
+    work: float = 0
+    expected_s: float = 0
 
     def remaining_prefill_s(self, now_s: float) -> float:
         """Return the expected remaining prefill time."""
@@ -149,16 +155,16 @@
 
     @contextmanager
     def track_request(
-        self, request: CallerRequest, wait_s: float = 0
+        self, request: CallerRequest, wait_s: float = 0, pace: float = 1
     ) -> Iterator[InFlightRequest]:
         """Count a request while it is at the server.
 
         ``wait_s`` is the prefill time of the prompts ahead, those of peers
-        included.
+        included, and ``pace`` the factor on the usual prefill time.
         """
         tokens = request.prompt_tokens or 0
         cached = self.prefix_cache.cached_tokens(request.prompt)
-        prefill_s = prefill_time_s(tokens, cached)
+        prefill_s = prefill_time_s(tokens, cached) * pace
         tracked = InFlightRequest(request, prefill_s, self.clock() + wait_s)
         self.prefix_cache.remember(request.prompt)
         self.in_flight.add(tracked)
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -14,6 +14,7 @@
 from mallowspindle.proxy.messages import (
     CallerRequest,
     Dispatch,
+    LoadReport,
     MovedRun,
     PromptPart,
     ResponseHead,
@@ -33,6 +34,10 @@
 # Longer numbers are out of every range; they are neither converted nor added.
 _MAX_DIGITS = 12
 _MAX_SHOWN_CHARS = 80
+# Slowdowns that servers may state, in percent. Work that takes a tenth or a
+# hundred times as long as usual is taken for an error of the statement.
+_SLOWDOWN_PERCENT = range(10, 10_001)
+_PERCENT = 100
 _AUTH_SCHEME = 'token '
 
 # Headers that apply to one connection and are never forwarded.
@@ -161,7 +166,6 @@
         """
         if status not in _FINAL_STATUSES:
             raise BadResponse(f'the server answered with status {status}')
-        running, waiting = _decode_load(headers.get('Server-Load', ''))
         misdirected = status == _MISDIRECTED
         return ResponseHead(
             status=status,
@@ -171,8 +175,7 @@
             headers=_forwarded_headers(
                 headers, _HOP_BY_HOP_HEADERS | _INTERNAL_RESPONSE_HEADERS
             ),
-            running=running,
-            waiting=waiting,
+            load=_decode_load(headers.get('Server-Load', '')),
             limit=_decode_limit(headers),
             leaving=headers.get('Server-Leaving', '').strip() == '1',
             pause_s=_decode_pause_s(status, headers),
@@ -265,14 +268,19 @@
         yield PromptPart(part_id, tokens)
 
 
-def _decode_load(text: str) -> tuple[int | None, int | None]:
-    """Return the running and waiting counts; None if absent or malformed."""
-    running_text, _, remainder = text.partition(',')
-    running = _whole_number(running_text)
-    waiting = _whole_number(remainder.partition(',')[0])
+def _decode_load(text: str) -> LoadReport | None:
+    """Return the reported load; None if absent or malformed.
+
+    It is running, waiting, slots and, at some services, the slowdown. Without a
+    usable slowdown, the counts still hold.
+    """
+    numbers = [_whole_number(part.strip()) for part in text.split(',', 4)]
+    running, waiting, _, percent = [*numbers, None, None, None][:4]
     if running is None or waiting is None:
-        return None, None
-    return running, waiting
+        return None
+    if percent is None or percent not in _SLOWDOWN_PERCENT:
+        return LoadReport(running, waiting)
+    return LoadReport(running, waiting, percent / _PERCENT)
 
 
 def _decode_limit(headers: Mapping[str, str]) -> StatedLimit | None:
--- a/mallowspindle/policies/placement.py
+++ b/mallowspindle/policies/placement.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from mallowspindle.policies.prefill import prefill_time_s
+from mallowspindle.policies.speed import turns_of
 
 # Delay that each running request adds to each token of the others.
 _RUNNING_PENALTY_S = 0.0006
@@ -35,17 +36,20 @@
 
     ``backlog_s`` is the prefill time of the prompts ahead of the request.
     ``is_owner`` is whether the server is assigned to the shared prefix.
+    ``pace`` is the expected time there for one unit of work, see
+    ``policies.speed``.
     """
 
     server_id: str
     zone: str
     slots: int
-    running: int
+    running: float
     backlog_s: float
     cached_tokens: int
     is_owner: bool = False
     full: bool = False
     cold: bool = False
+    pace: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,13 +57,15 @@
     """The request to place, as seen from a node in ``zone``.
 
     ``unreported_s`` is the estimated prefill time of the requests that other
-    nodes have sent to all servers since they last reported their work.
+    nodes have sent to all servers since they last reported their work. For a
+    ``plain`` request it is the number of these requests instead.
     """
 
     zone: str
     prompt_tokens: int
     shared_tokens: int
     unreported_s: float = 0
+    plain: bool = False
 
 
 Policy = Callable[[Candidate, Placement], float]
@@ -103,6 +109,28 @@
     )
 
 
+@policy('prefill_pace')
+def prefill_pace_cost_s(candidate: Candidate, placement: Placement) -> float:
+    """Return the predicted time to the first token at the server's pace.
+
+    Its backlog is already in the time that the server needs for it.
+    """
+    as_usual_s = predicted_cost_s(candidate, placement)
+    own_s = as_usual_s - candidate.backlog_s
+    return candidate.backlog_s + own_s * candidate.pace
+
+
+@policy('plain_pace')
+def plain_pace_cost_s(candidate: Candidate, placement: Placement) -> float:
+    """Return the predicted time to the response of a plain request."""
+    return (
+        candidate.pace * turns_of(candidate.running, candidate.slots)
+        + (candidate.zone != placement.zone) * _OTHER_ZONE_PENALTY_S
+        + candidate.full * _FULL_PENALTY_S
+        + candidate.cold * _COLD_PENALTY_S
+    )
+
+
 @policy('copy_keeper')
 def copy_keeper_cost(candidate: Candidate, placement: Placement) -> float:
     """Return the cost of keeping a copy of a run in ``placement.zone``.
@@ -123,42 +151,54 @@
     If other nodes have sent work that they have not reported yet, all nodes
     would choose the same few servers. The unreported work is assumed to have
     filled the cheapest servers up to a common cost. One server is then drawn at
-    random, weighted by how far its reported cost is below that level. It
-    competes with the owners of the shared prefix, which differ by request.
+    random, weighted by the work that brings it to that level. It competes with
+    the owners of the shared prefix, which differ by request.
     """
     cost = policies[name]
     if not placement.unreported_s:
         shuffled = random.sample(list(candidates), len(candidates))
         return min(shuffled, key=lambda candidate: cost(candidate, placement))
     costs = [cost(candidate, placement) for candidate in candidates]
-    contenders = _draw_index(costs, placement.unreported_s)
+    rates = [1 / candidate.pace for candidate in candidates]
+    if placement.plain:
+        rates = [candidate.slots / candidate.pace for candidate in candidates]
+    contenders = _draw_index(costs, rates, placement.unreported_s)
     contenders += [
         index for index, each in enumerate(candidates) if each.is_owner
     ]
     return candidates[min(contenders, key=costs.__getitem__)]
 
 
-def _draw_index(costs_s: Sequence[float], unreported_s: float) -> list[int]:
-    """Draw a server, weighted by how far its cost is below the fill level.
+def _draw_index(
+    costs_s: Sequence[float], rates: Sequence[float], unreported: float
+) -> list[int]:
+    """Draw a server, weighted by the work that brings it to the fill level.
 
-    Return a list with its index.
+    Return a list with its index. ``rates`` is the work that each does in 1 s.
     """
-    level_s = _fill_level_s(costs_s, unreported_s)
-    weights_s = [max(0, level_s - cost_s) for cost_s in costs_s]
-    return random.choices(range(len(weights_s)), weights_s)
+    level_s = _fill_level_s(costs_s, rates, unreported)
+    weights = [
+        rate * max(0, level_s - cost_s)
+        for rate, cost_s in zip(rates, costs_s, strict=True)
+    ]
+    return random.choices(range(len(weights)), weights)
 
 
-def _fill_level_s(costs_s: Sequence[float], unreported_s: float) -> float:
-    """Return the cost up to which ``unreported_s`` fills the cheapest servers.
+def _fill_level_s(
+    costs_s: Sequence[float], rates: Sequence[float], unreported: float
+) -> float:
+    """Return the cost up to which ``unreported`` work fills the cheapest servers.
 
     This is water-filling: the servers below the level share the work so that
     all of them reach the same cost.
     """
     level_s = 0.0
-    filled_s = 0.0
-    for count, cost_s in enumerate(sorted(costs_s), start=1):
-        if count > 1 and cost_s >= level_s:
+    filled = unreported
+    rate_sum = 0.0
+    for cost_s, rate in sorted(zip(costs_s, rates, strict=True)):
+        if rate_sum and cost_s >= level_s:
             break
-        filled_s += cost_s
-        level_s = (filled_s + unreported_s) / count
+        filled += cost_s * rate
+        rate_sum += rate
+        level_s = filled / rate_sum
     return level_s
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -135,14 +135,27 @@
     per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a server reports of its load, the requests of all nodes included.
+
+    ``slowdown`` is how long work takes there at this moment, 1 for as usual;
+    None if the server does not state it.
+    """
+
+    running: int
+    waiting: int
+    slowdown: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a server's response.
 
     ``not_run`` is true only if the server states that the request has not
     run. ``misdirected`` means that another server has the address.
-    ``headers`` are the headers to forward. ``limit`` is None if the response
-    does not tell whether the server has a limit. ``leaving`` is whether the
+    ``headers`` are the headers to forward. ``load`` is None if the response
+    does not report it, ``limit`` if it does not tell whether the server has one. ``leaving`` is whether the
     server says that it is leaving, ``pause_s`` for how long it wants no request
     from this node.
     """
@@ -152,8 +165,7 @@
     not_run: bool
     misdirected: bool
     headers: CIMultiDict[str]
-    running: int | None = None
-    waiting: int | None = None
+    load: LoadReport | None = None
     limit: StatedLimit | None = None
     leaving: bool = False
     pause_s: float = 0
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -25,6 +25,7 @@
 )
 
 _OK = 200
+_SERVER_ERROR = 500
 # A server that crashes because of a prompt does so when it begins to respond,
 # so it has outlived the prompt this time after the first event.
 _SETTLING_TIME_S = 0.5
@@ -86,6 +87,8 @@
             )
         if head.status == _OK and self._route.kind is RouteKind.STREAM:
             return await self._relay(answer, head, view, in_flight)
+        if head.status < _SERVER_ERROR:
+            self._context.backends.record_response(view, in_flight)
         self._count_usage()
         body = await _read_body(answer)
         if body is None:
@@ -148,7 +151,7 @@
     ) -> AttemptOutcome:
         """Forward complete events to the caller as they arrive."""
         async for chunk in answer.content.iter_any():
-            self._note_chunk(in_flight)
+            self._note_chunk(view, in_flight)
             events = self._feed(chunk)
             if isinstance(events, Unknown):
                 answer.close()
@@ -185,10 +188,13 @@
         except OversizedEvent as error:
             return Unknown(str(error))
 
-    def _note_chunk(self, in_flight: InFlightRequest) -> None:
+    def _note_chunk(
+        self, view: BackendView, in_flight: InFlightRequest
+    ) -> None:
         """Record the first event, and whether the server has outlived it."""
         now_s = asyncio.get_running_loop().time()
         if not in_flight.streaming:
+            self._context.backends.record_response(view, in_flight)
             in_flight.note_first_event()
             self._settles_at_s = now_s + _SETTLING_TIME_S
             self._count_usage()
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -12,6 +12,7 @@
     QuotaUse,
     ServerLimit,
     ServerLoad,
+    ServerReport,
     WorkSum,
 )
 
@@ -45,6 +46,8 @@
         leaving=dict(
             chain.from_iterable(part.leaving.items() for part in parts)
         ),
+        reports=_newest_reports(part.reports for part in parts),
+        times=_summed(part.times for part in parts),
     )
 
 
@@ -94,6 +97,8 @@
             if name not in part.not_reached
         },
         leaving=whole.leaving,
+        reports=whole.reports,
+        times=_subtracted(whole.times, part.times),
     )
 
 
@@ -126,6 +131,11 @@
         evidence=work.evidence,
         not_reached=work.not_reached,
         leaving=work.leaving,
+        reports={
+            server_id: report._replace(age_ms=report.age_ms + int(age_s * _MS))
+            for server_id, report in work.reports.items()
+        },
+        times=work.times,
     )
 
 
@@ -157,6 +167,18 @@
     return newest
 
 
+def _newest_reports(
+    maps: Iterable[Mapping[str, ServerReport]],
+) -> dict[str, ServerReport]:
+    newest: dict[str, ServerReport] = {}
+    entries = chain.from_iterable(reports.items() for reports in maps)
+    for server_id, report in entries:
+        known = newest.get(server_id)
+        if known is None or report.age_ms < known.age_ms:
+            newest[server_id] = report
+    return newest
+
+
 def _joined_evidence(
     maps: Iterable[Mapping[str, PartEvidence]],
 ) -> dict[str, PartEvidence]:
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -46,6 +46,27 @@
     node: str
 
 
+class ServerReport(NamedTuple):
+    """The load that a backend server reported ``age_ms`` ago.
+
+    ``requests`` are those running and waiting there, of all nodes.
+    """
+
+    requests: int
+    slowdown_percent: int
+    age_ms: int
+
+
+class ServerTime(NamedTuple):
+    """Time that recent responses of a backend server took.
+
+    ``work`` is what was expected of them, in thousandths of a unit of work.
+    """
+
+    taken_ms: int
+    work: int
+
+
 class PartEvidence(NamedTuple):
     """Crashes of servers that had a part of a prompt, or a request.
 
@@ -70,7 +91,8 @@
     parts of prompts and requests. ``not_reached`` holds, by node, the services
     of which the node reaches no server. ``leaving`` holds the servers that say
     in their responses that they are leaving, with their start as Unix time in
-    ms.
+    ms. ``reports`` holds the newest load that each backend server has reported
+    with its slowdown, and ``times`` what its responses took.
     """
 
     nodes: int = 0
@@ -84,6 +106,8 @@
     evidence: dict[str, PartEvidence] = field(default_factory=dict)
     not_reached: dict[str, list[str]] = field(default_factory=dict)
     leaving: dict[str, int] = field(default_factory=dict)
+    reports: dict[str, ServerReport] = field(default_factory=dict)
+    times: dict[str, ServerTime] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/tests/backends/test_cost.py
+++ b/mallowspindle/tests/backends/test_cost.py
@@ -13,11 +13,18 @@
 
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.catalog.servers import BackendServer
-from mallowspindle.proxy.messages import CallerRequest, PromptPart
+from mallowspindle.proxy.messages import (
+    CallerRequest,
+    LoadReport,
+    PromptPart,
+    ResponseHead,
+)
 from mallowspindle.sharing.messages import PrefillDemand, ServerLoad, WorkSum
 
 # Maximum calls for each server and request: views, candidates and their costs.
 _MAX_PICK_CALLS = 20
+# The same where servers state their slowdowns.
+_MAX_SPEED_CALLS = 35
 _MAX_KEEPER_CALLS = 18
 _MAX_DEMAND_CALLS = 5
 _SERVERS = 100
@@ -92,6 +99,20 @@
     assert calls.count <= _MAX_PICK_CALLS * _SERVERS
 
 
+def test_calls_of_pick_by_speed_are_bounded_per_server(
+    backends: BackendsService,
+) -> None:
+    """Guards against a model that is updated in full for each request."""
+    view = backends.views('models')[0]
+    load = LoadReport(1, 0, 1.5)
+    head = ResponseHead(200, 'r1', False, False, CIMultiDict(), load=load)
+    backends.record_statements(view, head)
+    backends.pick('models', _REQUEST, ())
+    with _Calls() as calls:
+        backends.pick('models', _REQUEST, ())
+    assert calls.count <= _MAX_SPEED_CALLS * _SERVERS
+
+
 def test_calls_of_pick_copy_keeper_are_bounded_per_server(
     backends: BackendsService,
 ) -> None:
--- a/mallowspindle/tests/platform/test_codec.py
+++ b/mallowspindle/tests/platform/test_codec.py
@@ -5,7 +5,12 @@
 
 from mallowspindle.platform.codec import PlatformHttpCodec
 from mallowspindle.proxy.errors import BadRequest
-from mallowspindle.proxy.messages import Dispatch, PromptPart, StatedLimit
+from mallowspindle.proxy.messages import (
+    Dispatch,
+    LoadReport,
+    PromptPart,
+    StatedLimit,
+)
 
 CODEC = PlatformHttpCodec()
 # Python converts no numbers of more than 4300 digits.
@@ -120,10 +125,40 @@
 
 def test_server_load_is_decoded() -> None:
     head = CODEC.decode_response_head(200, _headers(Server_Load='3,1,8'))
-    assert (head.running, head.waiting) == (3, 1)
+    assert head.load == LoadReport(3, 1)
     assert 'Server-Load' not in head.headers
     malformed = CODEC.decode_response_head(200, _headers(Server_Load='many'))
-    assert malformed.running is None
+    assert malformed.load is None
+
+
+@pytest.mark.parametrize(
+    ('fourth', 'slowdown'),
+    [
+        ('100', 1),
+        (' 250 ', 2.5),
+        ('60', 0.6),
+        ('10', 0.1),
+        ('10000', 100),
+        ('', None),
+        ('0', None),
+        ('9', None),
+        ('10001', None),
+        ('-250', None),
+        ('2.5', None),
+        ('nan', None),
+        ('slow', None),
+        (_HUGE, None),
+        ('250,7', 2.5),
+    ],
+)
+def test_slowdown_of_server_is_decoded(
+    fourth: str, slowdown: float | None
+) -> None:
+    """Guards against counts that are lost for an odd figure beside them."""
+    head = CODEC.decode_response_head(
+        200, _headers(Server_Load=f'3,1,8,{fourth}')
+    )
+    assert head.load == LoadReport(3, 1, slowdown)
 
 
 @pytest.mark.parametrize(
@@ -205,6 +240,6 @@
     """Guards against answers that are lost for a header beside them."""
     head = CODEC.decode_response_head(503, _headers(**changes))
     assert head.status == 503
-    assert (head.running, head.waiting) == (None, None)
+    assert head.load is None
     assert head.limit is None or head.limit.per_s is None
     assert 0 <= head.pause_s <= 3600
--- a/mallowspindle/tests/sharing/test_states.py
+++ b/mallowspindle/tests/sharing/test_states.py
@@ -4,12 +4,15 @@
 
 import pytest
 
+from mallowspindle.sharing.aggregation import subtract
 from mallowspindle.sharing.messages import (
     LeaseUpdate,
     NodeState,
     QuotaUse,
     ServerLimit,
     ServerLoad,
+    ServerReport,
+    ServerTime,
     VentureState,
     WorkSum,
     ZoneState,
@@ -168,3 +171,21 @@
     others = states.peer_work().loads['i-1']
     assert others.running == 1
     assert others.backlog_ms == pytest.approx(900, abs=2)
+
+
+def test_the_newest_report_of_a_server_counts() -> None:
+    """Guards against a stated slowdown that an older one replaces."""
+    clock = FakeClock()
+    states = PeerStates('a', 'one', clock)
+    for node, percent, age_ms in (('two', 250, 100), ('three', 100, 50)):
+        work = WorkSum(reports={'i-1': ServerReport(2, percent, age_ms)})
+        states.receive(NodeState(node, 1, 'a', 1, work))
+    clock.advance(0.5)
+    assert states.peer_work().reports == {'i-1': ServerReport(2, 100, 550)}
+
+
+def test_own_times_of_responses_are_subtracted() -> None:
+    """Guards against own responses that count twice."""
+    whole = WorkSum(nodes=2, times={'i-1': ServerTime(900, 12_000)})
+    own = WorkSum(nodes=1, times={'i-1': ServerTime(300, 4000)})
+    assert subtract(whole, own).times == {'i-1': ServerTime(600, 8000)}
