--- a/mallowspindle/tests/peers/test_link.py
+++ b/mallowspindle/tests/peers/test_link.py
@@ -303,7 +303,7 @@
 async def test_message_to_several_peers_is_encoded_once(
     address: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # A relay spent most of its time on encoding the same sum for each node.
+    # A relay encoded the same sum anew for each node of its zone.
     encoded: list[object] = []
     encode_parts = peer_codec.encode_parts
 
--- a/mallowspindle/tests/sharing/test_scale.py
+++ b/mallowspindle/tests/sharing/test_scale.py
@@ -87,12 +87,14 @@
     assert many <= few * 1.25
 
 
-async def _most_bytes_s_after_crashes(parts: int, crashes: int) -> float:
+async def _most_bytes_s_after_crashes(
+    parts: int, crashes: int, prefix: str = ''
+) -> float:
     """Return what the busiest node sends per second after many crashes."""
     mesh = FakeMesh(77, 4)
     clock = asyncio.get_running_loop().time
     evidence = {
-        f'{number:012x}': PartEvidence(
+        f'{prefix}{number:012x}': PartEvidence(
             {
                 f'i-{(number * 7 + crash) % 94:010x}@{_BORN_MS}': _BORN_MS
                 for crash in range(crashes)
