A holder of the duties that can't renew its lease hands over

Cause: while the store turned only the holder away, the lease ran for its whole time without use, and then once more: successors read the stream of the duties when they claim, and took old renewals for signs of an active holder.

Change: a holder whose renewal fails stops acting and tells its peers that the lease is released once 0.6 of it has passed. A claim counts the holder's silence from when its last record was written; records of usage tell that too.

--- a/mallowspindle/duties/lease.py
+++ b/mallowspindle/duties/lease.py
@@ -22,7 +22,11 @@
 from mallowspindle.log.positions import era_of
 from mallowspindle.log.records import LogPage
 from mallowspindle.sharing.messages import LeaseUpdate
-from mallowspindle.utils.clock import SharedClock, boot_clock_s
+from mallowspindle.utils.clock import (
+    MAX_ERROR_S,
+    SharedClock,
+    boot_clock_s,
+)
 from mallowspindle.utils.codec import CodecError
 
 log = logging.getLogger(__name__)
@@ -33,6 +37,9 @@
 _VALID_FRACTION = 0.8
 # Time after the end of the lease before others may claim it.
 _CLAIM_MARGIN_S = 0.3
+# A holder that has not renewed after this fraction hands over: the next attempt
+# would be answered after the fraction for which it may act.
+_HAND_OVER_FRACTION = 0.6
 
 
 class Lease:
@@ -155,14 +162,19 @@
         )
 
     async def claim(self) -> bool:
-        """Claim the lease if no holder is active; return whether it did."""
-        if await self.catch_up():
+        """Claim the lease if no holder is active; return whether it did.
+
+        Records that were not read before may be of a holder that has been
+        silent since.
+        """
+        if await self.catch_up() and not self.may_claim(0):
             return False
-        claim = Claim(self._node, self._incarnation, self._written())
+        claim = Claim(self._node, self._incarnation, self.written())
         offset = await self._append(claim)
         if offset is None:
             return False
         self._own_tenure = Tenure(self._node, self._incarnation, offset)
+        self._own_release = None
         log.info('duties taken over', extra={'fencing_number': offset})
         return True
 
@@ -173,7 +185,7 @@
         age_s = self._clock() - self._renewed_at_s
         if age_s >= self._lease_s * _RENEW_FRACTION:
             number = self._own_tenure.fencing_number
-            await self._append(Renewal(number, self._written()))
+            await self._append(Renewal(number, self.written()))
 
     async def append(self, record: DutyRecord) -> bool:
         """Append a record as the holder; return whether it was logged."""
@@ -194,6 +206,21 @@
             self._own_release = number
         self.give_up('released')
 
+    def hand_over_if_late(self) -> bool:
+        """Release the lease for peers if it is not renewed in time.
+
+        The store has turned this node away, so only peers are told. They claim
+        under another fencing number, and this node never uses its own again.
+        """
+        tenure = self._own_tenure
+        age_s = self._clock() - self._renewed_at_s
+        if tenure is None or age_s < self._lease_s * _HAND_OVER_FRACTION:
+            return False
+        self.give_up('not renewed in time')
+        self._own_release = tenure.fencing_number
+        self.note_released(tenure.fencing_number)
+        return True
+
     def give_up(self, reason: str, fencing_number: int | None = None) -> None:
         """Stop acting as the holder.
 
@@ -216,10 +243,19 @@
             ]
             active = active or any(activity)
         if active:
-            self._holder_seen_at_s = self._clock()
+            seen_at_s = self._clock() - self._activity_age_s()
+            self._holder_seen_at_s = max(self._holder_seen_at_s, seen_at_s)
         self._check_tenure()
         return active
 
+    def _activity_age_s(self) -> float:
+        """Return for how long the holder has certainly been silent."""
+        written = self._state.last_activity
+        if written is None or self._shared_clock.is_settling:
+            return 0
+        age_s = self._shared_clock.now_s() - written.at_s
+        return max(0, age_s - MAX_ERROR_S)
+
     async def _pages(self) -> AsyncIterator[LogPage]:
         """Read up to the current end of the stream."""
         while True:
@@ -240,7 +276,7 @@
         if self._era_read is None or era > self._era_read.era:
             self._era_read = WrittenIn(era, self._shared_clock.now_s())
 
-    def _written(self) -> WrittenIn | None:
+    def written(self) -> WrittenIn | None:
         """Return when and in which era a record is written now."""
         if self._era_read is None or self._shared_clock.is_settling:
             return None
--- a/mallowspindle/duties/ledger.py
+++ b/mallowspindle/duties/ledger.py
@@ -32,6 +32,7 @@
         self._tenure: Tenure | None = None
         self._reports: dict[int, dict[str, int]] = {}
         self._earliest: WrittenIn | None = None
+        self._last_activity: WrittenIn | None = None
 
     @property
     def tenure(self) -> Tenure | None:
@@ -43,6 +44,11 @@
         """The logged counts by window."""
         return self._reports
 
+    @property
+    def last_activity(self) -> WrittenIn | None:
+        """When the holder's last record was written; None if it does not tell."""
+        return self._last_activity
+
     def has_lost_nothing_since_s(self, era: int) -> float | None:
         """Return since when the log has certainly lost no record.
 
@@ -58,6 +64,12 @@
         """Apply a record; return whether it shows an active holder."""
         if isinstance(record, Claim | Renewal) and record.written is not None:
             self._note_written(record.written)
+        is_active = self._apply(offset, record)
+        if is_active and not isinstance(record, Release):
+            self._last_activity = record.written
+        return is_active
+
+    def _apply(self, offset: int, record: DutyRecord) -> bool:
         match record:
             case Claim(holder=holder, incarnation=incarnation):
                 self._tenure = Tenure(holder, incarnation, offset)
--- a/mallowspindle/duties/records.py
+++ b/mallowspindle/duties/records.py
@@ -54,12 +54,13 @@
 class UsageReport:
     """The counts of a window, logged before they are sent.
 
-    Every holder sends exactly these counts.
+    Every holder sends exactly these counts. Older builds give no ``written``.
     """
 
     fencing_number: int
     window: int
     counts: dict[str, int]
+    written: WrittenIn | None = None
 
 
 DutyRecord = Claim | Renewal | Release | UsageReport
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -158,9 +158,19 @@
                 sorted(self._lease.state.reports)[:-_RESENT_WINDOWS]
             )
             await self._log_again()
-        await self._lease.renew()
+        try:
+            await self._lease.renew()
+        except LogError:
+            self._hand_over_if_late()
+            raise
         await self._log_usage()
 
+    def _hand_over_if_late(self) -> None:
+        """Let another node take over that the store may not turn away."""
+        if self._lease.hand_over_if_late():
+            self._usage_exchange.send()
+            self._sharing.send_soon()
+
     async def _log_again(self) -> None:
         """Log known reports again that a restored log may have lost."""
         tenure = self._lease.valid_tenure
@@ -169,7 +179,12 @@
         for window in sorted(self._lease.state.reports)[-_RESENT_WINDOWS:]:
             counts = self._lease.state.reports[window]
             await self._lease.append(
-                UsageReport(tenure.fencing_number, window, counts)
+                UsageReport(
+                    tenure.fencing_number,
+                    window,
+                    counts,
+                    self._lease.written(),
+                )
             )
 
     async def _maintain_fleet(self) -> None:
@@ -202,7 +217,9 @@
         for window, counts in ended_windows.items():
             if window in logged or self._may_have_lost_report(window):
                 continue
-            record = UsageReport(tenure.fencing_number, window, counts)
+            record = UsageReport(
+                tenure.fencing_number, window, counts, self._lease.written()
+            )
             if await self._lease.append(record):
                 log.info(
                     'usage logged', extra={'window': window, 'counts': counts}
--- a/mallowspindle/tests/duties/test_lease.py
+++ b/mallowspindle/tests/duties/test_lease.py
@@ -282,3 +282,92 @@
     assert not await one.append(UsageReport(number, 7, {'farm': 5}))
     await two.catch_up()
     assert two.state.reports[7] == {'farm': 4}
+
+
+async def test_old_records_of_a_silent_holder_delay_no_claim() -> None:
+    """Guards against a successor that waits for the lease twice.
+
+    It reads the holder's renewals only when it claims.
+    """
+    log, clock = FakeLog(), FakeClock()
+    shared_clock = SharedClock(clock, clock)
+    one, two = (
+        Lease(log, name, 1, LEASE_S, clock, shared_clock)
+        for name in ('one', 'two')
+    )
+    clock.advance(20)
+    await one.claim()
+    await two.catch_up()
+    for _ in range(3):
+        clock.advance(LEASE_S / 2)
+        await one.renew()
+    news = one.news()
+    assert news is not None
+    two.note_renewal(news.fencing_number, news.age_s)
+    clock.advance(LEASE_S)
+    assert not two.may_claim(0)
+    clock.advance(0.6)
+    assert two.may_claim(0)
+    assert await two.claim()
+
+
+async def test_renewals_that_peers_have_not_heard_of_delay_a_claim() -> None:
+    """Guards against two holders when only the holder's peers are cut off."""
+    log, clock = FakeLog(), FakeClock()
+    shared_clock = SharedClock(clock, clock)
+    one, two = (
+        Lease(log, name, 1, LEASE_S, clock, shared_clock)
+        for name in ('one', 'two')
+    )
+    clock.advance(20)
+    await one.claim()
+    await two.catch_up()
+    clock.advance(LEASE_S)
+    await one.renew()
+    clock.advance(1)
+    assert two.may_claim(0)
+    assert not await two.claim()
+    assert not two.may_claim(0)
+
+
+async def test_a_holder_that_can_not_renew_hands_over() -> None:
+    """Guards against a lease that nobody uses and nobody may claim."""
+    log, clock = FakeLog(), FakeClock()
+    one, two = _lease(log, 'one', clock), _lease(log, 'two', clock)
+    await one.claim()
+    await two.catch_up()
+    number = _number(one)
+    clock.advance(LEASE_S / 2)
+    assert not one.hand_over_if_late()
+    clock.advance(LEASE_S / 4)
+    assert one.hand_over_if_late()
+    assert one.valid_tenure is None
+    news = one.news()
+    assert news is not None
+    two.note_released(news.fencing_number)
+    assert two.may_claim(0)
+    assert await two.claim()
+    assert _number(two) > number
+    assert not await one.append(UsageReport(number, 7, {'farm': 1}))
+
+
+async def test_a_holder_that_handed_over_claims_under_a_new_number() -> None:
+    """Guards against one fencing number that is used in two tenures."""
+    log, clock = FakeLog(), FakeClock()
+    one = _lease(log, 'one', clock)
+    await one.claim()
+    number = _number(one)
+    clock.advance(LEASE_S)
+    assert one.hand_over_if_late()
+    assert one.may_claim(0)
+    assert await one.claim()
+    assert _number(one) > number
+    news = one.news()
+    assert news is not None
+    assert not news.released
+
+
+def _number(lease: Lease) -> int:
+    tenure = lease.valid_tenure
+    assert tenure is not None
+    return tenure.fencing_number
