Nodes beside a peer that told of an outage keep serving for longer

Cause: with answers that take 0.3 s, one second in which no peer answers, beside a store that is down for all, cut off a node of 58: it asks peers about once a second, so what it was told had become older than the bound of 2 s.

Change: what a peer has told of an outage holds for 1.5 times the bound. The links of the simulated nodes tell when answered calls were sent.

--- a/mallowspindle/policies/contact.py
+++ b/mallowspindle/policies/contact.py
@@ -12,6 +12,10 @@
 # bound before: the store is read for all nodes every 0.5 s, and the next node
 # takes over within 1 s. So half of the bound of silence is left.
 _SILENT_FRACTION = 0.5
+# A node asks peers about once a second while the store is down for all. This
+# leaves room for a second of silence. The operators extend the bound by more
+# than half of it while the store is unstable.
+_TOLD_FRACTION = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +54,7 @@
             return False
         self._has_known_peers = self._has_known_peers or contact.knows_peers
         is_certain = contact.certain_age_s < self._apply_s
-        is_told = contact.outage_told_s < self._apply_s
+        is_told = contact.outage_told_s < self._apply_s * _TOLD_FRACTION
         if is_certain or is_told or not self._has_known_peers:
             self._is_cut_off = False
         elif contact.peer_silence_s >= self._apply_s * _SILENT_FRACTION:
--- a/mallowspindle/tests/sharing/fakes.py
+++ b/mallowspindle/tests/sharing/fakes.py
@@ -13,7 +13,7 @@
 from mallowspindle.peers.errors import PeerTimeout
 from mallowspindle.peers.transit import aged
 from mallowspindle.sharing.service import SharingService
-from mallowspindle.utils.clock import SharedClock
+from mallowspindle.utils.clock import SharedClock, boot_clock_s
 from mallowspindle.utils.codec import pack, unpack
 
 _NEVER_S = 1e9
@@ -46,6 +46,11 @@
     source: str
     target: str
 
+    @property
+    def answered_call_at_s(self) -> float:
+        """When the newest call with a reply was sent."""
+        return self.mesh.answered_at_s.get((self.source, self.target), 0)
+
     async def call(
         self,
         message: object,
@@ -53,6 +58,12 @@
         made_at_s: float | None = None,
     ) -> object:
         """Encode, count and deliver a message, and return the reply."""
+        sent_at_s = boot_clock_s()
+        reply = await self._call(message, timeout_s)
+        self.mesh.answered_at_s[self.source, self.target] = sent_at_s
+        return reply
+
+    async def _call(self, message: object, timeout_s: float) -> object:
         payload = pack(peer_codec.to_wire(message))
         self.mesh.note_sent(self.source, len(payload) + _FRAME_BYTES)
         await asyncio.sleep(0)
@@ -107,6 +118,8 @@
         # Queueing delay of the messages that a node sends, in seconds.
         self.delays_s: dict[str, float] = {}
         self.cut: set[tuple[str, str]] = set()
+        # By source and target, on the boot clock.
+        self.answered_at_s: dict[tuple[str, str], float] = {}
         self.servers = {info.name: FakeServer() for info in infos}
         self.memberships = {
             info.name: FakeMembership(self, info) for info in infos
