Idle connections to the store are kept for two seconds

Cause: connections that were idle when the path to the store was lost stayed in the pool for 15 s. Each call that took one of them waited for its timeout, so a node could need several timeouts of 1.5 s after the path was back.

Change: the client of the platform drops connections that were idle for 2 s. A node that reads for all nodes uses its connection every 0.5 s and keeps it.

Evidence: tests/platform/test_connections.py, five connections whose path is lost while they are idle: the next read timed out before and is answered now. tests/platform: 167 passed.

--- a/mallowspindle/platform/service.py
+++ b/mallowspindle/platform/service.py
@@ -36,6 +36,9 @@
 
 # After a reclaim notice, a server has only a few seconds left for moves.
 _MOVE_TIMEOUT_S = 2.0
+# A lost path is found out only by a call that times out, after 1.5 s for each
+# idle connection that it took. A node that reads for all calls every 0.5 s.
+_IDLE_TIMEOUT_S = 2.0
 
 
 @service('border')
@@ -66,7 +69,8 @@
     @classmethod
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the clients for the addresses in the settings."""
-        session = ClientSession(connector=TCPConnector(limit=0))
+        connector = TCPConnector(limit=0, keepalive_timeout=_IDLE_TIMEOUT_S)
+        session = ClientSession(connector=connector)
         return cls(kernel.settings(PlatformSettings), session)
 
     @property
