Send late safe requests and unbegun streams to a second server

At servers that share their machines a few requests in a hundred take ten times as long as usual, which placement can't foresee.

With [hedging] share above 0, a request that may run twice goes to a second server after the 95th percentile of its route's recent times, within the share, max_attempts and the retry budget, and not while requests wait everywhere. The first whole answer, or first event, counts; the other attempt is cancelled.

--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -325,7 +325,7 @@
         chosen = choose_server(candidates, placement, policy)
         view = self._views[chosen.server_id]
         self._limits.note_sent(view.server)
-        return Pick(view, chosen.backlog_s)
+        return Pick(view, chosen.backlog_s, policy != 'predicted')
 
     def _prefix_owners(
         self, usable: list[BackendView], request: CallerRequest
@@ -370,6 +370,7 @@
             or view.server.address != server.address
         ):
             self._drop_gone_views()
+            self._speeds.forget(server.server_id)
             prefix_cache = PrefixCacheIndex(self._cache_capacity(server))
             view = BackendView(server, prefix_cache, clock=self._clock)
             self._views[server.server_id] = view
--- a/mallowspindle/backends/speeds.py
+++ b/mallowspindle/backends/speeds.py
@@ -202,6 +202,11 @@
             if took.work * _MS >= 1
         }
 
+    def forget(self, server_id: str) -> None:
+        """Forget a server: another one has its id now."""
+        self._reports.pop(server_id, None)
+        self._own.pop(server_id, None)
+
     def forget_gone(self, server_ids: Collection[str]) -> None:
         """Forget all servers but ``server_ids``."""
         for table in (self._reports, self._own):
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -39,7 +39,8 @@
     server has outlived the begin of its response.
     ``work`` is the expected work of the request and of what was ahead of it, in
     units of the server's pace, from ``sent_at_s`` to ``expected_s`` later; it
-    is 0 if the server's speed is not followed.
+    is 0 if the server's speed is not followed. ``on_first_event`` is called
+    before the first event is used, and may cancel the attempt.
     ``move`` is set when a move of the run to another server begins. Its result
     is None if the run was not stopped; it is cancelled if that is unknown.
     """
@@ -53,6 +54,7 @@
     sent_at_s: float = 0
     work: float = 0
     expected_s: float = 0
+    on_first_event: Callable[[], None] | None = None
 
     def remaining_prefill_s(self, now_s: float) -> float:
         """Return the expected remaining prefill time."""
@@ -61,6 +63,8 @@
 
     def note_first_event(self) -> None:
         """Record the first event, which ends the prefill."""
+        if self.on_first_event is not None:
+            self.on_first_event()
         self.prefill_s = 0
         self.streaming = True
 
@@ -215,7 +219,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Pick:
-    """A chosen server and the prefill time of the prompts waiting there."""
+    """A chosen server and the prefill time of the prompts waiting there.
+
+    ``by_speed`` is whether it was chosen by the slowdowns that servers state.
+    """
 
     view: BackendView
     backlog_s: float
+    by_speed: bool = False
--- a/mallowspindle/config/platform.py
+++ b/mallowspindle/config/platform.py
@@ -61,6 +61,16 @@
     quota_window_s: float = Field(8.0, gt=0)
 
 
+class HedgingSection(Section):
+    """Second attempts for requests that take long; a ``share`` of 0 is off.
+
+    They are sent only at services whose servers state how slow they are.
+    """
+
+    share: float = Field(0.0, ge=0, le=0.5)
+    min_delay_s: float = Field(0.03, gt=0)
+
+
 class PlatformSettings(CommonSettings):
     """All settings of ``mallowspindled`` with ``interface = platform``."""
 
@@ -68,6 +78,7 @@
     store: StoreSection
     duties: DutiesSection = DutiesSection.model_validate({})
     proxy: ProxySection = ProxySection.model_validate({})
+    hedging: HedgingSection = HedgingSection.model_validate({})
 
     @property
     def peer_endpoint(self) -> tuple[str, int]:
--- a/mallowspindle/proxy/attempts.py
+++ b/mallowspindle/proxy/attempts.py
@@ -1,6 +1,8 @@
 """Sends one request to servers, and follows its run where it moves."""
 
+from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from aiohttp import ClientError
 from multidict import CIMultiDict
@@ -30,10 +32,22 @@
 
 
 class ServerAttempts:
-    """The attempts of one request at servers that were picked for it."""
+    """The attempts of one request at servers that were picked for it.
 
-    def __init__(self, state: ExchangeState) -> None:
+    ``on_first_event`` is called before the first event of a stream is used.
+    ``is_hedge`` is whether another attempt is in progress when this one begins.
+    """
+
+    def __init__(
+        self,
+        state: ExchangeState,
+        on_first_event: Callable[[], None] | None = None,
+        *,
+        is_hedge: bool = False,
+    ) -> None:
         self._state = state
+        self._on_first_event = on_first_event
+        self._hedge_fields: dict[str, Any] = {'hedge': True} if is_hedge else {}
         self._relocation: Relocation | None = None
 
     async def send(
@@ -87,6 +101,7 @@
         with self._state.context.backends.track_request(
             view, request
         ) as in_flight:
+            in_flight.on_first_event = self._on_first_event
             try:
                 async with self._state.context.upstream.send(
                     request.method, url, headers, body, send_state
@@ -186,10 +201,11 @@
     ) -> None:
         """Log the outcome of an attempt and update the state of the server."""
         attempts_total.add(1, {'outcome': type(outcome).__name__})
-        log_outcome = partial(
+        log_outcome: Callable[..., None] = partial(
             self._state.log.log_attempt,
             view=view,
             attempt_number=attempt_number,
+            **self._hedge_fields,
         )
         match outcome:
             case NotRun(reason=reason):
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -8,9 +8,14 @@
 from mallowspindle.adapter import AdapterService, HttpCodec
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.catalog.service import CatalogService
-from mallowspindle.config.platform import PlatformSettings, ProxySection
+from mallowspindle.config.platform import (
+    HedgingSection,
+    PlatformSettings,
+    ProxySection,
+)
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.policies.budget import BudgetTerms, RetryBudget
+from mallowspindle.proxy.hedge_limits import HedgeLimits
 from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
@@ -75,6 +80,9 @@
     usage: UsageCounter
     peers: PeerRelays
     stalls: StallWatch = field(default_factory=StallWatch)
+    hedge_limits: HedgeLimits = field(
+        default_factory=lambda: HedgeLimits(HedgingSection.model_validate({}))
+    )
 
     def nodes_not_reaching(self) -> set[str]:
         """Return the nodes that reach no server of some service."""
@@ -106,4 +114,5 @@
                 settings.duties.usage_window_s, sharing.membership.clock.now_s
             ),
             peers=PeerRelays(sharing, settings.peers.shared_key.encode()),
+            hedge_limits=HedgeLimits(settings.hedging),
         )
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -13,10 +13,10 @@
 )
 from mallowspindle.policies.splitting import choose_service
 from mallowspindle.proxy import replies
-from mallowspindle.proxy.attempts import ServerAttempts
 from mallowspindle.proxy.continuation import UnknownBegin
 from mallowspindle.proxy.endings import ExchangeEnding
 from mallowspindle.proxy.errors import CallerDisconnected
+from mallowspindle.proxy.hedging import HedgedAttempts
 from mallowspindle.proxy.outcomes import (
     Answered,
     AttemptOutcome,
@@ -39,7 +39,7 @@
     def __init__(self, state: ExchangeState) -> None:
         self._state = state
         self._service = choose_service(state.route.shares)
-        self._attempts = ServerAttempts(state)
+        self._attempts = HedgedAttempts(state)
         self._end = ExchangeEnding(state)
 
     async def run(self, body: bytes) -> StreamResponse:
@@ -96,7 +96,9 @@
         pick = self._pick_or_refuse(attempt_number)
         if isinstance(pick, StreamResponse):
             return pick
-        return await self._attempts.send(pick.view, body, attempt_number)
+        return await self._attempts.send(
+            pick, self._service, body, attempt_number
+        )
 
     def _pick_or_refuse(self, attempt_number: int) -> Pick | StreamResponse:
         """Return the server for the next attempt, or the final response."""
@@ -135,11 +137,10 @@
     def _may_rerun(self) -> bool:
         """Return whether the request may run once more."""
         route = self._state.route
-        max_runs = self._state.request.max_runs or route.max_attempts
         return (
             route.repeatable
             and self._state.splitter.can_resume
-            and self._state.history.run_count < max_runs
+            and self._state.history.run_count < self._state.max_runs
         )
 
     def _retry_after_s(self, pick: Pick) -> float:
--- a/mallowspindle/proxy/history.py
+++ b/mallowspindle/proxy/history.py
@@ -41,3 +41,7 @@
         )
         if not isinstance(outcome, NotRun) and not is_refusal:
             self.run_count += 1
+
+    def note_cancelled(self) -> None:
+        """Count an attempt that was given up and may have run."""
+        self.run_count += 1
--- a/mallowspindle/proxy/records.py
+++ b/mallowspindle/proxy/records.py
@@ -64,6 +64,17 @@
             },
         )
 
+    def log_hedge(self, message: str, view: BackendView, first: str) -> None:
+        """Log what becomes of a second attempt beside the one at ``first``."""
+        log.info(
+            message,
+            extra={
+                **self._fields(),
+                'server': view.server.server_id,
+                'first': first,
+            },
+        )
+
     def log_relayed(self, peer: str, outcome: object) -> None:
         """Log that a peer handled a request, since this node can't reach it."""
         log.info(
--- a/mallowspindle/proxy/state.py
+++ b/mallowspindle/proxy/state.py
@@ -96,6 +96,11 @@
             history=history,
         )
 
+    @property
+    def max_runs(self) -> int:
+        """How often the request may run, and so at how many servers."""
+        return self.request.max_runs or self.route.max_attempts
+
     def time_left_s(self) -> float:
         """Return the seconds until the request has to be answered."""
         return self.deadline_s - asyncio.get_running_loop().time()
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -24,6 +24,8 @@
     response, when the same request comes again on a kept connection.
     ``slow_events_s`` is a pause before each event. ``endless`` names where
     bytes come without end: in the ``head``, a ``body`` or an ``event``.
+    ``load`` is what a server states of its load, and ``fail_s`` the time before
+    an error response of ``truncate``.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -48,6 +50,8 @@
     repeats_refusals: bool = False
     slow_events_s: float = 0
     endless: str = ''
+    load: str = ''
+    fail_s: float = 0
     deadly_part: str = ''
     deadly_target: str = ''
     deadly_run_s: float = 0.06
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -162,6 +162,7 @@
         self, name: str, zone: str, traces: str = '', **proxy: Any
     ) -> str:
         """Return the settings of a gateway as INI text."""
+        hedging_share = proxy.pop('hedging_share', 0)
         options = ''.join(f'{key} = {text}\n' for key, text in proxy.items())
         paths = self._peer_paths
         peers = f'{paths.listening}:0' if paths else _ANY_PORT
@@ -176,6 +177,7 @@
             f'[duties]\naddress = {self.process("duties").address}\n'
             f'kinds = usage autoscale\nusage_window_s = 1\n'
             f'[proxy]\n{options}'
+            f'[hedging]\nshare = {hedging_share}\n'
             f'[telemetry]\ntraces_file = {traces}\n'
         )
 
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -97,6 +97,8 @@
         }
         if self._faults.limit_per_s is not None:
             headers['Server-Limit'] = str(self._faults.limit_per_s)
+        if self._faults.load:
+            headers['Server-Load'] = self._faults.load
         if request.headers.get('Expect-Instance') != self._id:
             return Response(status=_MISDIRECTED_REQUEST, headers=headers)
         if self._faults.says_leaving:
@@ -121,6 +123,8 @@
             'body': (await request.read()).decode(),
             'began_at_s': asyncio.get_running_loop().time(),
             'ended': False,
+            # Whether the connection was closed before the answer was ready.
+            'left': False,
             'stopped': False,
         }
         self._runs.append(run)
@@ -154,9 +158,11 @@
             return await self._send_without_end(request, headers)
         headers['Response-Signature'] = f'{self._id}-signature'
         if self._faults.consume('truncate'):
+            await asyncio.sleep(self._faults.fail_s)
             return Response(status=500, headers=headers, text='failed')
         if not self._event_count:
             await asyncio.sleep(self._pause_s + self._faults.slow_s)
+            run['left'] = request.transport is None
             return Response(headers=headers, text=f'answer of {self._id}')
         return await self._stream(request, headers, run)
 
--- a/mallowspindle/tests/backends/test_speeds.py
+++ b/mallowspindle/tests/backends/test_speeds.py
@@ -1,7 +1,7 @@
 """The speeds that a node learns from responses and from its peers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -216,3 +216,17 @@
     assert view is not None
     with backends.track_request(view, PROMPT) as tracked:
         assert int(tracked.prefill_s * 1000) > 300
+
+
+def test_server_that_starts_again_inherits_no_speed() -> None:
+    world = _World()
+    backends = _backends(world)
+    _at_usual_speed(backends, world)
+    _run(backends, world, 'one', 0.05, LoadReport(0, 0, 2.5))
+    servers = backends._catalog.servers  # noqa: SLF001
+    servers['one'] = replace(servers['one'], started_at_ms=7)
+    world.now_s += 0.3
+    backends.pick(SERVICE, REQUEST, ())
+    own_work = backends._own_work()  # noqa: SLF001
+    assert set(own_work.reports) == {'two'}
+    assert set(own_work.times) == {'two'}
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -25,12 +25,13 @@
 )
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
-from mallowspindle.config.platform import ProxySection
+from mallowspindle.config.platform import HedgingSection, ProxySection
 from mallowspindle.platform.codec import PlatformHttpCodec
 from mallowspindle.policies.budget import BudgetTerms
 from mallowspindle.proxy.callers import CallerServer
 from mallowspindle.proxy.context import ProxyContext, RetryBudgets
 from mallowspindle.proxy.gate import AdmissionGate
+from mallowspindle.proxy.hedge_limits import HedgeLimits
 from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
@@ -79,7 +80,9 @@
 class Node:
     """One entry VM; ``catalog.servers`` is what it knows of the servers."""
 
-    def __init__(self, mesh: FakeMesh, name: str) -> None:
+    def __init__(
+        self, mesh: FakeMesh, name: str, hedging_share: float = 0
+    ) -> None:
         sharing = mesh.nodes[name]
         self.name = name
         self.servers: dict[str, BackendServer] = {}
@@ -102,6 +105,12 @@
         self.streams = StreamsService(self.catalog, sharing)
         self.quarantine = QuarantineService(sharing)
         self.upstream = Upstream(0.2, 'Request-Id')
+        self.retry_budgets = RetryBudgets(
+            BudgetTerms(0.2, 10, 50), sharing, first_start=True
+        )
+        self.hedge_limits = HedgeLimits(
+            HedgingSection(share=hedging_share, min_delay_s=0.03)
+        )
         self.address = ''
         # Whether requests are held before they are handled, and answers before
         # they are sent.
@@ -148,13 +157,12 @@
             http_codec=PlatformHttpCodec(),
             upstream=self.upstream,
             quotas=self.quotas,
-            retry_budgets=RetryBudgets(
-                BudgetTerms(0.2, 10, 50), self._sharing, first_start=True
-            ),
+            retry_budgets=self.retry_budgets,
             quarantine=self.quarantine,
             streams=self.streams,
             usage=self.usage,
             peers=PeerRelays(self._sharing, b'a key'),
+            hedge_limits=self.hedge_limits,
         )
 
     async def start(self, stack: AsyncExitStack) -> None:
@@ -191,8 +199,9 @@
 class CutVenture:
     """Nodes before model and shop servers, some of them cut off."""
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, hedging_share: float = 0) -> None:
         self._size = size
+        self._hedging_share = hedging_share
         self._stack = AsyncExitStack()
         self._entries: dict[str, BackendServer] = {}
         self.nodes: list[Node] = []
@@ -207,7 +216,7 @@
             for number in range(_SERVERS_EACH):
                 await self._start_server(f'{service}-{number}', service, events)
         for name in mesh.nodes:
-            node = Node(mesh, name)
+            node = Node(mesh, name, self._hedging_share)
             node.servers.update(self._entries)
             await node.start(self._stack)
             self.nodes.append(node)
@@ -313,6 +322,7 @@
     async def _start_server(self, name: str, service: str, events: int) -> None:
         standin = ServerStandin(name, events, 0.01)
         listener = Listener(standin.app(), '127.0.0.1', 0)
+        standin.use_listener(listener)
         port = await listener.start()
         self._stack.push_async_callback(listener.close)
         self._entries[name] = BackendServer(
