--- a/mallowspindle/config/platform.py
+++ b/mallowspindle/config/platform.py
@@ -73,6 +73,16 @@
         return self.config_apply_ms / _MS
 
 
+class HedgingSection(Section):
+    """Second attempts for requests that take long; a ``share`` of 0 is off.
+
+    They are sent only at services whose servers state how slow they are.
+    """
+
+    share: float = Field(0.0, ge=0, le=0.5)
+    min_delay_s: float = Field(0.03, gt=0)
+
+
 class PlatformSettings(CommonSettings):
     """All settings of ``mallowspindled`` with ``interface = platform``."""
 
@@ -80,6 +90,7 @@
     store: StoreSection
     duties: DutiesSection = DutiesSection.model_validate({})
     proxy: ProxySection = ProxySection.model_validate({})
+    hedging: HedgingSection = HedgingSection.model_validate({})
 
     @property
     def peer_endpoint(self) -> tuple[str, int]:
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -108,6 +108,7 @@
 
 def projected(work: WorkSum, age_s: float) -> WorkSum:
     """Project work to ``age_s`` later, assuming constant rates."""
+    age_ms = int(age_s * _MS)
     return WorkSum(
         nodes=work.nodes,
         loads={
@@ -136,7 +137,9 @@
         not_reached=work.not_reached,
         leaving=work.leaving,
         reports={
-            server_id: report._replace(age_ms=report.age_ms + int(age_s * _MS))
+            server_id: ServerReport(
+                report.requests, report.slowdown_percent, report.age_ms + age_ms
+            )
             for server_id, report in work.reports.items()
         },
         times=work.times,
