--- a/mallowspindle/tests/conftest.py
+++ b/mallowspindle/tests/conftest.py
@@ -38,11 +38,15 @@
 
 
 def _group_tests_with_processes(items: list[pytest.Item]) -> None:
-    """Let the tests of a group run one after another, in one process."""
+    """Let the tests of a group run one after another, in one process.
+
+    A group that a test module chooses for itself stays.
+    """
     started = [
         item
         for item in items
         if item.path.relative_to(_TESTS).parts[0] in _PACKAGES_WITH_PROCESSES
+        and item.get_closest_marker('xdist_group') is None
     ]
     for number, item in enumerate(started):
         group = f'processes-{number % _PROCESS_GROUPS}'
