Bound what clients cost before their requests are complete

A gateway kept all unfinished requests until their time limits, read up to 256 KB of each connection at a time, and had no bound on connections. Few clients could take its memory, CPU time or descriptors.

The new package intake/ reads all listeners in slices of 2 KiB and in turns, charges heads and bodies to one budget of the process, pauses connections without room, and refuses stalled, costly or slow requests with 503 as not run. Connections beyond a maximum replace those without a whole head first. Peers without a handshake are bounded by number, and responses that nobody reads end their connections after idle_timeout_ms. Bounds follow from the VM's memory and descriptors ([intake]).

--- a/mallowspindle/config/common.py
+++ b/mallowspindle/config/common.py
@@ -49,6 +49,33 @@
     max_frame_bytes: int = Field(16_000_000, ge=1024)
 
 
+def _none_if_empty(text: Any) -> Any:
+    return None if text == '' else text  # noqa: PLC1901
+
+
+OptionalMegabytes = Annotated[
+    float | None, BeforeValidator(_none_if_empty), Field(ge=0)
+]
+OptionalCount = Annotated[
+    int | None, BeforeValidator(_none_if_empty), Field(ge=0)
+]
+
+
+class IntakeSection(Section):
+    """Memory and descriptors of the VM, and bounds on unfinished requests.
+
+    Bounds that are empty or 0 are derived: an eighth of `memory_mb` for
+    `unfinished_bytes`, and as `caller_connections` half of `max_fds`, or less
+    if a sixth of the memory has no room for them at 32 KiB each. Without
+    `memory_mb`, 160 MB count; without `max_fds`, the process's own limit.
+    """
+
+    memory_mb: OptionalMegabytes = None
+    max_fds: OptionalCount = None
+    unfinished_bytes: OptionalCount = None
+    caller_connections: OptionalCount = None
+
+
 class TelemetrySection(Section):
     """Trace exporters and log level."""
 
@@ -64,6 +91,7 @@
 
     node: NodeSection
     peers: PeersSection
+    intake: IntakeSection = IntakeSection.model_validate({})
     telemetry: TelemetrySection = TelemetrySection.model_validate({})
 
     @property
--- a/mallowspindle/entry/service.py
+++ b/mallowspindle/entry/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Self
+from typing import Self, cast
 
 from aiohttp import ClientSession, TCPConnector
 from aiohttp.web import (
@@ -12,8 +12,8 @@
     HTTPException,
     Request,
     Response,
+    Server,
     StreamResponse,
-    TCPSite,
     json_response,
     middleware,
 )
@@ -26,6 +26,8 @@
 from mallowspindle.entry.operators import OperatorHandlers
 from mallowspindle.entry.problems import ProblemError, problem
 from mallowspindle.entry.relay import AnswerRelay
+from mallowspindle.intake.server import ConnectionFactory
+from mallowspindle.intake.service import IntakeService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.utils.telemetry import meter
@@ -34,6 +36,9 @@
 
 _INTERNAL_ERROR = 500
 _CLOSE_TIMEOUT_S = 0.3
+# How long the unread rest of a refused body is still received.
+_LINGERING_TIME_S = 1.0
+_BACKLOG = 1024
 
 requests_total = meter.create_counter('http_requests')
 
@@ -42,14 +47,23 @@
 
 @service(
     'entry',
-    requires=('membership', 'settings', 'attempts', 'effects', 'recovery'),
+    requires=(
+        'membership',
+        'settings',
+        'attempts',
+        'effects',
+        'recovery',
+        'intake',
+    ),
 )
 class EntryService(Service):
     """Serves callers and operators over HTTP."""
 
     def __init__(self, kernel: Kernel) -> None:
         self._context = EntryContext.from_kernel(kernel)
+        self._intake = kernel.find('intake', IntakeService)
         self._runner: AppRunner | None = None
+        self._listener: asyncio.Server | None = None
         self._session = ClientSession(connector=TCPConnector(limit=0))
         self._open_requests = 0
         self._port = 0
@@ -76,8 +90,20 @@
             self._build_application(), access_log=None, shutdown_timeout=1
         )
         await self._runner.setup()
-        await TCPSite(self._runner, node.host, node.http_port).start()
-        self._port = self._runner.addresses[0][1]
+        self._listener = await asyncio.get_running_loop().create_server(
+            ConnectionFactory(
+                cast(Server, self._runner.server),
+                self._intake,
+                'http',
+                self._intake.bounds.callers,
+                access_log=None,
+                lingering_time=_LINGERING_TIME_S,
+            ),
+            node.host,
+            node.http_port,
+            backlog=_BACKLOG,
+        )
+        self._port = self._listener.sockets[0].getsockname()[1]
         self._context.membership.update(
             http_address=f'{node.host}:{self._port}'
         )
@@ -96,6 +122,8 @@
             if not self._open_requests:
                 break
             await asyncio.sleep(0.01)
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
         await self._session.close()
--- /dev/null
+++ b/mallowspindle/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what clients may cost before their requests are complete."""
--- a/mallowspindle/interfaces.py
+++ b/mallowspindle/interfaces.py
@@ -42,6 +42,7 @@
     return Interface(
         NativeSettings,
         (
+            'mallowspindle.intake.service',
             'mallowspindle.native.service',
             'mallowspindle.membership.service',
             'mallowspindle.settings.service',
@@ -64,6 +65,7 @@
     return Interface(
         PlatformSettings,
         (
+            'mallowspindle.intake.service',
             'mallowspindle.platform.service',
             'mallowspindle.membership.service',
             'mallowspindle.sharing.service',
--- a/mallowspindle/membership/service.py
+++ b/mallowspindle/membership/service.py
@@ -84,10 +84,7 @@
     def from_config(cls, kernel: Kernel) -> Self:
         """Construct the service and the server that peers connect to."""
         config = kernel.config
-        credentials = Credentials(
-            config.node.name, config.peers.shared_key.encode()
-        )
-        server = PeerServer(credentials, config.peers.max_frame_bytes)
+        server = PeerServer.from_config(config)
         return cls(config.node, config.peers, server, config.peer_endpoint)
 
     @property
--- a/mallowspindle/peers/server.py
+++ b/mallowspindle/peers/server.py
@@ -3,8 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Self
 
+from mallowspindle.config.common import CommonSettings
+from mallowspindle.intake.bounds import IntakeBounds
+from mallowspindle.intake.reading import TurnReader
+from mallowspindle.intake.refusals import Reason, note_refusal
+from mallowspindle.intake.turns import ReadTurns
 from mallowspindle.peers.codec import ErrorReply, peer_codec
 from mallowspindle.peers.errors import PeerError
 from mallowspindle.peers.frames import FrameStream
@@ -14,6 +19,11 @@
 
 log = logging.getLogger(__name__)
 _HANDSHAKE_TIMEOUT_S = 2.0
+# Connections without a handshake, which peers complete within milliseconds.
+_MAX_UNPROVEN = 128
+# Twice as much is read of a frame before its reader has to take it. Greetings
+# have up to 512 bytes.
+_READ_BUFFER_BYTES = 16_384
 # Kinds of messages of one connection that are logged as not understood.
 _MAX_LOGGED = 20
 # The tag and the fields of a message without a stamp.
@@ -54,20 +64,41 @@
 class PeerServer:
     """Accepts connections and passes each message to its handler."""
 
-    def __init__(self, credentials: Credentials, max_frame_bytes: int) -> None:
+    def __init__(
+        self,
+        credentials: Credentials,
+        max_frame_bytes: int,
+        max_unproven: int = _MAX_UNPROVEN,
+    ) -> None:
         self._credentials = credentials
         self._max_frame_bytes = max_frame_bytes
+        self._max_unproven = max_unproven
+        # Connections without a handshake, the oldest first.
+        self._unproven: dict[FrameStream, None] = {}
+        # Apart from those of callers, whose load must not delay peers.
+        self._turns = ReadTurns()
         self._handlers: dict[type, Handler] = {}
         self._server: asyncio.Server | None = None
         self._connections: set[FrameStream] = set()
 
+    @classmethod
+    def from_config(cls, config: CommonSettings) -> Self:
+        """Construct the server from the settings of its node."""
+        return cls(
+            Credentials(config.node.name, config.peers.shared_key.encode()),
+            config.peers.max_frame_bytes,
+            IntakeBounds.from_config(config.intake).unproven_peers,
+        )
+
     def handle(self, message_type: type, handler: Handler) -> None:
         """Register the handler of a message type."""
         self._handlers[message_type] = handler
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen; return the port."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._new_protocol, host, port
+        )
         return int(self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
@@ -77,23 +108,43 @@
         for stream in list(self._connections):
             stream.close()
 
+    def _new_protocol(self) -> TurnReader:
+        reader = asyncio.StreamReader(_READ_BUFFER_BYTES)
+        protocol = asyncio.StreamReaderProtocol(reader, self._serve)
+        return TurnReader(protocol, self._turns)
+
+    def _begin_handshake(self, stream: FrameStream) -> None:
+        """Count a connection; end the oldest one beyond the maximum."""
+        if len(self._unproven) >= self._max_unproven:
+            note_refusal(Reason.UNPROVEN, 'peers')
+            oldest = next(iter(self._unproven))
+            self._unproven.pop(oldest)
+            oldest.abort()
+        self._unproven[stream] = None
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer, self._max_frame_bytes)
         self._connections.add(stream)
+        self._begin_handshake(stream)
         clock = ConnectionClock()
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
                 peer = await handshake_as_server(
                     stream, self._credentials, clock
                 )
+            self._unproven.pop(stream, None)
             await self._answer_calls(stream, peer, clock)
         except (PeerError, TimeoutError, ValueError) as error:
             log.debug('peer connection ended: %s', error)
         finally:
-            self._connections.discard(stream)
-            stream.close()
+            self._drop(stream)
+
+    def _drop(self, stream: FrameStream) -> None:
+        self._unproven.pop(stream, None)
+        self._connections.discard(stream)
+        stream.close()
 
     async def _answer_calls(
         self, stream: FrameStream, peer: str, clock: ConnectionClock
--- a/mallowspindle/proxy/callers.py
+++ b/mallowspindle/proxy/callers.py
@@ -3,12 +3,17 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, cast
 
-from aiohttp.web import BaseRequest, RequestHandler, Server, StreamResponse
+from aiohttp.web import BaseRequest, StreamResponse
 
 from mallowspindle.catalog.configuration import CallerLimits
+from mallowspindle.intake.handler import BoundedHandler
+from mallowspindle.intake.refusals import Reason, note_refusal
+from mallowspindle.intake.server import BoundedServer
+from mallowspindle.intake.service import IntakeService
 
 log = logging.getLogger(__name__)
 
@@ -24,28 +29,56 @@
 Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(BoundedHandler):
     """A caller connection that tracks idle time and request head time."""
 
-    __slots__ = ('_head_since_s', '_idle_since_s', '_serving')
+    __slots__ = (
+        '_body_timeout',
+        '_evicted',
+        '_head_since_s',
+        '_idle_since_s',
+        '_serving',
+        '_unread_bytes',
+        '_unread_since_s',
+    )
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self._serving = False
         self._idle_since_s = time.monotonic()
         self._head_since_s: float | None = None
+        self._body_timeout: asyncio.Timeout | None = None
+        self._evicted = False
+        self._unread_bytes = 0
+        self._unread_since_s = 0.0
+
+    @property
+    def evicted(self) -> bool:
+        """Whether the request is refused since there is no room for it."""
+        return self._evicted
 
     def data_received(self, data: bytes) -> None:
         """Start the request head timer on the first bytes of a request."""
-        if not self._serving and self._head_since_s is None:
+        is_head = bool(data) and not self._serving
+        if is_head and self._head_since_s is None and not self._is_discarding():
             self._head_since_s = time.monotonic()
         super().data_received(data)
 
     def mark_request_started(self) -> None:
         """Stop the timers: a complete request head has been read."""
         self._serving = True
+        self._evicted = False
         self._head_since_s = None
 
+    @contextmanager
+    def refusable_by(self, timeout: asyncio.Timeout) -> Iterator[None]:
+        """Let ``timeout`` expire at once if the request loses its room."""
+        self._body_timeout = timeout
+        try:
+            yield
+        finally:
+            self._body_timeout = None
+
     def mark_request_finished(self) -> None:
         """Start the idle timer: the request has been answered."""
         self._serving = False
@@ -66,6 +99,9 @@
     def close_if_timed_out(self, limits: CallerLimits) -> None:
         """Close the connection if its idle or head timeout has passed."""
         now_s = time.monotonic()
+        if self.transport is None:
+            return
+        self._abort_if_unread(self.transport, now_s, limits)
         if self._serving or self.transport is None:
             return
         if self._head_since_s is None:
@@ -76,17 +112,39 @@
             self.transport.write(_REQUEST_TIMEOUT_RESPONSE)
             self.transport.close()
 
+    def _abort_if_unread(
+        self, transport: asyncio.Transport, now_s: float, limits: CallerLimits
+    ) -> None:
+        """End a connection whose caller reads nothing of a response."""
+        unread_bytes = transport.get_write_buffer_size()
+        if not unread_bytes or unread_bytes != self._unread_bytes:
+            self._unread_bytes = unread_bytes
+            self._unread_since_s = now_s
+        elif now_s - self._unread_since_s > limits.idle_timeout_s:
+            note_refusal(Reason.UNREAD, 'callers', unread_bytes=unread_bytes)
+            transport.abort()
+
+    def _evict(self, reason: Reason) -> None:
+        if self._body_timeout is None:
+            super()._evict(reason)
+            return
+        note_refusal(reason, 'callers', held_bytes=self._counted_bytes)
+        self._evicted = True
+        self._body_timeout.reschedule(self._loop.time())
+
 
-class CallerServer(Server):
+class CallerServer(BoundedServer):
     """An HTTP server whose connections are ``CallerConnection`` objects."""
 
-    def __init__(self, handler: Handler, **options: Any) -> None:
-        super().__init__(handler, handler_cancellation=True, **options)
-        self._options = options
+    handler_type = CallerConnection
 
-    def __call__(self) -> CallerConnection:
-        """Return the protocol for a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._options)
+    def __init__(
+        self, handler: Handler, intake: IntakeService | None = None
+    ) -> None:
+        # Bodies are passed on as they are, not decompressed.
+        super().__init__(
+            handler, intake, handler_cancellation=True, auto_decompress=False
+        )
 
     async def close(self, timeout_s: float) -> None:
         """Close idle connections at once, and the others once they are idle.
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from dataclasses import dataclass, replace
+from typing import cast
 
 from aiohttp.web import BaseRequest, Response, StreamResponse
 from opentelemetry.trace import SpanKind
@@ -13,7 +14,9 @@
     Organisation,
     Route,
 )
+from mallowspindle.intake.body import BodyBuffer
 from mallowspindle.proxy import replies
+from mallowspindle.proxy.callers import CallerConnection
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.errors import BadRequest
 from mallowspindle.proxy.exchange import Exchange
@@ -31,6 +34,9 @@
 _STALE_CONFIGURATION_RETRY_AFTER_S = 0.5
 # A caller waits while a node finds out whether its configuration is up to date.
 _CONFIRM_TIMEOUT_S = 0.25
+# Retry-After for a request that lost its room to others: stalled ones are
+# refused within a second.
+_NO_ROOM_RETRY_AFTER_S = 1.0
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -64,7 +70,6 @@
         began_at_s = read_at_s - self._context.stalls.possible_delay_s
         configuration = self._context.catalog.configuration
         if configuration is None:
-            await web_request.content.read()
             return replies.refusal(_NO_CONFIGURATION_RETRY_AFTER_S)
         if _headers_size(web_request) > configuration.limits.header_bytes:
             return replies.headers_too_large()
@@ -163,10 +168,14 @@
             return _Body(b'')
         if '100-continue' in web_request.headers.get('Expect', '').lower():
             _send_continue(web_request)
+        connection = cast(CallerConnection, web_request.protocol)
         try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                return await _read_up_to(web_request, limits.body_bytes)
+            async with asyncio.timeout(limits.idle_timeout_s) as timeout:
+                with connection.refusable_by(timeout):
+                    return await _read_up_to(web_request, limits.body_bytes)
         except TimeoutError:
+            if connection.evicted:
+                return replies.refusal(_NO_ROOM_RETRY_AFTER_S)
             return replies.body_timed_out()
 
 
@@ -187,14 +196,12 @@
 async def _read_up_to(
     web_request: BaseRequest, max_bytes: int
 ) -> _Body | Response:
-    chunks: list[bytes] = []
-    size = 0
+    body = BodyBuffer()
     async for chunk in web_request.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
+        if body.size + len(chunk) > max_bytes:
             return replies.body_too_large()
-        chunks.append(chunk)
-    return _Body(b''.join(chunks))
+        body.append(chunk)
+    return _Body(body.join())
 
 
 def _send_continue(web_request: BaseRequest) -> None:
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -9,15 +9,14 @@
 
 from mallowspindle.config.platform import ListenSection, PlatformSettings
 from mallowspindle.entry.addresses import addresses_for
+from mallowspindle.intake.bounds import IntakeBounds
+from mallowspindle.intake.server import BoundedServer
+from mallowspindle.intake.service import IntakeService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.proxy import replies
-from mallowspindle.proxy.callers import (
-    CallerConnection,
-    CallerServer,
-    Handler,
-)
+from mallowspindle.proxy.callers import CallerConnection, CallerServer
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.gate import AdmissionGate
 from mallowspindle.utils.tasks import BackgroundTasks, run_periodically
@@ -26,13 +25,6 @@
 log = logging.getLogger(__name__)
 
 _UNAVAILABLE = 503
-# Maximum size of the request line and of a header field. The configured limit
-# on the size of all headers is checked for each request.
-_MAX_LINE_BYTES = 32_768
-# How long the unread bytes of a refused body are still received, so that the
-# caller reads the response before the connection is closed.
-_LINGERING_TIME_S = 1.0
-_KEEPALIVE_TIMEOUT_S = 60.0
 # Interval between checks for timed-out callers: short compared to the
 # configured timeouts of some seconds.
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -62,6 +54,7 @@
         'quarantine',
         'sharing',
         'streams',
+        'intake',
     ),
 )
 class ProxyService(Service):
@@ -72,7 +65,9 @@
         context: ProxyContext,
         listen: ListenSection,
         membership: MembershipService,
+        intake: IntakeService | None = None,
     ) -> None:
+        self._intake = intake or IntakeService(IntakeBounds.by_default())
         self._context = context
         self._listen = listen
         self._membership = membership
@@ -93,6 +88,7 @@
             ProxyContext.from_kernel(kernel),
             kernel.settings(PlatformSettings).listen,
             kernel.find('membership', MembershipService),
+            kernel.find('intake', IntakeService),
         )
 
     @property
@@ -121,23 +117,21 @@
     async def start(self) -> None:
         """Listen on all configured addresses."""
         listen = self._listen
-        self._caller_server = CallerServer(
-            self._serve,
-            access_log=None,
-            keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-            lingering_time=_LINGERING_TIME_S,
-            max_line_size=_MAX_LINE_BYTES,
-            max_field_size=_MAX_LINE_BYTES,
+        intake = self._intake
+        bounds = intake.bounds
+        self._caller_server = CallerServer(self._serve, intake)
+        readiness = BoundedServer(
+            self._readiness, intake, 'readiness', bounds.others
+        )
+        addresses = BoundedServer(
+            self._addresses, intake, 'addresses', bounds.addresses
         )
-        readiness = _plain_server(self._readiness)
-        addresses = _plain_server(self._addresses)
         await self._listen_on('callers', self._caller_server, listen.callers)
         await self._listen_on('readiness', readiness, listen.readiness)
         await self._listen_on('addresses', addresses, listen.addresses)
         if listen.metrics is not None:
-            await self._listen_on(
-                'metrics', _plain_server(_metrics), listen.metrics
-            )
+            metrics = BoundedServer(_metrics, intake, 'metrics', bounds.others)
+            await self._listen_on('metrics', metrics, listen.metrics)
         self._membership.update(http_address=self._bound_addresses['callers'])
         self._tasks.spawn(
             run_periodically(self._close_timed_out, _TIMEOUT_CHECK_INTERVAL_S),
@@ -240,9 +234,5 @@
     return max(0, timeout_s * (1 - _SHUTDOWN_FRACTION))
 
 
-def _plain_server(handler: Handler) -> Server:
-    return Server(handler, access_log=None)
-
-
 async def _metrics(web_request: BaseRequest) -> Response:
     return Response(body=generate_latest(), content_type='text/plain')
