--- a/mallowspindle/config/common.py
+++ b/mallowspindle/config/common.py
@@ -53,12 +53,10 @@
     return None if text == '' else text  # noqa: PLC1901
 
 
-OptionalMegabytes = Annotated[
-    float | None, BeforeValidator(_none_if_empty), Field(ge=0)
-]
-OptionalCount = Annotated[
-    int | None, BeforeValidator(_none_if_empty), Field(ge=0)
-]
+Megabytes = Annotated[float, Field(ge=0)]
+Count = Annotated[int, Field(ge=0)]
+OptionalMegabytes = Annotated[Megabytes | None, BeforeValidator(_none_if_empty)]
+OptionalCount = Annotated[Count | None, BeforeValidator(_none_if_empty)]
 
 
 class IntakeSection(Section):
--- a/mallowspindle/intake/handler.py
+++ b/mallowspindle/intake/handler.py
@@ -27,6 +27,9 @@
 # request line and headers up to the usual limits. Also what may arrive behind
 # a request in progress before reading is paused.
 _MAX_IDLE_BYTES = 65_536
+# A new connection may be without a head for this long, also while the event
+# loop is busy.
+_FRESH_S = 1.0
 # Raw bytes, parsed names and values.
 _HEAD_COPIES = 2
 # Bytes that aiohttp buffers of a body, twice, before it pauses reading.
@@ -100,11 +103,12 @@
     def rank(self) -> int:
         """The place in the order in which connections are ended.
 
-        First those without a whole head, then bodies, then idle ones.
+        First those that are late with a head, then bodies, heads, idle ones.
         """
         if self._counted is None:
-            return 0
-        return 2 if self._body_is_complete() else 1
+            is_late = self._loop.time() - self._since_s > _FRESH_S
+            return 0 if is_late else 2
+        return 3 if self._body_is_complete() else 1
 
     @property
     def is_serving(self) -> bool:
--- a/mallowspindle/intake/reading.py
+++ b/mallowspindle/intake/reading.py
@@ -24,9 +24,6 @@
 
 
 _NO_PAUSE = Pause(0)
-# CPU time for parsing the data of a connection that is in no question: 4 MiB
-# take 5 ms, 72 KiB in chunks of 8 bytes 6 ms.
-_MAX_COST_S = 0.05
 _NO_DATA = memoryview(b'')
 
 
@@ -135,12 +132,12 @@
         """Tell the protocol."""
         self._protocol.resume_writing()
 
-    def take_turn(self, *, crowded: bool) -> None:
+    def take_turn(self, max_cost_s: float) -> None:
         """Pass on more, and read again once all has been passed on."""
         self._queued = False
         if self._gate is None:
             return
-        if crowded and self._cost_s > _MAX_COST_S and self._on_costly:
+        if self._cost_s > max_cost_s and self._on_costly:
             self._cost_s = 0
             self._on_costly()
         self._pass_on()
--- a/mallowspindle/intake/server.py
+++ b/mallowspindle/intake/server.py
@@ -41,10 +41,10 @@
 class ConnectionFactory:
     """Makes the protocols of a listener's connections.
 
-    Beyond its maximum, the oldest connection without a whole head is ended
-    first, then those with an unfinished body, then those that have been idle
-    the longest. Requests in progress go on; if there are only these, the new
-    connection is ended.
+    Beyond its maximum, the oldest connection that is late with a head is ended
+    first, then those with an unfinished body, then new ones, then those that
+    have been idle the longest. Requests in progress go on; if there are only
+    these, the new connection is ended.
     """
 
     def __init__(
--- a/mallowspindle/intake/turns.py
+++ b/mallowspindle/intake/turns.py
@@ -18,12 +18,19 @@
 # What all connections may send in an iteration before they wait for turns.
 _ITERATION_BYTES = 1_048_576
 
+# CPU time for parsing the data of one connection while more wait than get a
+# turn at once, and of all that wait: 4 MiB take 5 ms, 72 KiB in chunks of 8
+# bytes 6 ms, in one-byte chunks 66 ms.
+_MAX_COST_S = 0.05
+_MIN_COST_S = 0.02
+_ALL_COSTS_S = 3.0
+
 
 class TurnTaker(Protocol):
     """A connection that waits for its turn."""
 
-    def take_turn(self, *, crowded: bool) -> None:
-        """Go on reading; ``crowded`` if more wait than get a turn at once."""
+    def take_turn(self, max_cost_s: float) -> None:
+        """Go on reading, unless that has taken more CPU time so far."""
 
 
 class ReadTurns:
@@ -59,10 +66,17 @@
         self._scheduled = False
         self._read_bytes = 0
         ends_at_s = time.thread_time() + _ITERATION_S
-        crowded = len(self._waiting) > _TURNS_PER_ITERATION
+        max_cost_s = _max_cost_s(len(self._waiting))
         for _ in range(min(_TURNS_PER_ITERATION, len(self._waiting))):
-            self._waiting.popleft().take_turn(crowded=crowded)
+            self._waiting.popleft().take_turn(max_cost_s)
             if time.thread_time() > ends_at_s:
                 break
         if self._waiting:
             self._schedule()
+
+
+def _max_cost_s(waiting: int) -> float:
+    """Return the CPU time for the data of each of so many connections."""
+    if waiting <= _TURNS_PER_ITERATION:
+        return float('inf')
+    return min(_MAX_COST_S, max(_MIN_COST_S, _ALL_COSTS_S / waiting))
