Roll out software versions as operators order it

Orders to move a service to another software version were not read, so a bad version got all requests at once. Orders are now followed with the configuration; the holder of the duties' lease decides from the counts of all nodes, logs its state before it tells the nodes, and writes the status. Requests are drawn by their id, so the canary's share is exact over all nodes; an unjudged version gets nothing beyond it, also if nothing else is left. The part is off unless all options of [rollouts] are set.

--- a/mallowspindle/__main__.py
+++ b/mallowspindle/__main__.py
@@ -18,9 +18,6 @@
 from mallowspindle.commands import (
     nodes as node_commands,
 )
-from mallowspindle.commands import (
-    quarantine as quarantine_commands,
-)
 from mallowspindle.commands import (
     requests as request_commands,
 )
@@ -30,6 +27,7 @@
 from mallowspindle.commands.client import load_operator
 from mallowspindle.commands.errors import CommandError
 from mallowspindle.commands.output import Output
+from mallowspindle.commands.platform import Quarantine, Rollouts
 from mallowspindle.config.operator import OperatorSection
 
 DEFAULT_SETTINGS = Path('mallowspindle.ini')
@@ -253,52 +251,6 @@
     command: cappa.Subcommands[LedgerReport | LedgerExplain]
 
 
-@dataclass
-class DaemonOptions:
-    """Options of commands that call a daemon as its peers do."""
-
-    settings: Annotated[
-        Path, cappa.Arg(long=True, help='The INI file of a daemon.')
-    ] = DEFAULT_SETTINGS
-    node: Annotated[
-        str, cappa.Arg(long=True, help='HOST:PORT for peers, if another one.')
-    ] = ''
-
-
-@cappa.command(name='list', help='The parts of prompts that are refused.')
-@dataclass
-class QuarantineShow(DaemonOptions):
-    """``quarantine list [--settings FILE] [--node ADDRESS]``."""
-
-    output: Annotated[Output, cappa.Arg(long=True, help='table or json')] = (
-        Output.TABLE
-    )
-
-    def __call__(self) -> None:
-        """Run the command."""
-        run(quarantine_commands.show(self.settings, self.node, self.output))
-
-
-@cappa.command(name='clear', help='Serve prompts with a part again.')
-@dataclass
-class QuarantineReset(DaemonOptions):
-    """``quarantine clear PART [--settings FILE] [--node ADDRESS]``."""
-
-    part: Annotated[str, cappa.Arg(required=True)] = ''
-
-    def __call__(self) -> None:
-        """Run the command."""
-        run(quarantine_commands.clear(self.settings, self.node, self.part))
-
-
-@cappa.command(name='quarantine', help='Requests that crash servers.')
-@dataclass
-class Quarantine:
-    """``quarantine``."""
-
-    command: cappa.Subcommands[QuarantineShow | QuarantineReset]
-
-
 @cappa.command(name='mallowspindle', help='Operate a mallowspindle venture.')
 @dataclass
 class Mallowspindle:
@@ -313,6 +265,7 @@
         | Effects
         | Ledger
         | Quarantine
+        | Rollouts
     ]
 
 
--- a/mallowspindle/adapter.py
+++ b/mallowspindle/adapter.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mallowspindle.catalog.configuration import Configuration
+from mallowspindle.catalog.orders import OrderCodec
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.kernel.service import Service
 from mallowspindle.log.interface import Log
@@ -23,7 +24,8 @@
 class LogLayout:
     """Streams, keys and codecs of what operators and servers write.
 
-    The last three streams have keys and are written by this system itself.
+    All streams but the first two have keys and are written by this system
+    itself. Without ``orders``, operators can't order rollouts.
     """
 
     configuration_stream: str
@@ -36,6 +38,9 @@
     encode_keyed: Callable[[str, bytes], bytes]
     decode_configuration: Callable[[bytes], Configuration]
     decode_server: Callable[[str, bytes], BackendServer]
+    orders: OrderCodec | None = None
+    rollouts_stream: str = ''
+    status_stream: str = ''
 
 
 class HttpCodec(ABC):
--- a/mallowspindle/backends/candidates.py
+++ b/mallowspindle/backends/candidates.py
@@ -23,6 +23,8 @@
 
 def newest_at_each_address(views: list[BackendView]) -> list[BackendView]:
     """Return the server that started last at each address."""
+    if len({view.server.address for view in views}) == len(views):
+        return views
     by_start = sorted(views, key=lambda view: view.server.started_at_ms)
     return list({view.server.address: view for view in by_start}.values())
 
--- a/mallowspindle/backends/reachability.py
+++ b/mallowspindle/backends/reachability.py
@@ -1,7 +1,8 @@
 """Reports of servers that accept no connections."""
 
 from collections import Counter
-from collections.abc import Container, Mapping
+from collections.abc import Collection, Container, Mapping, Sequence
+from itertools import chain
 
 from mallowspindle.backends.view import BackendView
 
@@ -55,3 +56,29 @@
     if len(unreachable) > reachable:
         return {}
     return {zone: dict.fromkeys(unreachable, 1)}
+
+
+def first_trusted(
+    groups: Sequence[list[BackendView]], suspects: Collection[str]
+) -> list[BackendView]:
+    """Return the first group of servers that can be used, without the others.
+
+    Ejected servers and ``suspects``, which peers don't reach, are left out,
+    unless all servers of all groups are ejected.
+    """
+    trusted = (_without_suspects(group, suspects) for group in groups)
+    return next(filter(None, chain(trusted, reversed(groups))), [])
+
+
+def _without_suspects(
+    serving: list[BackendView], suspects: Collection[str]
+) -> list[BackendView]:
+    healthy = [view for view in serving if not view.ejected]
+    if not suspects:
+        return healthy
+    trusted = [
+        view
+        for view in healthy
+        if view.reachable or view.server.server_id not in suspects
+    ]
+    return trusted or healthy
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
-from operator import attrgetter
 from typing import Self
 
 from mallowspindle.backends.candidates import (
@@ -19,6 +18,7 @@
 from mallowspindle.backends.links import ServerLinks
 from mallowspindle.backends.prefixes import PrefixCacheIndex
 from mallowspindle.backends.reachability import (
+    first_trusted,
     own_report,
     reported_unreachable,
 )
@@ -38,6 +38,7 @@
     choose_server,
 )
 from mallowspindle.proxy.messages import CallerRequest, ResponseHead
+from mallowspindle.rollouts.service import Draw, RolloutsService
 from mallowspindle.sharing.messages import (
     WorkSum,
 )
@@ -53,10 +54,9 @@
 # they might send requests behind it, which would be late.
 _SEND_SOON_PREFILL_S = 0.1
 _MS = 1000
-_address_of = attrgetter('server.address')
 
 
-@service('backends', requires=('catalog', 'sharing'))
+@service('backends', requires=('catalog', 'rollouts', 'sharing'))
 class BackendsService(Service):
     """Chooses a server for each attempt and tracks the work at each server."""
 
@@ -65,7 +65,9 @@
         catalog: CatalogService,
         sharing: SharingService,
         clock: Callable[[], float] = time.monotonic,
+        rollouts: RolloutsService | None = None,
     ) -> None:
+        self._rollouts = rollouts or RolloutsService(catalog, sharing)
         self._catalog = catalog
         self._sharing = sharing
         self._clock = clock
@@ -82,8 +84,14 @@
         return cls(
             kernel.find('catalog', CatalogService),
             kernel.find('sharing', SharingService),
+            rollouts=kernel.find('rollouts', RolloutsService),
         )
 
+    @property
+    def rollouts(self) -> RolloutsService:
+        """The rollouts, which decide on versions and count responses."""
+        return self._rollouts
+
     async def start(self) -> None:
         """Start to report this node's work to the peers."""
         self._sharing.register_work_source(self._own_work)
@@ -134,10 +142,14 @@
         service_name: str,
         avoid: Collection[str],
         software_version: str | None = None,
+        *,
+        request_id: str = '',
+        streams: bool = False,
     ) -> list[BackendView]:
         """Return the servers that may get new work.
 
         With a ``software_version``, only servers of that version are included.
+        What a rollout does not allow is excluded, also if nothing remains.
 
         Ejected servers and those that peers report as unreachable are excluded,
         unless no others remain. Servers whose limit leaves no room, and those that
@@ -154,21 +166,18 @@
             and view.server.server_id not in avoid
             and software_version in {None, view.server.software_version}
         ]
-        if len(set(map(_address_of, serving))) < len(serving):
-            serving = newest_at_each_address(serving)
-        serving = self._limits.with_room(serving)
-        healthy = [view for view in serving if not view.ejected]
-        suspects = reported_unreachable(
-            self._sharing.peer_work().unreachable, self._zone
+        serving = self._limits.with_room(newest_at_each_address(serving))
+        groups = self._rollouts.groups(
+            service_name,
+            serving,
+            Draw(request_id, streams, software_version, not avoid),
+        )
+        return first_trusted(
+            groups,
+            reported_unreachable(
+                self._sharing.peer_work().unreachable, self._zone
+            ),
         )
-        if suspects:
-            trusted = [
-                view
-                for view in healthy
-                if view.reachable or view.server.server_id not in suspects
-            ]
-            healthy = trusted or healthy
-        return healthy or serving
 
     def record_unreachable(self, view: BackendView) -> None:
         """Avoid a server that accepts no connections and report it to peers."""
@@ -224,14 +233,22 @@
         request: CallerRequest,
         avoid: Collection[str],
         software_version: str | None = None,
+        *,
+        streams: bool = False,
     ) -> Pick | None:
         """Return the server for the next attempt; None if there is none.
 
         A stream that has begun goes on only at a server of the same
         ``software_version``. The attempt counts against the limit of the server
-        at once.
+        at once. ``streams`` is whether the response is a stream.
         """
-        usable = self.usable(service_name, avoid, software_version)
+        usable = self.usable(
+            service_name,
+            avoid,
+            software_version,
+            request_id=request.request_id,
+            streams=streams,
+        )
         peers = self._sharing.peer_work()
         placement = placement_of(
             request, self._zone, unreported_s(peers, service_name)
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -15,6 +15,7 @@
     CallerRequest,
     MovedRun,
 )
+from mallowspindle.rollouts.counting import AttemptWatch
 from mallowspindle.sharing.messages import ServerLoad
 
 # Consecutive failures after which a server is ejected for a while. The time
@@ -39,6 +40,7 @@
     server has outlived the begin of its response.
     ``move`` is set when a move of the run to another server begins. Its result
     is None if the run was not stopped; it is cancelled if that is unknown.
+    ``watch`` measures the response while a rollout is under way.
     """
 
     request: CallerRequest
@@ -47,12 +49,17 @@
     streaming: bool = False
     settled: bool = False
     move: asyncio.Future[Relocation | None] | None = None
+    watch: AttemptWatch | None = None
 
     def remaining_prefill_s(self, now_s: float) -> float:
         """Return the expected remaining prefill time."""
         elapsed_s = max(0, now_s - self.prefill_starts_at_s)
         return max(0, self.prefill_s - elapsed_s)
 
+    def remaining_wait_s(self, now_s: float) -> float:
+        """Return the expected time until the first event."""
+        return max(0, self.prefill_starts_at_s - now_s) + self.prefill_s
+
     def note_first_event(self) -> None:
         """Record the first event, which ends the prefill."""
         self.prefill_s = 0
--- a/mallowspindle/catalog/service.py
+++ b/mallowspindle/catalog/service.py
@@ -20,12 +20,14 @@
     StreamUpdate,
 )
 from mallowspindle.catalog.keeping import StreamSynchronizer
+from mallowspindle.catalog.orders import OrderState, RolloutOrder
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.state import ConfigurationState, ServerState
 from mallowspindle.config.platform import PlatformSettings
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.log.positions import era_of
+from mallowspindle.log.records import KeyedRecord
 from mallowspindle.peers.codec import ErrorReply, OkReply
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.utils.tasks import BackgroundTasks
@@ -60,6 +62,7 @@
         self._configuration = ConfigurationState(
             layout.configuration_key, layout.decode_configuration
         )
+        self._orders = OrderState(layout.orders) if layout.orders else None
         self._servers = ServerState(layout.decode_server)
         self._synchronizers = {
             stream: StreamSynchronizer(
@@ -78,7 +81,7 @@
             for stream, fold, note_restored in (
                 (
                     layout.configuration_stream,
-                    self._configuration.fold,
+                    self._fold_operators,
                     self._note_restored,
                 ),
                 (
@@ -127,6 +130,11 @@
         """Unix time at which the store was found restored from a copy, or 0."""
         return self._restored_at_s
 
+    @property
+    def orders(self) -> dict[str, RolloutOrder]:
+        """The newest order to roll out a software version, by service."""
+        return self._orders.orders if self._orders else {}
+
     @property
     def servers(self) -> dict[str, BackendServer]:
         """The registered servers by id."""
@@ -277,6 +285,12 @@
             synchronizer.follower.apply_update(update)
             self._note_update(update)
 
+    def _fold_operators(self, record: KeyedRecord) -> bool:
+        """Apply a record of the operators: a configuration or an order."""
+        if self._orders and self._orders.accepts(record):
+            return self._orders.fold(record)
+        return self._configuration.fold(record)
+
     def _note_restored(self) -> None:
         self._restored_at_s = self._sharing.membership.clock.now_s()
         self._configuration.note_restored()
--- a/mallowspindle/config/platform.py
+++ b/mallowspindle/config/platform.py
@@ -18,6 +18,9 @@
 
 
 Endpoint = Annotated[str, Field(pattern=r'^[^:]+:\d+$')]
+OptionalAmount = Annotated[
+    Annotated[float, Field(ge=0)] | None, BeforeValidator(_none_if_empty)
+]
 OptionalEndpoint = Annotated[Endpoint | None, BeforeValidator(_none_if_empty)]
 
 
@@ -61,6 +64,14 @@
     quota_window_s: float = Field(8.0, gt=0)
 
 
+class RolloutsSection(Section):
+    """What operators tolerate of a bad software version; off if one is empty."""
+
+    exposure_share: OptionalAmount = None
+    exposure_slack_requests: OptionalAmount = None
+    rollback_ms: OptionalAmount = None
+
+
 class PlatformSettings(CommonSettings):
     """All settings of ``mallowspindled`` with ``interface = platform``."""
 
@@ -68,6 +79,7 @@
     store: StoreSection
     duties: DutiesSection = DutiesSection.model_validate({})
     proxy: ProxySection = ProxySection.model_validate({})
+    rollouts: RolloutsSection = RolloutsSection.model_validate({})
 
     @property
     def peer_endpoint(self) -> tuple[str, int]:
--- a/mallowspindle/duties/fleet.py
+++ b/mallowspindle/duties/fleet.py
@@ -58,7 +58,9 @@
         duties: Duties,
         demand_source: DemandSource,
         clock: Callable[[], float] = time.monotonic,
+        is_capacity: Callable[[BackendServer], bool] = bool,
     ) -> None:
+        self._is_capacity = is_capacity
         self._catalog = catalog
         self._duties = duties
         self._demand_source = demand_source
@@ -185,7 +187,9 @@
         return [
             server
             for server in self._catalog.servers.values()
-            if server.service == service and not server.draining
+            if server.service == service
+            and not server.draining
+            and self._is_capacity(server)
         ]
 
     async def _order(
@@ -267,11 +271,8 @@
         service, zone, reclaimable = pool
         return [
             server
-            for server in self._catalog.servers.values()
-            if server.service == service
-            and server.zone == zone
-            and server.reclaimable == reclaimable
-            and not server.draining
+            for server in self._servers_of(service)
+            if server.zone == zone and server.reclaimable == reclaimable
         ]
 
     def _has_lasting_surplus(self, service: str, minimum: int) -> bool:
--- a/mallowspindle/duties/service.py
+++ b/mallowspindle/duties/service.py
@@ -13,6 +13,7 @@
     StaleFencingNumber,
 )
 from mallowspindle.backends.service import BackendsService
+from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.config.platform import DutiesSection, PlatformSettings
 from mallowspindle.duties.counting import UsageExchange
@@ -65,6 +66,7 @@
         self._section = section
         self._duties = duties
         self._catalog = catalog
+        self._backends = backends
         # None until the lease's stream was read for the first time.
         self._followed_restore_at_s: float | None = None
         self._sharing = sharing
@@ -77,7 +79,12 @@
             section.lease_s,
             shared_clock=sharing.membership.clock,
         )
-        self._fleet = FleetController(catalog, duties, backends.demand)
+        self._fleet = FleetController(
+            catalog,
+            duties,
+            backends.demand,
+            is_capacity=self._is_capacity,
+        )
         self._fleet_fencing_number: int | None = None
         self._claimed_at_s = 0.0
         self._started_at_s = 0.0
@@ -100,6 +107,12 @@
             kernel.find('proxy', ProxyService).context.usage,
         )
 
+    @property
+    def fencing_number(self) -> int | None:
+        """The number of this node's lease; None if it may not act now."""
+        tenure = self._lease.valid_tenure
+        return tenure.fencing_number if tenure else None
+
     async def start(self) -> None:
         """Start to exchange usage counts and to watch the lease."""
         self._started_at_s = time.monotonic()
@@ -240,6 +253,10 @@
         delay_is_over = now_s - self._claimed_at_s >= _LARGE_COUNTS_DELAY_S
         return delay_is_over or self._sharing.is_full_mesh
 
+    def _is_capacity(self, server: BackendServer) -> bool:
+        """Return whether a server counts for the fleet's planning."""
+        return self._backends.rollouts.is_capacity(server)
+
     def _claim_rank(self) -> int:
         return self._usage_exchange.claim_order().index(self._own.name)
 
--- a/mallowspindle/interfaces.py
+++ b/mallowspindle/interfaces.py
@@ -68,11 +68,13 @@
             'mallowspindle.membership.service',
             'mallowspindle.sharing.service',
             'mallowspindle.catalog.service',
+            'mallowspindle.rollouts.service',
             'mallowspindle.backends.service',
             'mallowspindle.backends.evacuation',
             'mallowspindle.quarantine.service',
             'mallowspindle.streams.service',
             'mallowspindle.proxy.service',
             'mallowspindle.duties.service',
+            'mallowspindle.rollouts.control',
         ),
     )
--- a/mallowspindle/platform/service.py
+++ b/mallowspindle/platform/service.py
@@ -22,11 +22,14 @@
 )
 from mallowspindle.platform.duties import PlatformDuties
 from mallowspindle.platform.migration import PlatformMigrationClient
+from mallowspindle.platform.rollouts import PlatformOrderCodec
 from mallowspindle.platform.servers import decode_server
 from mallowspindle.platform.store import (
     CONFIGURATION_STREAM,
     QUARANTINE_STREAM,
+    ROLLOUTS_STREAM,
     SERVERS_STREAM,
+    STATUS_STREAM,
     STREAMS_STREAM,
     VERSIONS_STREAM,
     StoreLog,
@@ -88,6 +91,9 @@
             encode_keyed=encode_keyed,
             decode_configuration=decode_configuration,
             decode_server=decode_server,
+            orders=PlatformOrderCodec(),
+            rollouts_stream=ROLLOUTS_STREAM,
+            status_stream=STATUS_STREAM,
         )
 
     @property
--- a/mallowspindle/platform/store.py
+++ b/mallowspindle/platform/store.py
@@ -42,6 +42,9 @@
 QUARANTINE_STREAM = 'keyed.quarantine'
 VERSIONS_STREAM = 'keyed.versions'
 STREAMS_STREAM = 'keyed.streams'
+ROLLOUTS_STREAM = 'keyed.rollouts'
+# Written by this system for the operators.
+STATUS_STREAM = 'keyed.status'
 
 _OK = 200
 _GONE = 410
--- a/mallowspindle/proxy/attempts.py
+++ b/mallowspindle/proxy/attempts.py
@@ -1,5 +1,7 @@
 """Sends one request to servers, and follows its run where it moves."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from functools import partial
 
 from aiohttp import ClientError
@@ -69,6 +71,11 @@
             is not None
         ):
             return NotRun('it has crashed servers', UNAVAILABLE_RETRY_AFTER_S)
+        if not backends.rollouts.allows(moved.target.server):
+            return NotRun(
+                'the software version gets no requests',
+                UNAVAILABLE_RETRY_AFTER_S,
+            )
         if moved.claimed or backends.claim(moved.target):
             return await self._attempt(moved.target, body, moved.run)
         return NotRun('the server is at its limit', UNAVAILABLE_RETRY_AFTER_S)
@@ -84,9 +91,7 @@
         keeper = self._copy_keeper(view)
         headers = self._dispatch_headers(view, continues, keeper)
         url = f'http://{view.server.address}{request.target}'
-        with self._state.context.backends.track_request(
-            view, request
-        ) as in_flight:
+        with self._track(view) as in_flight:
             try:
                 async with self._state.context.upstream.send(
                     request.method, url, headers, body, send_state
@@ -101,6 +106,8 @@
                 self._state.context.backends.record_lost_connection(view)
                 if isinstance(outcome, Unreachable):
                     self._state.hop.note_failed_connection()
+            if in_flight.watch is not None:
+                self._state.context.rollouts.record(in_flight.watch, outcome)
             if isinstance(outcome, Unknown) and not in_flight.settled:
                 await self._record_lost(view, in_flight, send_state)
             if self._can_continue_run(outcome):
@@ -108,6 +115,22 @@
                 self._relocation = moved or self._relocation_to_copy(keeper)
         return outcome
 
+    @contextmanager
+    def _track(self, view: BackendView) -> Iterator[InFlightRequest]:
+        """Count the request at a server, and measure its response."""
+        context = self._state.context
+        with context.backends.track_request(
+            view, self._state.request
+        ) as in_flight:
+            with context.rollouts.watch(
+                view.server,
+                self._state.route.name,
+                streams=self._state.route.kind is RouteKind.STREAM,
+                predicted_s=in_flight.remaining_wait_s(view.clock()),
+            ) as watch:
+                in_flight.watch = watch
+                yield in_flight
+
     async def _record_lost(
         self,
         view: BackendView,
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -15,6 +15,7 @@
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
 from mallowspindle.quarantine.service import QuarantineService
+from mallowspindle.rollouts.accounts import RolloutAccounts
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.streams.service import StreamsService
 from mallowspindle.usage import UsageCounter
@@ -76,6 +77,11 @@
     peers: PeerRelays
     stalls: StallWatch = field(default_factory=StallWatch)
 
+    @property
+    def rollouts(self) -> RolloutAccounts:
+        """What is measured of attempts while a rollout is under way."""
+        return self.backends.rollouts.accounts
+
     def nodes_not_reaching(self) -> set[str]:
         """Return the nodes that reach no server of some service."""
         return self.backends.nodes_not_reaching()
--- a/mallowspindle/proxy/exchange.py
+++ b/mallowspindle/proxy/exchange.py
@@ -6,6 +6,7 @@
 from aiohttp.web import StreamResponse
 
 from mallowspindle.backends.view import Pick
+from mallowspindle.catalog.configuration import RouteKind
 from mallowspindle.outcomes import NotRun
 from mallowspindle.policies.admission import (
     QueueEstimate,
@@ -106,6 +107,7 @@
             self._state.request,
             self._state.history.servers,
             self._state.continuation.software_version,
+            streams=self._state.route.kind is RouteKind.STREAM,
         )
         if pick is None:
             return self._refuse_unplaced()
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -188,6 +188,8 @@
     def _note_chunk(self, in_flight: InFlightRequest) -> None:
         """Record the first event, and whether the server has outlived it."""
         now_s = asyncio.get_running_loop().time()
+        if in_flight.watch is not None:
+            in_flight.watch.note_chunk()
         if not in_flight.streaming:
             in_flight.note_first_event()
             self._settles_at_s = now_s + _SETTLING_TIME_S
--- /dev/null
+++ b/mallowspindle/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts of new software versions."""
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -7,6 +7,7 @@
 from operator import add, sub
 from typing import TypeVar
 
+from mallowspindle.sharing.counts import rollout_totals, rollouts_without
 from mallowspindle.sharing.messages import (
     PartEvidence,
     QuotaUse,
@@ -45,6 +46,7 @@
         leaving=dict(
             chain.from_iterable(part.leaving.items() for part in parts)
         ),
+        rollouts=rollout_totals(part.rollouts for part in parts),
     )
 
 
@@ -94,6 +96,7 @@
             if name not in part.not_reached
         },
         leaving=whole.leaving,
+        rollouts=rollouts_without(whole.rollouts, part.rollouts),
     )
 
 
@@ -126,6 +129,7 @@
         evidence=work.evidence,
         not_reached=work.not_reached,
         leaving=work.leaving,
+        rollouts=work.rollouts,
     )
 
 
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -57,6 +57,21 @@
     cleared: dict[str, int]
 
 
+class RolloutSum(NamedTuple):
+    """Counts of a service since the order at position ``order``.
+
+    ``sent`` counts requests by software version, ``running`` those that have not
+    ended. ``cells`` holds what came back, by version, zone of the server and
+    measure. ``longest_ms`` holds the longest plain request and the longest stream.
+    """
+
+    order: int
+    sent: dict[str, int]
+    running: dict[str, int]
+    cells: dict[str, list[int]]
+    longest_ms: list[int]
+
+
 @dataclass(frozen=True, slots=True)
 class WorkSum:
     """Sum of the work of some entry VMs at one moment.
@@ -70,7 +85,7 @@
     parts of prompts and requests. ``not_reached`` holds, by node, the services
     of which the node reaches no server. ``leaving`` holds the servers that say
     in their responses that they are leaving, with their start as Unix time in
-    ms.
+    ms. ``rollouts`` holds, by service, what is counted for rollouts under way.
     """
 
     nodes: int = 0
@@ -84,6 +99,7 @@
     evidence: dict[str, PartEvidence] = field(default_factory=dict)
     not_reached: dict[str, list[str]] = field(default_factory=dict)
     leaving: dict[str, int] = field(default_factory=dict)
+    rollouts: dict[str, RolloutSum] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowspindle/standins/gateways.py
+++ b/mallowspindle/standins/gateways.py
@@ -1,6 +1,7 @@
 """Gateways on loopback with stand-ins for the users' platform."""
 
 import asyncio
+import base64
 import json
 from collections.abc import Mapping
 from pathlib import Path
@@ -85,6 +86,8 @@
         super().__init__(folder)
         self._seeds: list[str] = []
         self._peer_paths = peer_paths
+        # Sections that gateways get in addition, as INI text.
+        self.more_settings = ''
 
     async def stop(self) -> None:
         """End all processes, then close the paths between gateways."""
@@ -177,6 +180,7 @@
             f'kinds = usage autoscale\nusage_window_s = 1\n'
             f'[proxy]\n{options}'
             f'[telemetry]\ntraces_file = {traces}\n'
+            f'{self.more_settings}'
         )
 
     def log_lines(self, name: str, message: str) -> list[dict[str, Any]]:
@@ -252,6 +256,13 @@
         async with self._session.post(url, data=content) as response:
             response.raise_for_status()
 
+    async def read_record(self, topic: str, key: str) -> bytes | None:
+        """Return the newest record of a key as the store has it."""
+        url = f'{self.process("store").url}/log-newest?topic={topic}'
+        page = await self.get(url)
+        found = [row for row in page['items'] if row['key'] == key]
+        return base64.b64decode(found[0]['value']) if found else None
+
     async def restore_store(self, age_s: float) -> None:
         """Let the store come back from a copy that is ``age_s`` old."""
         url = f'{self.process("store").url}/operator-restore/{age_s}'
--- a/mallowspindle/standins/platform_store.py
+++ b/mallowspindle/standins/platform_store.py
@@ -68,7 +68,7 @@
         app.router.add_post('/log-append', self._append)
         app.router.add_get('/log-read', self._read)
         app.router.add_get('/log-newest', self._list_newest)
-        app.router.add_post('/operator/{topic}/{key}', self._put)
+        app.router.add_post('/operator/{topic}/{key:.+}', self._put)
         app.router.add_post('/operator-trim/{topic}', self._trim)
         app.router.add_get('/calls', self._count_calls)
         app.router.add_post('/operator-restore/{age_s}', self._restore)
--- a/mallowspindle/tests/platform/test_words.py
+++ b/mallowspindle/tests/platform/test_words.py
@@ -32,6 +32,10 @@
     'window_id',
     'ttl_s',
     'keyed.',
+    'rollout/',
+    'expose_share',
+    'expose_slack',
+    'rolled_back',
 )
 ROOT = Path(mallowspindle.__file__).parent
 # The platform package itself, and code that acts as the platform in tests.
--- /dev/null
+++ b/mallowspindle/tests/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rollouts."""
