Take up orders for services that only servers name

An order was ignored unless the configuration lists its service, though its servers may be registered. A service with servers counts as known too.

--- a/mallowspindle/rollouts/controller.py
+++ b/mallowspindle/rollouts/controller.py
@@ -137,6 +137,8 @@
         configuration = self._catalog.configuration
         if configuration and order.service in configuration.services:
             return True
+        if self._versions(order.service):
+            return True
         if configuration and order.position not in self._ignored:
             self._ignored.add(order.position)
             orders_total.add(1, {'outcome': 'unknown service'})
