--- a/mallowspindle/backends/candidates.py
+++ b/mallowspindle/backends/candidates.py
@@ -10,8 +10,12 @@
     ServerLoad,
     WorkSum,
 )
+from mallowspindle.utils.identifiers import rendezvous_order
 
 _MS = 1000
+# Number of servers assigned to a shared prefix that no server is known to
+# cache, so that all nodes send it to the same few.
+_OWNERS_PER_PREFIX = 2
 
 
 def placement_of(
@@ -30,8 +34,22 @@
     return spec.engine if spec else None
 
 
+def prefix_owners(
+    usable: list[BackendView], request: CallerRequest
+) -> list[str]:
+    """Return the servers that the shared prefix of a prompt is assigned to."""
+    shared = request.prompt[:-1]
+    if not shared:
+        return []
+    key = ','.join(part.part_id for part in shared)
+    server_ids = [view.server.server_id for view in usable]
+    return rendezvous_order(key, server_ids)[:_OWNERS_PER_PREFIX]
+
+
 def newest_at_each_address(views: list[BackendView]) -> list[BackendView]:
     """Return the server that started last at each address."""
+    if len({view.server.address for view in views}) == len(views):
+        return views
     by_start = sorted(views, key=lambda view: view.server.started_at_ms)
     return list({view.server.address: view for view in by_start}.values())
 
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -11,6 +11,7 @@
     engine_of,
     newest_at_each_address,
     placement_of,
+    prefix_owners,
     unreported_s,
 )
 from mallowspindle.backends.demand import DemandMeters
@@ -19,6 +20,7 @@
 from mallowspindle.backends.links import ServerLinks
 from mallowspindle.backends.prefixes import PrefixCacheIndex
 from mallowspindle.backends.reachability import (
+    first_trusted,
     own_report,
     reported_unreachable,
 )
@@ -39,24 +41,21 @@
     choose_server,
 )
 from mallowspindle.proxy.messages import CallerRequest, ResponseHead
+from mallowspindle.rollouts.service import Draw, RolloutsService
 from mallowspindle.sharing.messages import (
     WorkSum,
 )
 from mallowspindle.sharing.service import SharingService
-from mallowspindle.utils.identifiers import rendezvous_order
 
 log = logging.getLogger(__name__)
 
-# Number of servers assigned to a shared prefix that no server is known to
-# cache, so that all nodes send it to the same few.
-_OWNERS_PER_PREFIX = 2
 # Prefill time from which a prompt is reported to the peers at once. Otherwise
 # they might send requests behind it, which would be late.
 _SEND_SOON_PREFILL_S = 0.1
 _MS = 1000
 
 
-@service('backends', requires=('catalog', 'sharing'))
+@service('backends', requires=('catalog', 'rollouts', 'sharing'))
 class BackendsService(Service):
     """Chooses a server for each attempt and tracks the work at each server."""
 
@@ -65,7 +64,9 @@
         catalog: CatalogService,
         sharing: SharingService,
         clock: Callable[[], float] = time.monotonic,
+        rollouts: RolloutsService | None = None,
     ) -> None:
+        self._rollouts = rollouts or RolloutsService(catalog, sharing)
         self._catalog = catalog
         self._sharing = sharing
         self._clock = clock
@@ -85,8 +86,14 @@
         return cls(
             kernel.find('catalog', CatalogService),
             kernel.find('sharing', SharingService),
+            rollouts=kernel.find('rollouts', RolloutsService),
         )
 
+    @property
+    def rollouts(self) -> RolloutsService:
+        """The rollouts, which decide on versions and count responses."""
+        return self._rollouts
+
     async def start(self) -> None:
         """Start to report this node's work to the peers."""
         self._sharing.register_work_source(self._own_work)
@@ -137,10 +144,14 @@
         service_name: str,
         avoid: Collection[str],
         software_version: str | None = None,
+        *,
+        request_id: str = '',
+        streams: bool = False,
     ) -> list[BackendView]:
         """Return the servers that may get new work.
 
         With a ``software_version``, only servers of that version are included.
+        What a rollout does not allow is excluded, also if nothing remains.
 
         Ejected servers and those that peers report as unreachable are excluded,
         unless no others remain. Servers whose limit leaves no room, and those that
@@ -157,21 +168,18 @@
             and view.server.server_id not in avoid
             and software_version in {None, view.server.software_version}
         ]
-        if len({view.server.address for view in serving}) < len(serving):
-            serving = newest_at_each_address(serving)
-        serving = self._limits.with_room(serving)
-        healthy = [view for view in serving if not view.ejected]
-        suspects = reported_unreachable(
-            self._sharing.peer_work().unreachable, self._zone
+        serving = self._limits.with_room(newest_at_each_address(serving))
+        groups = self._rollouts.groups(
+            service_name,
+            serving,
+            Draw(request_id, streams, software_version, not avoid),
+        )
+        return first_trusted(
+            groups,
+            reported_unreachable(
+                self._sharing.peer_work().unreachable, self._zone
+            ),
         )
-        if suspects:
-            trusted = [
-                view
-                for view in healthy
-                if view.reachable or view.server.server_id not in suspects
-            ]
-            healthy = trusted or healthy
-        return healthy or serving
 
     def record_unreachable(self, view: BackendView) -> None:
         """Avoid a server that accepts no connections and report it to peers."""
@@ -235,14 +243,22 @@
         request: CallerRequest,
         avoid: Collection[str],
         software_version: str | None = None,
+        *,
+        streams: bool = False,
     ) -> Pick | None:
         """Return the server for the next attempt; None if there is none.
 
         A stream that has begun goes on only at a server of the same
         ``software_version``. The attempt counts against the limit of the server
-        at once.
+        at once. ``streams`` is whether the response is a stream.
         """
-        usable = self.usable(service_name, avoid, software_version)
+        usable = self.usable(
+            service_name,
+            avoid,
+            software_version,
+            request_id=request.request_id,
+            streams=streams,
+        )
         peers = self._sharing.peer_work()
         placement = placement_of(
             request, self._zone, unreported_s(peers, service_name)
@@ -311,7 +327,7 @@
         if not usable:
             return None
         peer_loads = self._sharing.peer_work().loads
-        owners = self._prefix_owners(usable, request)
+        owners = prefix_owners(usable, request)
         candidates = [
             candidate_of(
                 view,
@@ -327,16 +343,6 @@
         self._limits.note_sent(view.server)
         return Pick(view, chosen.backlog_s, policy != 'predicted')
 
-    def _prefix_owners(
-        self, usable: list[BackendView], request: CallerRequest
-    ) -> list[str]:
-        shared = request.prompt[:-1]
-        if not shared:
-            return []
-        key = ','.join(part.part_id for part in shared)
-        server_ids = [view.server.server_id for view in usable]
-        return rendezvous_order(key, server_ids)[:_OWNERS_PER_PREFIX]
-
     def _own_work(self) -> WorkSum:
         return WorkSum(
             loads={
--- a/mallowspindle/config/platform.py
+++ b/mallowspindle/config/platform.py
@@ -20,6 +20,9 @@
 
 
 Endpoint = Annotated[str, Field(pattern=r'^[^:]+:\d+$')]
+OptionalAmount = Annotated[
+    Annotated[float, Field(ge=0)] | None, BeforeValidator(_none_if_empty)
+]
 OptionalEndpoint = Annotated[Endpoint | None, BeforeValidator(_none_if_empty)]
 # Empty where the deployment has no such bound.
 OptionalMs = Annotated[float | None, BeforeValidator(_none_if_empty)]
@@ -83,6 +86,14 @@
     min_delay_s: float = Field(0.03, gt=0)
 
 
+class RolloutsSection(Section):
+    """What operators tolerate of a bad software version; off if one is empty."""
+
+    exposure_share: OptionalAmount = None
+    exposure_slack_requests: OptionalAmount = None
+    rollback_ms: OptionalAmount = None
+
+
 class PlatformSettings(CommonSettings):
     """All settings of ``mallowspindled`` with ``interface = platform``."""
 
@@ -91,6 +102,7 @@
     duties: DutiesSection = DutiesSection.model_validate({})
     proxy: ProxySection = ProxySection.model_validate({})
     hedging: HedgingSection = HedgingSection.model_validate({})
+    rollouts: RolloutsSection = RolloutsSection.model_validate({})
 
     @property
     def peer_endpoint(self) -> tuple[str, int]:
--- a/mallowspindle/proxy/hedging.py
+++ b/mallowspindle/proxy/hedging.py
@@ -149,6 +149,7 @@
             state.request,
             state.history.servers,
             state.continuation.software_version,
+            streams=state.route.kind is RouteKind.STREAM,
         )
         if pick is None or not self._has_capacity(pick):
             return 'capacity', None
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -193,6 +193,8 @@
     ) -> None:
         """Record the first event, and whether the server has outlived it."""
         now_s = asyncio.get_running_loop().time()
+        if in_flight.watch is not None:
+            in_flight.watch.note_chunk()
         if not in_flight.streaming:
             self._context.backends.record_response(view, in_flight)
             in_flight.note_first_event()
--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -8,6 +8,7 @@
 from operator import add, sub
 from typing import TypeVar
 
+from mallowspindle.sharing.counts import rollout_totals, rollouts_without
 from mallowspindle.sharing.messages import (
     PartEvidence,
     QuotaUse,
@@ -52,6 +53,7 @@
         ),
         reports=_newest_reports(part.reports for part in parts),
         times=_summed(part.times for part in parts),
+        rollouts=rollout_totals(part.rollouts for part in parts),
     )
 
 
@@ -103,6 +105,7 @@
         leaving=whole.leaving,
         reports=whole.reports,
         times=_subtracted(whole.times, part.times),
+        rollouts=rollouts_without(whole.rollouts, part.rollouts),
     )
 
 
@@ -143,6 +146,7 @@
             for server_id, report in work.reports.items()
         },
         times=work.times,
+        rollouts=work.rollouts,
     )
 
 
--- a/mallowspindle/sharing/messages.py
+++ b/mallowspindle/sharing/messages.py
@@ -78,6 +78,21 @@
     cleared: dict[str, int]
 
 
+class RolloutSum(NamedTuple):
+    """Counts of a service since the order at position ``order``.
+
+    ``sent`` counts requests by software version, ``running`` those that have not
+    ended. ``cells`` holds what came back, by version, zone of the server and
+    measure. ``longest_ms`` holds the longest plain request and the longest stream.
+    """
+
+    order: int
+    sent: dict[str, int]
+    running: dict[str, int]
+    cells: dict[str, list[int]]
+    longest_ms: list[int]
+
+
 @dataclass(frozen=True, slots=True)
 class WorkSum:
     """Sum of the work of some entry VMs at one moment.
@@ -93,6 +108,7 @@
     in their responses that they are leaving, with their start as Unix time in
     ms. ``reports`` holds the newest load that each backend server has reported
     with its slowdown, and ``times`` what its responses took.
+    ``rollouts`` holds, by service, what is counted for rollouts under way.
     """
 
     nodes: int = 0
@@ -108,6 +124,7 @@
     leaving: dict[str, int] = field(default_factory=dict)
     reports: dict[str, ServerReport] = field(default_factory=dict)
     times: dict[str, ServerTime] = field(default_factory=dict)
+    rollouts: dict[str, RolloutSum] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
