--- a/mallowspindle/sharing/aggregation.py
+++ b/mallowspindle/sharing/aggregation.py
@@ -4,7 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
-from itertools import accumulate, chain, takewhile
+from itertools import accumulate, chain, repeat, takewhile
 from operator import add, sub
 from typing import TypeVar
 
@@ -291,9 +291,8 @@
 
 def _difference(amount: AmountT, part: AmountT) -> AmountT:
     # One is made for each server and organisation whenever peers are summed;
-    # a generator with ``max`` takes twice as long.
-    remaining: Iterable[int] = map(sub, amount, part)
-    return type(amount)(*[left if left > 0 else 0 for left in remaining])
+    # a generator takes twice as long.
+    return type(amount)(*map(max, map(sub, amount, part), repeat(0)))
 
 
 def _remaining_uptimes(
