--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -154,10 +154,10 @@
         What a rollout does not allow is excluded, also if nothing remains.
 
         Ejected servers and those that peers report as unreachable are excluded,
-        unless no others remain. Servers whose limit leaves no room, and those that
-        asked for a pause, are always excluded. If several servers have the same address, only the newest is
-        included: a server that dies without notice stays in the catalog for a
-        while.
+        unless no others remain. Servers whose limit leaves no room, and those
+        that asked for a pause, are always excluded. If several servers have the
+        same address, only the newest is included: a server that dies without
+        notice stays in the catalog for a while.
         """
         self._leaving.merge_peers()
         serving = [
--- a/mallowspindle/backends/speeds.py
+++ b/mallowspindle/backends/speeds.py
@@ -157,7 +157,8 @@
     ) -> tuple[Placement, str]:
         """Set the pace of candidates; return the placement and its policy.
 
-        The backlog of plain requests is the shortest wait for a slot. Nothing is changed at services whose servers state no slowdown.
+        The backlog of plain requests is the shortest wait for a slot. Nothing is
+        changed at services whose servers state no slowdown.
         """
         service_name = usable[0].server.service
         self._merge_peers()
--- a/mallowspindle/proxy/messages.py
+++ b/mallowspindle/proxy/messages.py
@@ -155,9 +155,9 @@
     ``not_run`` is true only if the server states that the request has not
     run. ``misdirected`` means that another server has the address.
     ``headers`` are the headers to forward. ``load`` is None if the response
-    does not report it, ``limit`` if it does not tell whether the server has one. ``leaving`` is whether the
-    server says that it is leaving, ``pause_s`` for how long it wants no request
-    from this node.
+    does not report it, ``limit`` if it does not tell whether the server has
+    one. ``leaving`` is whether the server says that it is leaving, ``pause_s``
+    for how long it wants no request from this node.
     """
 
     status: int
