--- a/mallowspindle/proxy/attempts.py
+++ b/mallowspindle/proxy/attempts.py
@@ -276,9 +276,10 @@
                     reused=self._send_state.reused,
                     carried=self._send_state.carried,
                 )
-            case Unknown() if self._relocation is not None:
+            case Unknown(reason=reason) if self._relocation is not None:
                 log_outcome(
                     'stream goes on elsewhere',
+                    reason=reason,
                     target=self._relocation.target.server.server_id,
                     target_software=(
                         self._relocation.target.server.software_version
