--- a/mallowspindle/adapter.py
+++ b/mallowspindle/adapter.py
@@ -122,6 +122,15 @@
         Raises ``MigrationError`` if the server gives no valid answer.
         """
 
+    @abstractmethod
+    async def report_runs(self, address: str) -> 'RunsReport':
+        """Return the requests that a server reports as running.
+
+        Raises ``NobodyListens`` if its process has ended, ``NoConnection`` if
+        its address does not react, and ``MigrationError`` if it gives no valid
+        answer.
+        """
+
     @abstractmethod
     async def copy(
         self, source_address: str, request_id: str, target_address: str
@@ -149,10 +158,31 @@
         """Free a copy that is no longer needed."""
 
 
+@dataclass(frozen=True, slots=True)
+class RunsReport:
+    """The requests that run at a server, as it reports them with a delay.
+
+    ``server_id`` and ``started_at_ms`` (Unix time) tell which lifetime of a
+    server answers; None if it does not state them.
+    """
+
+    request_ids: frozenset[str]
+    server_id: str | None = None
+    started_at_ms: int | None = None
+
+
 class MigrationError(Exception):
     """A run was not moved."""
 
 
+class NobodyListens(MigrationError):
+    """The address of a server refuses connections."""
+
+
+class NoConnection(MigrationError):
+    """The address of a server does not react within the connect time-out."""
+
+
 class NoSuchRun(MigrationError):
     """The run ended before it could be stopped."""
 
--- a/mallowspindle/backends/service.py
+++ b/mallowspindle/backends/service.py
@@ -291,6 +291,11 @@
         )
         return self._views[chosen.server_id]
 
+    def can_move_runs(self, service_name: str) -> bool:
+        """Return whether the servers of a service can move their runs."""
+        engine = engine_of(self._catalog, service_name)
+        return engine is not None and engine.supports_kv_transfer
+
     def note_demand(self, service_name: str, request: CallerRequest) -> None:
         """Add a request to the demand for a service, whether served or not."""
         views = self.views(service_name) if request.prompt else []
--- a/mallowspindle/backends/view.py
+++ b/mallowspindle/backends/view.py
@@ -36,8 +36,9 @@
 
     ``prefill_s`` is the expected prefill time, and 0 after the first event.
     ``prefill_starts_at_s`` is when the server should start the prefill.
-    ``streaming`` is set when the first event arrives, and ``settled`` once the
-    server has outlived the begin of its response.
+    ``streaming`` is set when the first event arrives, at ``began_at_s`` on the
+    clock of the event loop, and ``settled`` once the server has outlived the
+    begin of its response.
     ``work`` is the expected work of the request and of what was ahead of it, in
     units of the server's pace, from ``sent_at_s`` to ``expected_s`` later; it
     is 0 if the server's speed is not followed. ``on_first_event`` is called
@@ -53,6 +54,7 @@
     prefill_s: float
     prefill_starts_at_s: float
     streaming: bool = False
+    began_at_s: float | None = None
     settled: bool = False
     move: asyncio.Future[Relocation | None] | None = None
     move_paid_until_s: float = 0
--- a/mallowspindle/platform/migration.py
+++ b/mallowspindle/platform/migration.py
@@ -1,17 +1,34 @@
 """Client that moves running requests between model engines."""
 
+import errno
 from collections.abc import Mapping
-
-from aiohttp import ClientError, ClientSession, ClientTimeout
-from pydantic import BaseModel, ConfigDict, ValidationError
+from typing import Any
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+)
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+)
 
 from mallowspindle.adapter import (
     MigrationClient,
     MigrationError,
+    NobodyListens,
+    NoConnection,
     NoSuchRun,
+    RunsReport,
     TargetFull,
 )
-from mallowspindle.platform.fields import Duration, Identifier
+from mallowspindle.platform.fields import Duration, Identifier, WholeNumber
 from mallowspindle.proxy.messages import MovedRun
 from mallowspindle.utils.bodies import read_bounded
 
@@ -19,6 +36,11 @@
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 _MS = 1000
+# A caller waits while its stream stands still; a report needs no slot.
+_RUNS_TIMEOUT = ClientTimeout(total=0.5, sock_connect=0.25)
+_UNREACHABLE_ERRORS = frozenset(
+    (errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT)
+)
 
 
 class _MoveAnswer(BaseModel):
@@ -37,6 +59,26 @@
     leaves_ms: Duration | None = None
 
 
+class _RunsAnswer(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+
+    server_id: Identifier | None = Field(None, alias='id')
+    # Unix milliseconds.
+    born: WholeNumber | None = None
+    # Ids are what callers have sent.
+    runs: list[str]
+
+    @field_validator('runs', mode='before')
+    @classmethod
+    def _take_ids(cls, runs: Any) -> Any:
+        """Return the ids: a run is its id, tokens, events and priority."""
+        if not isinstance(runs, list) or not all(
+            isinstance(run, list) and run for run in runs
+        ):
+            raise ValueError('expected a list of lists that begin with an id')
+        return [run[0] for run in runs]
+
+
 class PlatformMigrationClient(MigrationClient):
     """Moves running requests between model engines through their API."""
 
@@ -63,6 +105,31 @@
         time_left_ms = report.leaves_ms
         return None if time_left_ms is None else time_left_ms / _MS
 
+    async def report_runs(self, address: str) -> RunsReport:
+        """Return the requests that a server reports as running.
+
+        See ``MigrationClient.report_runs``.
+        """
+        try:
+            async with self._session.get(
+                f'http://{address}/report', timeout=_RUNS_TIMEOUT
+            ) as response:
+                status = response.status
+                answer = await read_bounded(response)
+        except (ClientError, TimeoutError) as error:
+            raise _report_error(address, error) from error
+        if status != _OK:
+            raise MigrationError(
+                f'{address} answered {status} to a query for its runs'
+            )
+        try:
+            report = _RunsAnswer.model_validate_json(answer)
+        except ValidationError as error:
+            raise MigrationError(
+                f'no valid report of runs from {address}: {error!r}'
+            ) from error
+        return RunsReport(frozenset(report.runs), report.server_id, report.born)
+
     async def copy(
         self, source_address: str, request_id: str, target_address: str
     ) -> MovedRun:
@@ -118,6 +185,20 @@
         return _decode_moved_run(source_address, status, answer)
 
 
+def _report_error(address: str, error: Exception) -> MigrationError:
+    """Return what a failed query for the runs of a server tells of it."""
+    reason = f'no report of runs from {address}: {error!r}'
+    if isinstance(error, ConnectionTimeoutError):
+        return NoConnection(reason)
+    if isinstance(error, ClientConnectorError):
+        number = error.os_error.errno
+        if number == errno.ECONNREFUSED:
+            return NobodyListens(reason)
+        if number in _UNREACHABLE_ERRORS:
+            return NoConnection(reason)
+    return MigrationError(reason)
+
+
 def _decode_moved_run(
     source_address: str, status: int, answer: bytes
 ) -> MovedRun:
--- a/mallowspindle/proxy/attempts.py
+++ b/mallowspindle/proxy/attempts.py
@@ -1,5 +1,6 @@
 """Sends one request to servers, and follows its run where it moves."""
 
+import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from functools import partial
@@ -16,6 +17,7 @@
 from mallowspindle.catalog.configuration import RouteKind
 from mallowspindle.outcomes import NotRun, Unknown
 from mallowspindle.policies.copies import is_worth_copying
+from mallowspindle.policies.lost_runs import LostRun
 from mallowspindle.proxy.connections import SendState
 from mallowspindle.proxy.messages import Dispatch, MovedRun
 from mallowspindle.proxy.outcomes import (
@@ -144,9 +146,7 @@
             if isinstance(outcome, Unknown) and not in_flight.settled:
                 await self._record_lost(view, in_flight, send_state)
             if self._can_continue_run(outcome):
-                moved = await in_flight.relocation()
-                self._continues_copy = moved is None
-                self._relocation = moved or self._relocation_to_copy(keeper)
+                self._relocation = await self._relocate(view, keeper, in_flight)
         return outcome
 
     def _count_arrival(
@@ -240,17 +240,35 @@
             return None
         return self._state.context.backends.pick_copy_keeper(view, request)
 
-    def _relocation_to_copy(
-        self, keeper: BackendView | None
+    async def _relocate(
+        self,
+        view: BackendView,
+        keeper: BackendView | None,
+        in_flight: InFlightRequest,
     ) -> Relocation | None:
-        """Return where a lost stream continues, if a copy may exist.
+        """Return where a lost stream continues; None if it can't.
 
         A copy is assumed to exist once the response has started.
         """
-        if keeper is None or self._state.relay.response is None:
-            return None
-        run = MovedRun(keeper.server.address, self._state.request.request_id)
-        return Relocation(keeper, run)
+        lost_at_s = asyncio.get_running_loop().time()
+        moved = await in_flight.relocation()
+        self._continues_copy = moved is None
+        if moved or keeper is None or self._state.relay.response is None:
+            return moved
+        run = LostRun(
+            self._state.request.request_id,
+            view.server.server_id,
+            view.server.started_at_ms,
+            in_flight.began_at_s,
+            lost_at_s,
+        )
+        context = self._state.context
+        return await context.lost_runs.relocate(
+            run,
+            view,
+            keeper,
+            can_move=context.backends.can_move_runs(view.server.service),
+        )
 
     def _record_outcome(
         self, view: BackendView, outcome: AttemptOutcome, attempt_number: int
--- a/mallowspindle/proxy/context.py
+++ b/mallowspindle/proxy/context.py
@@ -16,6 +16,7 @@
 from mallowspindle.intake.service import IntakeService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.proxy.hedge_limits import HedgeLimits
+from mallowspindle.proxy.lost_runs import LostRuns
 from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.proxy.quotas import Quotas, quota_tolerance
 from mallowspindle.proxy.upstream import Upstream
@@ -43,6 +44,7 @@
     streams: StreamsService
     usage: UsageCounter
     peers: PeerRelays
+    lost_runs: LostRuns
     stalls: StallWatch = field(default_factory=StallWatch)
     hedge_limits: HedgeLimits = field(
         default_factory=lambda: HedgeLimits(HedgingSection.model_validate({}))
@@ -68,7 +70,8 @@
         settings = kernel.settings(PlatformSettings)
         proxy = settings.proxy
         sharing = kernel.find('sharing', SharingService)
-        http_codec = kernel.find('border', AdapterService).http_codec
+        adapter = kernel.find('border', AdapterService)
+        http_codec = adapter.http_codec
         return cls(
             config=proxy,
             catalog=kernel.find('catalog', CatalogService),
@@ -85,6 +88,7 @@
                 settings.duties.usage_window_s, sharing.membership.clock.now_s
             ),
             peers=PeerRelays(sharing, settings.peers.shared_key.encode()),
+            lost_runs=LostRuns(adapter.migration),
             hedge_limits=HedgeLimits(settings.hedging),
             answers=kernel.find('intake', IntakeService).answers,
         )
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -241,6 +241,7 @@
         if not in_flight.streaming:
             self._context.backends.record_response(view, in_flight)
             in_flight.note_first_event()
+            in_flight.began_at_s = now_s
             self._settles_at_s = now_s + _SETTLING_TIME_S
             self._count_usage()
         elif now_s >= self._settles_at_s:
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -177,6 +177,7 @@
             server.close()
         if self._caller_server is not None:
             await self._caller_server.close(_CONNECTION_CLOSE_TIMEOUT_S)
+        await self._context.lost_runs.stop()
         await self._context.upstream.close()
 
     async def _listen_on(
--- a/mallowspindle/standins/faults.py
+++ b/mallowspindle/standins/faults.py
@@ -11,8 +11,10 @@
     drops answers after the effect, ``late_s`` delays the effect itself and
     ``refuse`` answers 503 without any effect. ``no_room`` refuses copies of
     runs, ``no_room_at_last`` only the last copy, after the run was stopped.
-    ``cuts`` closes streams after ``cut_after_tokens`` tokens or events and
-    ``cross`` answers with the id of another request. ``forgets`` restarts a
+    ``cuts`` closes streams after ``cut_after_tokens`` tokens or events; with
+    ``detaches`` their runs go on without a connection, and with ``no_moves``
+    and ``no_reports`` nobody can stop them or learn of them. ``report_lag_s``
+    is how late reports tell that a run has ended. ``cross`` answers with the id of another request. ``forgets`` restarts a
     resumed stream at its first event and ``skips`` leaves out the first event
     that is due. ``limit_per_s`` is a limit on requests that a server states in
     its responses. A server crashes for ``crash_s`` when it begins a response
@@ -41,6 +43,10 @@
     cross: int = 0
     cut_after_tokens: int = 0
     cuts: int = 0
+    detaches: bool = False
+    no_moves: bool = False
+    no_reports: bool = False
+    report_lag_s: float = 0
     leaving: bool = False
     no_room: int = 0
     no_room_at_last: int = 0
--- a/mallowspindle/standins/platform_server.py
+++ b/mallowspindle/standins/platform_server.py
@@ -137,6 +137,9 @@
             'body': (await request.read()).decode(),
             'began_at_s': asyncio.get_running_loop().time(),
             'ended': False,
+            'ended_at_s': 0,
+            'events': 0,
+            'detached': False,
             # Whether the connection was closed before the answer was ready.
             'left': False,
             'stopped': False,
@@ -147,6 +150,7 @@
             return await self._answer(request, headers, run)
         finally:
             run['ended'] = True
+            run['ended_at_s'] = asyncio.get_running_loop().time()
 
     def _record_arrival(self, request: Request) -> dict[str, Any]:
         """Record a request, also one that is refused or fails later."""
@@ -245,8 +249,12 @@
             if cut and number - first == self._faults.cut_after_tokens:
                 await response.write(f'id: {number}\nda'.encode())
                 drop_connection(request)
-                return response
-            await response.write(self._format_event(number))
+                if not self._faults.detaches:
+                    return response
+                run['detached'] = True
+            if not run['detached']:
+                await response.write(self._format_event(number))
+            run['events'] = number
         return response
 
     def _is_deadly(self, request: Request) -> bool:
@@ -275,6 +283,8 @@
 
     async def _copy_run(self, request: Request) -> Response:
         """Copy a run's KV cache to another server; ``last`` stops the run."""
+        if self._faults.no_moves:
+            return Response(status=400)
         parameters = await request.json()
         running = {run['id']: run for run in self._runs if not run['ended']}
         if parameters['id'] not in running:
@@ -291,8 +301,21 @@
         return Response()
 
     async def _report(self, request: Request) -> Response:
+        if self._faults.no_reports:
+            return Response(status=404)
+        now_s = asyncio.get_running_loop().time()
         running = sum(not run['ended'] for run in self._runs)
-        report = {'running': running, 'waiting': 0}
+        report = {
+            'id': self._id,
+            'running': running,
+            'waiting': 0,
+            'runs': [
+                [run['id'], 0, run['events'], 5]
+                for run in self._runs
+                if not run['ended']
+                or now_s - run['ended_at_s'] < self._faults.report_lag_s
+            ],
+        }
         if self._faults.leaving:
             report['leaves_ms'] = 1000
         return json_response(report)
--- a/mallowspindle/tests/backends/test_evacuation.py
+++ b/mallowspindle/tests/backends/test_evacuation.py
@@ -12,6 +12,7 @@
     MigrationClient,
     MigrationError,
     NoSuchRun,
+    RunsReport,
     TargetFull,
 )
 from mallowspindle.backends.evacuation import EvacuationService
@@ -60,6 +61,10 @@
         """Return the time until the reclaim."""
         return REMAINING_S
 
+    async def report_runs(self, address: str) -> RunsReport:
+        """Report no runs."""
+        return RunsReport(frozenset())
+
     async def copy(
         self, source_address: str, request_id: str, target_address: str
     ) -> MovedRun:
--- a/mallowspindle/tests/platform/test_migration.py
+++ b/mallowspindle/tests/platform/test_migration.py
@@ -1,13 +1,20 @@
 """Moves of runs between servers that answer late, or without end."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import pytest
 import pytest_asyncio
 from aiohttp import ClientSession
 
-from mallowspindle.adapter import MigrationError
+from mallowspindle.adapter import (
+    MigrationError,
+    NobodyListens,
+    NoConnection,
+    RunsReport,
+)
 from mallowspindle.config.platform import PlatformSettings
 from mallowspindle.daemon import parse_settings
 from mallowspindle.platform.service import PlatformService
@@ -29,7 +36,7 @@
 """
 _MAX_READ_BYTES = 20_000_000
 _PART_BYTES = 100_000
-_HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}'
+_HEAD = 'HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}'
 
 Answer = Callable[[asyncio.StreamWriter], Awaitable[None]]
 
@@ -55,7 +62,7 @@
         try:
             while head := await reader.readuntil(b'\r\n\r\n'):
                 length = head.lower().partition(b'content-length: ')[2]
-                await reader.readexactly(int(length.split()[0] or 0))
+                await reader.readexactly(int((length.split() or [b'0'])[0]))
                 if self.repeats and former is not None:
                     await former(writer)
                 former = self.answers.pop(0)
@@ -84,13 +91,23 @@
     listener.close()
 
 
-def _answer(body: str) -> Answer:
+def _answer(body: str, status: str = '200 OK') -> Answer:
     async def send(writer: asyncio.StreamWriter) -> None:
-        writer.write(_HEAD.format(len(body), body).encode())
+        writer.write(_HEAD.format(status, len(body), body).encode())
 
     return send
 
 
+@contextmanager
+def silent_address() -> Iterator[str]:
+    """Yield an address that does not react, since its queue is full."""
+    with socket.socket() as listener, socket.socket() as filler:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        filler.connect(listener.getsockname())
+        yield f'127.0.0.1:{listener.getsockname()[1]}'
+
+
 async def test_a_late_answer_to_a_move_is_not_taken_for_the_next(
     service: PlatformService, server: tuple[_Server, str]
 ) -> None:
@@ -151,3 +168,48 @@
     standin.answers = [_answer(f'{{"leaves_ms": {left}}}')]
     with pytest.raises(MigrationError):
         await service.migration.time_until_reclaim_s(address)
+
+
+async def test_runs_are_reported_with_the_lifetime_of_the_server(
+    service: PlatformService, server: tuple[_Server, str]
+) -> None:
+    standin, address = server
+    standin.answers = [
+        _answer('{"id": "i-1", "born": 7, "runs": [["r 1", 20, 3, 5]]}')
+    ]
+    report = await service.migration.report_runs(address)
+    assert report == RunsReport(frozenset(('r 1',)), 'i-1', 7)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        _answer('{"running": 0}'),
+        _answer('{"runs": [7]}'),
+        _answer('{"runs": [[7]]}'),
+        _answer('{"runs": [], "born": "7"}'),
+        _answer('', '404 Not Found'),
+        _answer('{"runs": []}', '000 Zero'),
+    ],
+)
+async def test_a_report_that_lists_no_runs_tells_nothing_of_them(
+    service: PlatformService, server: tuple[_Server, str], answer: Answer
+) -> None:
+    """Guards against a run that seems to have ended and goes on."""
+    standin, address = server
+    standin.answers = [answer]
+    with pytest.raises(MigrationError) as raised:
+        await service.migration.report_runs(address)
+    assert raised.type is MigrationError
+
+
+async def test_an_ended_server_is_told_from_a_silent_one(
+    service: PlatformService,
+) -> None:
+    with socket.socket() as unused, silent_address() as silent:
+        unused.bind(('127.0.0.1', 0))
+        ended = f'127.0.0.1:{unused.getsockname()[1]}'
+        with pytest.raises(NobodyListens):
+            await service.migration.report_runs(ended)
+        with pytest.raises(NoConnection):
+            await service.migration.report_runs(silent)
--- a/mallowspindle/tests/proxy/nodes.py
+++ b/mallowspindle/tests/proxy/nodes.py
@@ -10,10 +10,12 @@
 from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import Mock
 
 from aiohttp import ClientError, ClientSession
 from aiohttp.web import BaseRequest, StreamResponse
 
+from mallowspindle.adapter import MigrationClient
 from mallowspindle.backends.service import BackendsService
 from mallowspindle.catalog.configuration import (
     BackendService,
@@ -32,6 +34,7 @@
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.gate import AdmissionGate
 from mallowspindle.proxy.hedge_limits import HedgeLimits
+from mallowspindle.proxy.lost_runs import LostRuns
 from mallowspindle.proxy.peers import PeerRelays
 from mallowspindle.proxy.quotas import Quotas
 from mallowspindle.proxy.upstream import Upstream
@@ -169,6 +172,7 @@
             streams=self.streams,
             usage=self.usage,
             peers=PeerRelays(self._sharing, b'a key'),
+            lost_runs=LostRuns(Mock(MigrationClient)),
             hedge_limits=self.hedge_limits,
         )
 
