--- a/mallowspindle/effects/call.py
+++ b/mallowspindle/effects/call.py
@@ -13,11 +13,10 @@
 from opentelemetry.trace import SpanKind
 
 from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
-from mallowspindle.utils.bodies import read_bounded
+from mallowspindle.utils.bodies import read_bounded, tells_its_length
 from mallowspindle.utils.telemetry import hop_span, meter, trace_headers
 
 _SERVICE_UNAVAILABLE = 503
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _RETRY_AFTER_S = 1.0
 # Answers are kept until their callers have them.
 _MAX_BODY_BYTES = 8_000_000
@@ -96,7 +95,7 @@
     response: ClientResponse, attempt_id: str, refusal_means_not_run: bool
 ) -> Outcome:
     body = await read_bounded(response, _MAX_BODY_BYTES)
-    if not _truncation_is_detectable(response):
+    if not tells_its_length(response):
         return Unknown('the answer does not tell its length')
     if response.status == _SERVICE_UNAVAILABLE and refusal_means_not_run:
         return NotRun('the service refused', _RETRY_AFTER_S)
@@ -106,15 +105,3 @@
         response.close()
         return Unknown('the answer belongs to another request')
     return Done(response.status, response.content_type, body)
-
-
-def _truncation_is_detectable(response: ClientResponse) -> bool:
-    """Return whether the truncation of a response can be detected.
-
-    If a response is ended only by the close of its connection, headers or
-    body may be missing without notice.
-    """
-    if response.method == 'HEAD' or response.status in _STATUSES_WITHOUT_BODY:
-        return True
-    headers = response.headers
-    return 'Content-Length' in headers or 'Transfer-Encoding' in headers
--- a/mallowspindle/proxy/relaying.py
+++ b/mallowspindle/proxy/relaying.py
@@ -29,6 +29,7 @@
     Relayed,
     Unreachable,
 )
+from mallowspindle.utils.bodies import tells_its_length
 
 _OK = 200
 _SERVER_ERROR = 500
@@ -115,6 +116,10 @@
         head = self._decode_head(answer, {None, self._request.request_id})
         if isinstance(head, Unknown):
             return head
+        if not tells_its_length(answer):
+            # Nodes always tell it, so this is none, or its answer is damaged.
+            answer.close()
+            return Unknown('the answer of the peer does not tell its length')
         try:
             if head.status != _OK or self._route.kind is not RouteKind.STREAM:
                 return PeerAnswered(head, await self._read_whole(answer))
--- a/mallowspindle/tests/proxy/test_copied_refusals.py
+++ b/mallowspindle/tests/proxy/test_copied_refusals.py
@@ -2,11 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterator
-from contextlib import asynccontextmanager
-from dataclasses import replace
 
 import pytest
-from aiohttp import ClientSession
 
 from mallowspindle.standins.scripted_server import (
     Arrival,
@@ -15,78 +12,17 @@
     answer,
     refusal,
 )
-from mallowspindle.tests.proxy.nodes import HOST, KEY, CutVenture, Node
+from mallowspindle.tests.proxy.shops import PATHS, Shop, open_shop
 
 _PROMISES = frozenset((408, 421, 429, 503))
 # A server that has refused a request is avoided for a moment.
 _AVOIDED_S = 0.45
 _GAP_S = 0.05
 _BODY = b'whole answer'
-_PATHS = ['direct', 'through a peer']
 
 Copy = Callable[[str, str], Iterator[bytes]]
 
 
-class _Shop:
-    """Two servers with one script, and the node that callers use."""
-
-    def __init__(self, node: Node, session: ClientSession) -> None:
-        self._node = node
-        self._session = session
-        self.servers: list[ScriptedServer] = []
-
-    async def order(
-        self, request_id: str, body: bytes = b'', path: str = '/orders/1'
-    ) -> tuple[int, bytes, dict[str, str]]:
-        """Send a request; return status, body and headers of its response."""
-        headers = {
-            'Host': HOST,
-            'Request-Id': request_id,
-            'Deadline-Ms': '2000',
-            'Authorization': f'Token {KEY}',
-            **({'X-Unread': '1'} if body else {}),
-        }
-        async with self._session.post(
-            f'http://{self._node.address}{path}', headers=headers, data=body
-        ) as response:
-            text = await response.read()
-            return response.status, text, dict(response.headers)
-
-    def runs(self, request_id: str) -> int:
-        """Return how often a request has run."""
-        return sum(server.runs[request_id] for server in self.servers)
-
-    def arrivals(self, request_id: str) -> int:
-        """Return how often a request has reached a server."""
-        return sum(
-            arrival.request_id == request_id
-            for server in self.servers
-            for arrival in server.arrivals
-        )
-
-
-@asynccontextmanager
-async def _open_shop(path: str, script: Script) -> AsyncIterator[_Shop]:
-    """Start two servers of orders, reached by a node or by its peer only."""
-    async with CutVenture(2) as venture, ClientSession() as session:
-        caller_node, serving_node = venture.nodes
-        if path == 'direct':
-            serving_node = caller_node
-        else:
-            venture.cut([caller_node], silent=False)
-        shop = _Shop(caller_node, session)
-        for name in ('shop-0', 'shop-1'):
-            server = ScriptedServer(script)
-            serving_node.servers[name] = replace(
-                serving_node.servers[name], address=await server.start()
-            )
-            shop.servers.append(server)
-        serving_node.note_servers()
-        yield shop
-        for server in shop.servers:
-            server.stop()
-
-
 def _refuse_then_run(copy: Copy) -> Script:
     """Return a script that refuses the first request of a connection.
 
@@ -107,7 +43,7 @@
     return script
 
 
-def _assert_sound(shop: _Shop, request_id: str, status: int) -> None:
+def _assert_sound(shop: Shop, request_id: str, status: int) -> None:
     """Assert that a request ran once at most, and not after a promise."""
     runs = shop.runs(request_id)
     assert runs <= 1, f'{request_id} ran {runs} times'
@@ -196,14 +132,14 @@
 }
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize('place', _COPIES)
 async def test_a_copied_refusal_is_not_the_answer_to_the_next_order(
     place: str, path: str
 ) -> None:
     """Guards against an order that runs twice, or is promised not to run."""
     copy, expected_status = _COPIES[place]
-    async with _open_shop(path, _refuse_then_run(copy)) as shop:
+    async with open_shop(path, _refuse_then_run(copy)) as shop:
         refused_status, _, _ = await shop.order('r1')
         await asyncio.sleep(_AVOIDED_S)
         status, _, _ = await shop.order('r2')
@@ -216,7 +152,7 @@
         assert status == expected_status
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize('pause_s', [0, _GAP_S, _AVOIDED_S + _GAP_S])
 async def test_a_refusal_that_comes_twice_answers_one_order(
     path: str, pause_s: float
@@ -238,7 +174,7 @@
         await asyncio.sleep(pause_s)
         yield refusal(request_id)
 
-    async with _open_shop(path, script) as shop:
+    async with open_shop(path, script) as shop:
         assert (await shop.order('r1'))[0] == 503
         await asyncio.sleep(_AVOIDED_S)
         for server in shop.servers:
@@ -255,7 +191,7 @@
     yield answer(arrival.request_id, _BODY)
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 async def test_a_refusal_in_two_parts_answers_one_order(path: str) -> None:
     """Guards against the rest of a copy that began before the next order."""
 
@@ -270,7 +206,7 @@
         yield refusal(arrival.earlier_ids[0])[40:]
         yield answer(request_id, _BODY)
 
-    async with _open_shop(path, script) as shop:
+    async with open_shop(path, script) as shop:
         assert (await shop.order('r1'))[0] == 503
         await asyncio.sleep(_AVOIDED_S)
         status, _, _ = await shop.order('r2')
@@ -278,7 +214,7 @@
         _assert_sound(shop, 'r2', status)
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 async def test_a_refused_order_that_comes_again_runs_once(path: str) -> None:
     """Guards against a copied refusal that bears the id of the order.
 
@@ -286,7 +222,7 @@
     their refusals once more before they run it.
     """
     copy = _before(_EARLIER)
-    async with _open_shop(path, _refuse_then_run(copy)) as shop:
+    async with open_shop(path, _refuse_then_run(copy)) as shop:
         assert (await shop.order('r1'))[0] == 503
         await asyncio.sleep(_AVOIDED_S)
         for server in shop.servers:
@@ -306,7 +242,7 @@
     yield answer(arrival.request_id, _BODY)
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize(
     'status', ['503 Failed', '429 Too Many Requests', '408 Request Timeout']
 )
@@ -324,7 +260,7 @@
         server.runs[arrival.request_id] += 1
         yield answer(arrival.request_id, b'failed', status=status)
 
-    async with _open_shop(path, script) as shop:
+    async with open_shop(path, script) as shop:
         found_status, _, headers = await shop.order('r1')
         assert shop.runs('r1') == 1
         assert found_status == 502
@@ -332,7 +268,7 @@
         assert 'Response-Signature' not in headers
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 async def test_a_failed_lookup_keeps_its_status(path: str) -> None:
     """A lookup may run again, so its status promises nothing to callers."""
 
@@ -342,13 +278,13 @@
         server.runs[arrival.request_id] += 1
         yield answer(arrival.request_id, b'failed', status='503 Failed')
 
-    async with _open_shop(path, script) as shop:
+    async with open_shop(path, script) as shop:
         status, body, headers = await shop.order('r1', path='/status/1')
         assert (status, body) == (503, b'failed')
         assert headers['Response-Signature'] == 'proof'
 
 
-@pytest.mark.parametrize('path', _PATHS)
+@pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize('end', ['reset', 'close'])
 @pytest.mark.parametrize('size', [0, 900_000])
 async def test_an_order_whose_connection_ends_may_have_run(
@@ -370,7 +306,7 @@
             raise ConnectionResetError
         yield b''
 
-    async with _open_shop(path, script) as shop:
+    async with open_shop(path, script) as shop:
         assert (await shop.order('r1'))[0] == 200
         found = set()
         for number in range(2, 6):
