--- a/mallowspindle/attempts/engine.py
+++ b/mallowspindle/attempts/engine.py
@@ -25,7 +25,8 @@
     WrongAnswer,
 )
 from mallowspindle.attempts.request import AttemptInfo, GenerationRequest
-from mallowspindle.utils.bodies import read_bounded
+from mallowspindle.utils.bodies import read_bounded, tells_its_length
+from mallowspindle.utils.statuses import FINAL_STATUSES
 from mallowspindle.utils.telemetry import trace_headers
 
 _OK = 200
@@ -166,6 +167,14 @@
     return body
 
 
+async def _read_reason(response: ClientResponse) -> str:
+    """Return why an engine rejects a request, if the text is whole."""
+    text = await read_bounded(response)
+    if not tells_its_length(response):
+        return 'the engine gave no whole reason'
+    return text.decode('utf-8', 'replace')
+
+
 def _stream_error(error: Exception) -> AttemptError:
     if isinstance(error, TimeoutError):
         return StreamStalled('no data from the engine within the token timeout')
@@ -179,13 +188,11 @@
         """Raise the ``AttemptError`` for a status other than 200."""
         if response.status in {_TOO_MANY_REQUESTS, _UNAVAILABLE}:
             raise AttemptNotRun(f'engine refused with status {response.status}')
-        if response.status >= _SERVER_ERROR:
+        is_final = response.status in FINAL_STATUSES
+        if response.status >= _SERVER_ERROR or not is_final:
             raise StreamCut(f'engine answered with status {response.status}')
         if response.status != _OK:
-            text = await read_bounded(response)
-            raise RequestRejected(
-                response.status, text.decode('utf-8', 'replace')
-            )
+            raise RequestRejected(response.status, await _read_reason(response))
 
     def convert(self, error: Exception) -> AttemptError:
         """Return the ``AttemptError`` for an error of the connection."""
--- a/mallowspindle/effects/call.py
+++ b/mallowspindle/effects/call.py
@@ -14,6 +14,7 @@
 
 from mallowspindle.outcomes import Done, NotRun, Outcome, Unknown
 from mallowspindle.utils.bodies import read_bounded, tells_its_length
+from mallowspindle.utils.statuses import FINAL_STATUSES
 from mallowspindle.utils.telemetry import hop_span, meter, trace_headers
 
 _SERVICE_UNAVAILABLE = 503
@@ -65,7 +66,8 @@
 
         A failed connection and, with ``refusal_means_not_run``, a response
         with status 503 mean that the call was not run. A response that is
-        lost, truncated or meant for another request leaves the outcome unknown.
+        lost, truncated, meant for another request or without a final status
+        leaves the outcome unknown.
         """
         headers = {
             'X-Request-Id': attempt_id,
@@ -97,6 +99,9 @@
     body = await read_bounded(response, _MAX_BODY_BYTES)
     if not tells_its_length(response):
         return Unknown('the answer does not tell its length')
+    if response.status not in FINAL_STATUSES:
+        response.close()
+        return Unknown(f'the answer has the status {response.status:03}')
     if response.status == _SERVICE_UNAVAILABLE and refusal_means_not_run:
         return NotRun('the service refused', _RETRY_AFTER_S)
     echoed = response.headers.get('X-Request-Id', attempt_id)
--- a/mallowspindle/platform/codec.py
+++ b/mallowspindle/platform/codec.py
@@ -20,13 +20,13 @@
     ResponseHead,
     StatedLimit,
 )
+from mallowspindle.utils.statuses import FINAL_STATUSES
 
 log = logging.getLogger(__name__)
 
 _MS = 1000
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
-_FINAL_STATUSES = range(200, 600)
 # A server that asks for a longer pause is asked again after this time.
 _MAX_PAUSE_S = 3600.0
 # Callers accept at most this many addresses.
@@ -164,7 +164,7 @@
 
         Raise ``BadResponse`` if its status is no final one.
         """
-        if status not in _FINAL_STATUSES:
+        if status not in FINAL_STATUSES:
             raise BadResponse(f'the server answered with status {status}')
         misdirected = status == _MISDIRECTED
         return ResponseHead(
--- a/mallowspindle/tests/attempts/test_engine.py
+++ b/mallowspindle/tests/attempts/test_engine.py
@@ -126,6 +126,27 @@
     assert isinstance(events[-1], EndEvent)
 
 
+@pytest.mark.parametrize('status', ['000', '099', '101', '600', '999'])
+async def test_a_status_that_is_no_final_one_is_no_rejection(
+    client: EngineClient, status: str
+) -> None:
+    """Guards against callers that get a status like 000."""
+    head = f'HTTP/1.1 {status} Odd\r\nX-Request-Id: own\r\n'
+    with pytest.raises(StreamCut):
+        await _collect_raw(client, f'{head}Content-Length: 3\r\n\r\nbad')
+
+
+async def test_a_part_of_the_reason_of_a_rejection_is_no_reason(
+    client: EngineClient,
+) -> None:
+    """Guards against callers that get a part of an error as a whole one."""
+    head = 'HTTP/1.1 422 No\r\nX-Request-Id: own\r\n\r\n'
+    with pytest.raises(RequestRejected) as raised:
+        await _collect_raw(client, f'{head}{{"error": {{"message": "par')
+    assert raised.value.status == 422
+    assert 'par' not in str(raised.value)
+
+
 async def test_every_truncated_stream_raises(client: EngineClient) -> None:
     """A connection closed after any byte must not look like an end."""
     for prefix in accumulate(bytes([byte]) for byte in VALID_STREAM[:-1]):
@@ -185,3 +206,19 @@
 async def _collect(client: EngineClient, server: TestServer) -> list[object]:
     attempt = _attempt(f'127.0.0.1:{server.port}')
     return [event async for event in client.start(REQUEST, attempt, [])]
+
+
+async def _collect_raw(client: EngineClient, answer: str) -> None:
+    """Start a stream at an engine that sends these bytes and closes."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer.encode())
+        writer.close()
+
+    async with await asyncio.start_server(serve, '127.0.0.1', 0) as server:
+        host, port = server.sockets[0].getsockname()
+        async for _ in client.start(REQUEST, _attempt(f'{host}:{port}'), []):
+            continue
--- a/mallowspindle/tests/effects/test_call.py
+++ b/mallowspindle/tests/effects/test_call.py
@@ -25,6 +25,13 @@
     'empty': (b'', Unknown),
     'not HTTP': (b'hello\r\n\r\n', Unknown),
     'length unknown': (b'HTTP/1.1 200 OK\r\n\r\nfiled', Unknown),
+    **{
+        f'status {status}': (
+            COMPLETE_RESPONSE.replace(b'200', status.encode()),
+            Unknown,
+        )
+        for status in ('000', '001', '099', '101', '103', '600', '999')
+    },
     'error of the service': (
         COMPLETE_RESPONSE.replace(b'200 OK', b'500 No'),
         Done,
