--- a/mallowspindle/entry/relay.py
+++ b/mallowspindle/entry/relay.py
@@ -1,13 +1,19 @@
 """Relays streamed answers from the entry VM that owns the request."""
 
 import logging
-from contextlib import suppress
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+)
 from aiohttp.web import Request, StreamResponse
 from opentelemetry.trace import SpanKind
 
 from mallowspindle.entry.problems import ProblemError
+from mallowspindle.utils.bodies import tells_its_length
 from mallowspindle.utils.telemetry import hop_span, trace_headers
 
 log = logging.getLogger(__name__)
@@ -32,8 +38,8 @@
     async def forward(self, request: Request, owner: str) -> StreamResponse:
         """Forward the request to the owner's HTTP address, relay the answer.
 
-        The caller's stream ends where the owner's does; the caller can
-        continue it with ``Last-Event-ID``.
+        The caller's stream ends where the owner's does, and breaks off where
+        that does; the caller can continue it with ``Last-Event-ID``.
         """
         headers = {
             name: request.headers[name]
@@ -69,7 +75,21 @@
                 }
             )
             await response.prepare(request)
-            with suppress(ClientError, ConnectionResetError):
-                async for data in upstream.content.iter_any():
-                    await response.write(data)
+            try:
+                await _copy_body(upstream, response)
+            except (ClientError, ConnectionResetError) as error:
+                log.info('answer of owner %s broke off: %s', owner, error)
+                if request.transport is not None:
+                    # Without its last chunk, it can't seem complete.
+                    request.transport.close()
             return response
+
+
+async def _copy_body(
+    upstream: ClientResponse, response: StreamResponse
+) -> None:
+    """Write a body as it arrives; raise ``ClientError`` if it breaks off."""
+    async for data in upstream.content.iter_any():
+        await response.write(data)
+    if not tells_its_length(upstream):
+        raise ClientPayloadError('the answer does not tell its length')
