--- a/mallowspindle/platform/duties.py
+++ b/mallowspindle/platform/duties.py
@@ -3,7 +3,12 @@
 from collections.abc import Mapping
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+)
 
 from mallowspindle.adapter import (
     Duties,
@@ -12,7 +17,7 @@
     ScaleRequest,
     StaleFencingNumber,
 )
-from mallowspindle.utils.bodies import read_bounded
+from mallowspindle.utils.bodies import read_bounded, tells_its_length
 
 _OK = 200
 _CONFLICT = 409
@@ -79,13 +84,25 @@
                 headers=headers,
                 timeout=self._timeout,
             ) as response:
-                return response.status, await read_bounded(response)
+                answer = await read_bounded(response)
+                if response.status == _CONFLICT:
+                    _require_whole(response)
+                return response.status, answer
         except (ClientError, TimeoutError) as error:
             raise DutyError(
                 f'no answer from the platform: {error!r}'
             ) from error
 
 
+def _require_whole(response: ClientResponse) -> None:
+    """Raise ``DutyError`` if the text of a refusal may have been cut.
+
+    Only the text tells which conflict it is.
+    """
+    if not tells_its_length(response):
+        raise DutyError('the refusal does not tell its length')
+
+
 def _require_ok(status: int) -> None:
     if status != _OK:
         raise DutyError(
--- a/mallowspindle/platform/migration.py
+++ b/mallowspindle/platform/migration.py
@@ -95,6 +95,7 @@
             async with self._session.get(
                 f'http://{address}/report', timeout=self._timeout
             ) as response:
+                status = response.status
                 report = _ServerReport.model_validate_json(
                     await read_bounded(response)
                 )
@@ -102,6 +103,8 @@
             raise MigrationError(
                 f'no valid report from {address}: {error!r}'
             ) from error
+        if status != _OK:
+            raise MigrationError(f'{address} answered {status} to a report')
         time_left_ms = report.leaves_ms
         return None if time_left_ms is None else time_left_ms / _MS
 
--- a/mallowspindle/tests/attempts/test_engine.py
+++ b/mallowspindle/tests/attempts/test_engine.py
@@ -208,8 +208,8 @@
     return [event async for event in client.start(REQUEST, attempt, [])]
 
 
-async def _collect_raw(client: EngineClient, answer: str) -> None:
-    """Start a stream at an engine that sends these bytes and closes."""
+async def _collect_raw(client: EngineClient, answer: str) -> list[object]:
+    """Return the events of an engine that sends these bytes and closes."""
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -220,5 +220,5 @@
 
     async with await asyncio.start_server(serve, '127.0.0.1', 0) as server:
         host, port = server.sockets[0].getsockname()
-        async for _ in client.start(REQUEST, _attempt(f'{host}:{port}'), []):
-            continue
+        attempt = _attempt(f'{host}:{port}')
+        return [event async for event in client.start(REQUEST, attempt, [])]
--- a/mallowspindle/tests/platform/test_migration.py
+++ b/mallowspindle/tests/platform/test_migration.py
@@ -10,13 +10,16 @@
 from aiohttp import ClientSession
 
 from mallowspindle.adapter import (
+    DutyError,
     MigrationError,
     NobodyListens,
     NoConnection,
     RunsReport,
+    ScaleRequest,
 )
 from mallowspindle.config.platform import PlatformSettings
 from mallowspindle.daemon import parse_settings
+from mallowspindle.platform.duties import PlatformDuties
 from mallowspindle.platform.service import PlatformService
 
 _SETTINGS = """
@@ -213,3 +216,21 @@
             await service.migration.report_runs(ended)
         with pytest.raises(NoConnection):
             await service.migration.report_runs(silent)
+
+
+async def test_a_refused_order_that_is_cut_tells_no_reason(
+    server: tuple[_Server, str],
+) -> None:
+    """Guards against a stale fencing number that seems to lack servers."""
+    standin, address = server
+
+    async def send(writer: asyncio.StreamWriter) -> None:
+        writer.write(b'HTTP/1.1 409 Conflict\r\n\r\n{"reason": "fen')
+        writer.close()
+
+    standin.answers = [send]
+    async with ClientSession() as session:
+        duties = PlatformDuties(session, address, 'entry-1', 1)
+        with pytest.raises(DutyError) as raised:
+            await duties.scale_service(1, ScaleRequest('models', 'a', 2, False))
+    assert raised.type is DutyError
