Lost runs: a move is asked for before the report decides

Cause: a report may leave out a run that is preempted, and is up to some hundred ms old; the answer to a move is neither. Names and comments of the module, read again.

Evidence: by reading.

Change: a server that can move runs is asked to stop the run first; where it can't, the report tells.

--- a/mallowspindle/policies/lost_runs.py
+++ b/mallowspindle/policies/lost_runs.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-# Servers report what was true some hundred milliseconds ago.
+# Maximum age of what servers report, which is some hundred milliseconds old.
 REPORT_AGE_S = 1.0
 
 
--- a/mallowspindle/proxy/lost_runs.py
+++ b/mallowspindle/proxy/lost_runs.py
@@ -36,21 +36,21 @@
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """What a server has answered to a query for its runs."""
+    """What a server has answered to a query that began at ``asked_at_s``."""
 
     asked_at_s: float
     found: RunsReport | MigrationError
 
 
 @dataclass(frozen=True, slots=True)
-class _Found:
+class _Decision:
     """Where a stream goes on, None if nowhere, and why."""
 
     relocation: Relocation | None
     reason: str
 
 
-class RunQueries:
+class _RunQueries:
     """Asks servers for their runs, once for all streams that they have lost."""
 
     def __init__(self, migration: MigrationClient) -> None:
@@ -93,7 +93,7 @@
 
     def __init__(self, migration: MigrationClient) -> None:
         self._migration = migration
-        self._queries = RunQueries(migration)
+        self._queries = _RunQueries(migration)
 
     async def stop(self) -> None:
         """Cancel all queries."""
@@ -112,7 +112,7 @@
         ``source`` is the server of the run, ``keeper`` the one that keeps a
         copy of it. ``can_move`` is whether servers can stop and move runs.
         """
-        search = _Search(
+        query = _StateQuery(
             run,
             source,
             keeper,
@@ -120,7 +120,7 @@
             self._migration if can_move else None,
         )
         with hop_span('state of a lost run', SpanKind.CLIENT):
-            found = await search.find()
+            found = await query.find()
         waited_s = asyncio.get_running_loop().time() - run.lost_at_s
         lost_runs_total.add(1, {'reason': found.reason})
         log.info(
@@ -131,13 +131,13 @@
                 'reason': found.reason,
                 'goes_on': found.relocation is not None,
                 'waited_ms': int(waited_s * 1000),
-                'error': search.last_error,
+                'error': query.last_error,
             },
         )
         return found.relocation
 
 
-class _Search:
+class _StateQuery:
     """Asks the server of one lost run until its state is known."""
 
     def __init__(
@@ -145,7 +145,7 @@
         run: LostRun,
         source: BackendView,
         keeper: BackendView,
-        queries: RunQueries,
+        queries: _RunQueries,
         migration: MigrationClient | None,
     ) -> None:
         self._run = run
@@ -161,25 +161,25 @@
         """What the server answered last if it was of no use."""
         return str(self._last_error or '')
 
-    async def find(self) -> _Found:
+    async def find(self) -> _Decision:
         """Return where the stream goes on."""
         try:
             async with asyncio.timeout(_DECISION_TIMEOUT_S):
                 return await self._find()
         except TimeoutError:
-            return _Found(None, 'undecided')
+            return _Decision(None, 'undecided')
 
-    async def _find(self) -> _Found:
+    async def _find(self) -> _Decision:
         while True:
             answer = await self._queries.ask(self._source.server.address)
             found = await self._judge(answer)
             if found is not None:
                 return found
             if answer.asked_at_s >= self._run.decided_at_s:
-                return _Found(None, 'may still run')
+                return _Decision(None, 'may still run')
             await asyncio.sleep(_QUERY_INTERVAL_S)
 
-    async def _judge(self, answer: _Answer) -> _Found | None:
+    async def _judge(self, answer: _Answer) -> _Decision | None:
         """Return what follows from an answer; None to ask once more."""
         report = answer.found
         if isinstance(report, MigrationError):
@@ -188,15 +188,15 @@
         run = self._run
         if not run.is_from(report.server_id, report.started_at_ms):
             return self._from_copy('another server has its address')
+        # Its answer is newer than a report, and knows of preempted runs too.
+        found = await self._stop_once()
+        if found is not None:
+            return found
         if has_ended(run, report.request_ids, answer.asked_at_s):
             return self._from_copy('ended')
-        if self._migration is None:
-            return None
-        migration = self._migration
-        self._migration = None
-        return await self._stop(migration)
+        return None
 
-    def _judge_error(self, error: MigrationError) -> _Found | None:
+    def _judge_error(self, error: MigrationError) -> _Decision | None:
         self._last_error = error
         if isinstance(error, NobodyListens):
             return self._from_copy('its server has ended')
@@ -208,7 +208,12 @@
             return None
         return self._from_copy('its server is not reached')
 
-    async def _stop(self, migration: MigrationClient) -> _Found | None:
+    async def _stop_once(self) -> _Decision | None:
+        migration = self._migration
+        self._migration = None
+        return await self._stop(migration) if migration else None
+
+    async def _stop(self, migration: MigrationClient) -> _Decision | None:
         """Stop the run and move its memory to the keeper of the copy."""
         source = self._source
         try:
@@ -221,7 +226,7 @@
             self._last_error = error
             if error.source_copy is None:
                 return None
-            return _Found(Relocation(source, error.source_copy), 'stopped')
+            return _Decision(Relocation(source, error.source_copy), 'stopped')
         except NoSuchRun as error:
             self._last_error = error
             # A request that has no event yet may wait at the server.
@@ -232,8 +237,8 @@
             self._last_error = error
             return None
         fallback = Relocation(source, moved)
-        return _Found(Relocation(self._keeper, moved, fallback), 'stopped')
+        return _Decision(Relocation(self._keeper, moved, fallback), 'stopped')
 
-    def _from_copy(self, reason: str) -> _Found:
+    def _from_copy(self, reason: str) -> _Decision:
         copied = MovedRun(self._keeper.server.address, self._run.request_id)
-        return _Found(Relocation(self._keeper, copied), reason)
+        return _Decision(Relocation(self._keeper, copied), reason)
