Tests: the request after a part of an answer gets its own answer

Cause: the cases of parts did not look at what follows on the same servers.

Change: a third order follows, and gets a whole answer.

Measured: 15 tests pass.

--- a/mallowspindle/tests/proxy/test_partial_answers.py
+++ b/mallowspindle/tests/proxy/test_partial_answers.py
@@ -54,6 +54,12 @@
     yield answer(arrival.request_id, _EVENTS, status='000 Zero')
 
 
+async def _whole(
+    server: ScriptedServer, arrival: Arrival
+) -> AsyncIterator[bytes]:
+    yield answer(arrival.request_id, _LAST_EVENT)
+
+
 async def _resumed(
     server: ScriptedServer, arrival: Arrival
 ) -> AsyncIterator[bytes]:
@@ -80,6 +86,11 @@
         # A peer gets one run, and there is one peer only.
         runs = 2 if path == 'direct' else 1
         assert (status, shop.runs('r2')) == (502, runs)
+        await asyncio.sleep(_AVOIDED_S)
+        for server in shop.servers:
+            server.script = _whole
+        status, found, _ = await shop.order('r3')
+        assert (status, found) == (200, _LAST_EVENT)
 
 
 async def _ask(node: Node, path: str) -> tuple[int, bytes | None]:
