--- a/review/11/run.py
+++ b/review/11/run.py
@@ -197,5 +197,16 @@
         await fleet.stop()
 
 
+async def run_until_ended() -> int:
+    """Return the exit code; SIGTERM ends the script and its processes."""
+    task = asyncio.create_task(main())
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        return 2
+
+
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(run_until_ended()))
--- a/review/harness_3/fleet.py
+++ b/review/harness_3/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -18,6 +19,8 @@
 _SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _FIELD = re.compile(r'\{\{([\w.]+)\}\}')
 _START_S = 20.0
+# Below the ports that the kernel gives to outgoing connections.
+_PORTS = (15_000, 30_000)
 # Bounds of a small deployment, from its settings file.
 BOUNDS = {
     'grace_s': 8,
@@ -34,10 +37,15 @@
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return a port that nothing listens on, outside of those for clients."""
+    while True:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
 
 
 def render(template: str, fields: dict[str, Any]) -> str:
