Review case 14: streams are refused after all entry VMs were killed

Cause: a begun stream is given to one of two nodes that log streams, chosen among the peers that count as live. Killed peers do so for 1.5 s. If neither answers, the stream is dropped, and nobody knows it once its own node dies too.

Change: a script that kills four of five entry VMs, begins 24 streams at the fifth, kills it a second later, and takes the streams up once all nodes are in touch again.

--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,52 +1,50 @@
-"""A stream goes on at another server while its first server works on it.
+"""Streams that nobody logged are refused after all entry VMs were killed.
 
-A server falls silent for 1.2 s and goes on, as sound servers do. Meanwhile the
-answer of one stream is lost, and many users come at once, so that the server's
-queue of new channels is full. The stream may not be resumed.
+Two software versions are in service. Four of five entry VMs are killed; callers
+begin streams at the one that is left; it is killed a second later. All start
+again, and once they are in touch the callers take their streams up.
 """
 
 import asyncio
-import json
 import os
+import random
 import signal
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.harness_3.fleet import (  # noqa: E402
-    HOST,
-    KEY,
-    Fleet,
-    get,
-    post,
-)
+from review.harness_3.fleet import HOST, KEY, Fleet  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-NAMES = ('front-garching-1', 'front-freising-1', 'front-erding-1')
-SERVERS = 3
-ROUNDS = 4
-LONG_EVENTS = 100
-SHORT_EVENTS = 10
-BURST = 60
-SILENT_S = 1.2
-RESET_AFTER_S = 0.25
-STILL_S = 0.4
+SURVIVOR = 'front-garching-1'
+NAMES = (
+    SURVIVOR,
+    'front-garching-2',
+    'front-freising-1',
+    'front-freising-2',
+    'front-erding-1',
+)
+STREAMS = 24
+EVENTS = 150
+SECOND_KILL_S = 1.0
+DOWN_S = 0.6
+CONTACT_S = 3.0
+BORN = 1_700_000_000_000
 CONFIGURATION = {
     'version': 7,
     'routes': [
         {
-            'name': 'questions',
+            'name': 'letters',
             'host': HOST,
-            'path_prefix': '/questions/',
+            'path_prefix': '/letters/',
             'kind': 'streaming',
             'timeout_ms': 15000,
-            'target_latency_ms': 1000,
+            'target_latency_ms': 1200,
             'service': 'models',
-            'max_attempts': 1,
+            'max_attempts': 2,
             'sticky': True,
-            'resumable': False,
+            'resumable': True,
             'gap_aim_ms': 400,
         }
     ],
@@ -67,152 +65,144 @@
 }
 
 
-async def stream(
-    fleet: Fleet, name: str, request_id: str, prompt: int, events: int
-) -> str:
-    """Send a request; return how its stream ended."""
-    port = fleet.ports[name]['front']
-    received: list[int] = []
-    try:
-        async with asyncio.timeout(15):
-            reader, writer = await asyncio.open_connection('127.0.0.1', port)
-            writer.write(
-                (
-                    f'POST /questions/x HTTP/1.1\r\nHost: {HOST}\r\n'
-                    f'Request-Id: {request_id}\r\nDeadline-Ms: 15000\r\n'
-                    f'Authorization: Token {KEY}\r\nModel: m\r\n'
-                    f'Token-Count: {prompt},{events}\r\n'
-                    f'Prompt-Prefix: aa:50,{abs(hash(request_id)):x}:50\r\n'
-                    'Content-Length: 0\r\n\r\n'
-                ).encode()
-            )
-            head = await reader.readuntil(b'\r\n\r\n')
-            status = head.split()[1].decode()
-            if status != '200':
+class Stream:
+    """One stream of a caller."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self._fleet = fleet
+        self.name = name
+        self.ids: list[int] = []
+        self.versions: set[str] = set()
+        self.status = ''
+
+    async def send(self, port: int, request_id: str, more: str = '') -> None:
+        """Send a request, and read its stream until it ends or breaks off."""
+        self.status = ''
+        try:
+            async with asyncio.timeout(15):
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', port
+                )
+                writer.write(
+                    (
+                        f'POST /letters/x HTTP/1.1\r\nHost: {HOST}\r\n'
+                        f'Request-Id: {request_id}\r\nDeadline-Ms: 15000\r\n'
+                        f'Authorization: Token {KEY}\r\nModel: m\r\n{more}'
+                        f'Token-Count: 600,{EVENTS}\r\n'
+                        f'Prompt-Prefix: {abs(hash(self.name)):x}:600\r\n'
+                        'Content-Length: 0\r\n\r\n'
+                    ).encode()
+                )
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.status = head.split()[1].decode()
+                while self.status == '200':
+                    size = int((await reader.readline()).strip() or b'0', 16)
+                    part = await reader.readexactly(size + 2)
+                    if not size:
+                        break
+                    for line in part.decode().split('\n'):
+                        if line.startswith('id: '):
+                            self.ids.append(int(line[4:]))
+                        elif line.startswith('data: '):
+                            self.versions.add(line.split()[1])
                 writer.close()
-                return status
-            while True:
-                size = int((await reader.readline()).strip() or b'0', 16)
-                part = await reader.readexactly(size + 2)
-                if not size:
-                    break
-                received += [
-                    int(line[4:])
-                    for line in part.split(b'\n')
-                    if line.startswith(b'id: ')
-                ]
-            writer.close()
-    except (OSError, EOFError, TimeoutError, ValueError) as error:
-        return f'cut after {len(received)} events ({type(error).__name__})'
-    in_order = received == list(range(1, events + 1))
-    return 'whole' if in_order else f'events {received}'
-
-
-async def record(port: int) -> list[dict]:
-    """Return the runs of a server."""
-    _, body = await get(port, '/record')
-    return json.loads(body)
-
-
-async def play_round(fleet: Fleet, ports: list[int], number: int) -> int:
-    """Return 1 if the long stream was worked on by two servers at once."""
-    request_id = f'long-{number}'
-    long = asyncio.create_task(
-        stream(fleet, NAMES[0], request_id, 100, LONG_EVENTS)
+        except (OSError, EOFError, TimeoutError, ValueError) as error:
+            self.status = f'{self.status} {type(error).__name__}'.strip()
+
+
+async def take_up(fleet: Fleet, stream: Stream, former_id: str) -> bool:
+    """Take a stream up at a random entry VM; return whether it goes on."""
+    port = fleet.ports[random.choice(NAMES)]['front']
+    known = len(stream.ids)
+    more = f'Resumes: {former_id}\r\nLast-Event-Id: {stream.ids[-1]}\r\n'
+    await stream.send(port, f'{former_id}-again', more)
+    fleet.note(
+        stream.name, 'taken up after event', known, 'answered', stream.status,
+        'versions', sorted(stream.versions), 'events now', len(stream.ids),
     )
-    await asyncio.sleep(1)
-    first = None
-    for port in ports:
-        if any(run['id'] == request_id for run in await record(port)):
-            first = port
-    if first is None:
-        long.cancel()
-        fleet.note(request_id, 'did not begin')
-        return 0
-    if TROUBLE:
-        order = {
-            'id': request_id,
-            'lose': True,
-            'silent_s': SILENT_S,
-            'reset_after_s': RESET_AFTER_S,
-        }
-        await post(first, '/trouble', json.dumps(order).encode())
-        fleet.note(request_id, 'its server is silent, its answer is lost soon')
-    burst = [
-        asyncio.create_task(
-            stream(
-                fleet,
-                NAMES[each % len(NAMES)],
-                f'short-{number}-{each}',
-                10,
-                SHORT_EVENTS,
-            )
-        )
-        for each in range(BURST)
-    ]
-    ending = await long
-    endings = Counter(await asyncio.gather(*burst))
-    fleet.note(request_id, 'ended:', ending, 'others:', dict(endings))
-    await asyncio.sleep(LONG_EVENTS * 0.05)
-    runs = [
-        run
-        for port in ports
-        for run in await record(port)
-        if run['id'] == request_id
-    ]
-    runs.sort(key=lambda run: run['began_at_s'])
-    for run in runs:
-        fleet.note(
-            request_id, 'at', run['server'], 'from', run['kv_from'] or 'its start',
-            'began', round(run['began_at_s'] % 1000, 3),
-            'last event', round(run['last_event_at_s'] % 1000, 3),
-            'events made', len(run['made_at_s']), 'lost', run['lost'],
-        )
-    broken = 0
-    for former, later in zip(runs, runs[1:]):
-        until_s = former['last_event_at_s'] - later['began_at_s']
-        overlap = sum(
-            at_s > later['began_at_s'] + STILL_S for at_s in former['made_at_s']
-        )
-        fleet.note(
-            request_id, former['server'], 'worked on it for', round(until_s, 2),
-            's after', later['server'], 'had begun; events then:', overlap,
-        )
-        broken = max(broken, int(until_s > STILL_S))
-    return broken
+    return len(stream.ids) > known
+
+
+async def begin(fleet: Fleet, number: int) -> bool:
+    """Send a new request to a random entry VM; return whether it begins."""
+    stream = Stream(fleet, f'new-{number}')
+    port = fleet.ports[random.choice(NAMES)]['front']
+    await stream.send(port, f'new-{number}')
+    fleet.note(stream.name, 'answered', stream.status, 'events', len(stream.ids))
+    return bool(stream.ids)
 
 
 async def play(fleet: Fleet) -> int:
-    """Return 1 if two servers worked on one stream, else 0."""
+    """Return 1 if too few streams that were taken up go on, else 0."""
     await fleet.start_platform()
     await fleet.put('keyed.op', 'config', CONFIGURATION)
-    ports = []
-    for number in range(SERVERS):
-        name = f'model-{number}'
+    for number in range(4):
+        name, version = f'model-{number}', f'v{1 + number % 2}'
         port = await fleet.start_standin(
-            name, 'review/harness_3/engine.py', '--id', name
+            name,
+            'review/harness_3/versioned.py',
+            '--id',
+            name,
+            '--version',
+            version,
+            '--first-ms',
+            '100',
         )
-        ports.append(port)
         entry = {
             'service': 'models',
             'address': f'127.0.0.1:{port}',
             'zone': 'garching',
-            'version': 'v1',
+            'version': version,
             'slots': 32,
             'state': 'ready',
-            'born': 1_700_000_000_000,
+            'born': BORN,
         }
         await fleet.put('keyed.servers', name, entry)
     for name in NAMES:
         await fleet.start_gateway(name, name.split('-')[1])
     await fleet.wait_ready(*NAMES)
-    await asyncio.sleep(2)
-    broken = 0
-    for number in range(ROUNDS):
-        broken += await play_round(fleet, ports, number)
-        await asyncio.sleep(1)
-    fleet.note('streams that two servers worked on:', broken, 'of', ROUNDS)
-    return 1 if broken else 0
+    await asyncio.sleep(4)
+    if TROUBLE:
+        for name in NAMES:
+            if name != SURVIVOR:
+                fleet.processes[name].send(signal.SIGKILL)
+        fleet.note('killed all but', SURVIVOR)
+    port = fleet.ports[SURVIVOR]['front']
+    streams = [Stream(fleet, f'letter-{each}') for each in range(STREAMS)]
+    tries = [
+        asyncio.create_task(stream.send(port, stream.name))
+        for stream in streams
+    ]
+    if not TROUBLE:
+        await asyncio.gather(*tries)
+        whole = sum(len(stream.ids) == EVENTS for stream in streams)
+        fleet.note('streams that came to their end:', whole, 'of', STREAMS)
+        return 0 if whole == STREAMS else 2
+    await asyncio.sleep(SECOND_KILL_S)
+    fleet.processes[SURVIVOR].send(signal.SIGKILL)
+    fleet.note('killed', SURVIVOR)
+    await asyncio.gather(*tries)
+    await asyncio.sleep(DOWN_S)
+    for name in NAMES:
+        await fleet.processes[name].child.wait()
+        await fleet.start_gateway(name)
+    await fleet.wait_ready(*NAMES)
+    fleet.note('all entry VMs are ready again')
+    await asyncio.sleep(CONTACT_S + 0.3)
+    begun = [stream for stream in streams if stream.ids]
+    results = await asyncio.gather(
+        *(take_up(fleet, stream, stream.name) for stream in begun),
+        *(begin(fleet, number) for number in range(STREAMS)),
+    )
+    went_on = sum(results[: len(begun)])
+    new = sum(results[len(begun) :])
+    fleet.note(
+        'streams taken up:', len(begun), 'went on:', went_on,
+        'new ones:', STREAMS, 'began:', new,
+    )
+    if len(begun) < 12 or not new:
+        return 2
+    return 1 if went_on / len(begun) < new / STREAMS / 2 else 0
 
 
 async def main() -> int:
