Callers: what a standstill left unread is no late request

What callers saw: after an entry VM had stood still for 1.2 s, unsafe requests whose heads came in two parts were answered 408, and some of them ran (REFUSED). Bodies in two parts were answered 408, and kept connections reset.

Cause: the check of the timeouts took a head for incomplete until the handler, a task of its own, had set a flag; it closed the transport but not the parser; and it counted the time in which the process did not run, before anything that had arrived meanwhile was read.

Change: the parser is asked at the moment of the refusal, and parses nothing after it. Callers whose time is over are looked at again once the event loop has read the sockets. Standstills do not count: RunningClock moves from membership to utils.

--- a/mallowspindle/intake/handler.py
+++ b/mallowspindle/intake/handler.py
@@ -118,6 +118,11 @@
         """Whether a complete request is in progress."""
         return self._is_busy and not self._is_unfinished()
 
+    @property
+    def _is_paused(self) -> bool:
+        transport = self.transport
+        return isinstance(transport, GatedTransport) and transport.is_paused
+
     @property
     def _is_busy(self) -> bool:
         return self._in_request or bool(self._messages)
@@ -164,8 +169,7 @@
             self._evict(Reason.CONNECTIONS)
             return
         note_refusal(Reason.CONNECTIONS, self._listener)
-        if self.transport is not None:
-            self.transport.close()
+        self.force_close()
 
     def call_at_end(self, callback: Callable[[], None]) -> None:
         """Call back once the response to the request has been written."""
--- a/mallowspindle/intake/reading.py
+++ b/mallowspindle/intake/reading.py
@@ -43,6 +43,11 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._transport, name)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether something that has arrived may be unread or unparsed."""
+        return bool(self._pauses)
+
     @property
     def waits_for_turn_only(self) -> bool:
         """Whether nothing but the turns of others delays reading."""
--- a/mallowspindle/intake/server.py
+++ b/mallowspindle/intake/server.py
@@ -98,7 +98,7 @@
 class BoundedServer(Server):
     """An HTTP server whose connections share the bounds of the process."""
 
-    handler_type = BoundedHandler
+    handler_type: type[BoundedHandler] = BoundedHandler
 
     def __init__(
         self,
--- a/mallowspindle/membership/table.py
+++ b/mallowspindle/membership/table.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from mallowspindle.membership.messages import LostMember, MemberInfo
+from mallowspindle.utils.running_clock import RunningClock
 
 # The list of live members is made anew after this time, and after each change.
 _LIVE_CACHE_S = 0.05
@@ -12,27 +13,6 @@
 _MAX_STEP_FRACTION = 0.4
 
 
-class RunningClock:
-    """Counts the time in which this node was running and could receive.
-
-    A node that got no processor time has received nothing meanwhile, and must
-    not take this for the silence of the others.
-    """
-
-    def __init__(self, max_step_s: float) -> None:
-        self._max_step_s = max_step_s
-        self._read_at_s = time.monotonic()
-        self._now_s = 0.0
-
-    def now_s(self) -> float:
-        """Return the seconds counted so far."""
-        read_at_s = time.monotonic()
-        step_s = read_at_s - self._read_at_s
-        self._read_at_s = read_at_s
-        self._now_s += min(step_s, self._max_step_s)
-        return self._now_s
-
-
 @dataclass(slots=True)
 class Member:
     """The latest update of a member.
--- a/mallowspindle/proxy/gate.py
+++ b/mallowspindle/proxy/gate.py
@@ -200,8 +200,8 @@
             _send_continue(web_request)
         connection = cast(CallerConnection, web_request.protocol)
         try:
-            async with asyncio.timeout(limits.idle_timeout_s) as timeout:
-                with connection.refusable_by(timeout):
+            async with asyncio.timeout(None) as timeout:
+                with connection.refusable_by(timeout, web_request.content):
                     return await _read_up_to(web_request, limits.body_bytes)
         except TimeoutError:
             if connection.evicted:
--- a/mallowspindle/proxy/service.py
+++ b/mallowspindle/proxy/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from dataclasses import replace
-from typing import Self, cast
+from typing import Self
 
 from aiohttp.web import BaseRequest, Response, Server, StreamResponse
 from prometheus_client import generate_latest
@@ -17,7 +17,7 @@
 from mallowspindle.kernel.service import Service, service
 from mallowspindle.membership.service import MembershipService
 from mallowspindle.proxy import replies
-from mallowspindle.proxy.callers import CallerConnection, CallerServer
+from mallowspindle.proxy.callers import CallerServer
 from mallowspindle.proxy.context import ProxyContext
 from mallowspindle.proxy.gate import AdmissionGate
 from mallowspindle.utils.tasks import BackgroundTasks, run_periodically
@@ -137,7 +137,7 @@
             await self._listen_on('metrics', metrics, listen.metrics)
         self._membership.update(http_address=self._bound_addresses['callers'])
         self._tasks.spawn(
-            run_periodically(self._close_timed_out, _TIMEOUT_CHECK_INTERVAL_S),
+            run_periodically(self._close_overdue, _TIMEOUT_CHECK_INTERVAL_S),
             'slow callers',
         )
         self._tasks.spawn(self._context.stalls.run(), 'stalls')
@@ -194,14 +194,11 @@
     async def _serve(self, web_request: BaseRequest) -> StreamResponse:
         loop = asyncio.get_running_loop()
         began_at_s = loop.time()
-        connection = cast(CallerConnection, web_request.protocol)
-        connection.mark_request_started()
         self._open_requests += 1
         try:
             response = await self._answer(web_request)
         finally:
             self._open_requests -= 1
-            connection.mark_request_finished()
         requests_total.add(1, {'status': response.status})
         request_duration.record(loop.time() - began_at_s)
         if self._drain_began_at_s is not None:
@@ -213,10 +210,10 @@
             return replies.refusal(_DRAIN_RETRY_AFTER_S)
         return await self._gate.handle(web_request)
 
-    async def _close_timed_out(self) -> None:
+    async def _close_overdue(self) -> None:
         configuration = self._context.catalog.configuration
         if self._caller_server is not None and configuration is not None:
-            self._caller_server.close_timed_out(configuration.limits)
+            await self._caller_server.close_overdue(configuration.limits)
 
     async def _readiness(self, web_request: BaseRequest) -> Response:
         return Response(status=200 if self.ready else _UNAVAILABLE)
--- a/mallowspindle/tests/proxy/test_callers.py
+++ b/mallowspindle/tests/proxy/test_callers.py
@@ -1,12 +1,14 @@
-"""Connections of callers while the server closes them."""
+"""Connections that the server closes, and callers that take long."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp.web import BaseRequest, Response
 
+from mallowspindle.catalog.configuration import CallerLimits
 from mallowspindle.proxy.callers import CallerServer
 
 _REQUEST = b'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n'
@@ -15,6 +17,9 @@
 # ends within this time.
 _LOSS_SLACK_S = 0.2
 _PATIENCE_S = 2.0
+_LIMITS = CallerLimits(header_timeout_s=0.3, idle_timeout_s=0.4)
+# Longer than the limits, and longer than a step that counts as running.
+_STANDSTILL_S = 1.0
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -87,3 +92,59 @@
         assert loop.time() - began_at_s < 2 * _CLOSE_TIMEOUT_S
         assert await asked == b''
         connection[1].close()
+
+
+def _stand_still() -> None:
+    """Keep the event loop of this process from running."""
+    time.sleep(_STANDSTILL_S)
+
+
+@pytest.mark.parametrize('first_bytes', [0, 20], ids=['idle', 'head'])
+async def test_requests_that_wait_to_be_read_are_not_late(
+    first_bytes: int,
+) -> None:
+    """Guards against limits that count what the process has not read yet."""
+    async with _serving(0.1) as (server, port):
+        connection = await asyncio.open_connection('127.0.0.1', port)
+        if first_bytes:
+            connection[1].write(_REQUEST[:first_bytes])
+        await asyncio.sleep(0.1)
+        connection[1].write(_REQUEST[first_bytes:])
+        _stand_still()
+        await server.close_overdue(_LIMITS)
+        async with asyncio.timeout(_PATIENCE_S):
+            head = await connection[0].readuntil(b'\r\n\r\n')
+        assert b'200 OK' in head
+        connection[1].close()
+
+
+async def test_standstills_of_the_process_do_not_count() -> None:
+    """Guards against limits that pass while a caller's data is on its way."""
+    limits = CallerLimits(header_timeout_s=0.8)
+    async with _serving(0) as (server, port):
+        connection = await asyncio.open_connection('127.0.0.1', port)
+        connection[1].write(_REQUEST[:20])
+        await asyncio.sleep(0.1)
+        _stand_still()
+        await server.close_overdue(limits)
+        connection[1].write(_REQUEST[20:])
+        async with asyncio.timeout(_PATIENCE_S):
+            head = await connection[0].readuntil(b'\r\n\r\n')
+        assert b'200 OK' in head
+        connection[1].close()
+
+
+async def test_nothing_runs_after_the_refusal_of_a_late_head() -> None:
+    """Guards against requests that run although they were answered 408."""
+    async with _serving(0) as (server, port):
+        connection = await asyncio.open_connection('127.0.0.1', port)
+        connection[1].write(_REQUEST[:20])
+        await asyncio.sleep(0.4)
+        await server.close_overdue(_LIMITS)
+        async with asyncio.timeout(_PATIENCE_S):
+            answer = await connection[0].readuntil(b'\r\n\r\n')
+        assert answer.split()[1] == b'408'
+        connection[1].write(_REQUEST[20:])
+        await asyncio.sleep(0.1)
+        assert not server.requests_count
+        connection[1].close()
