Intake: a request behind another is not refused in its place

Cause: _is_unfinished took the newest body of a connection for that of the request in progress, so that _evict, refuse_costly, close_unless_serving and _stop_idle_bytes wrote a refusal at once, where another response was due.

Change: only the request in progress is refused, and only while its own body is incomplete. What waits behind it is read when its turn comes.

--- a/mallowspindle/intake/handler.py
+++ b/mallowspindle/intake/handler.py
@@ -164,6 +164,8 @@
 
     def close_unless_serving(self) -> None:
         """End the connection for one that needs its place."""
+        if self.is_serving:
+            return
         is_begun = self._idle_bytes or not self._body_is_complete()
         if is_begun and self._is_unfinished():
             self._evict(Reason.CONNECTIONS)
@@ -240,7 +242,7 @@
         if not self._is_busy:
             note_refusal(Reason.HEAD, self._listener)
             self._refuse(_HEAD_TOO_LARGE)
-        elif self._body_is_complete():
+        elif self._messages or self._body_is_complete():
             self._pause(Pause.PIPELINE)
         elif self._current_request is not None:
             note_refusal(Reason.FRAMING, self._listener)
@@ -249,15 +251,15 @@
     def _is_unfinished(self) -> bool:
         """Return whether the newest request may still be refused.
 
-        A request that has been answered early may not.
+        A request that has been answered early may not, nor one that waits
+        behind another, whose response is due first.
         """
         if self.transport is None or self._is_discarding():
             return False
         if not self._is_busy:
             return True
-        return self._current_request is not None and not (
-            self._body_is_complete()
-        )
+        is_newest = self._current_request is not None and not self._messages
+        return is_newest and not self._body_is_complete()
 
     def _is_discarding(self) -> bool:
         """Return whether the rest of an answered request's body arrives."""
--- a/mallowspindle/tests/proxy/test_callers.py
+++ b/mallowspindle/tests/proxy/test_callers.py
@@ -4,14 +4,19 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import cast
 
 import pytest
 from aiohttp.web import BaseRequest, Response
 
 from mallowspindle.catalog.configuration import CallerLimits
-from mallowspindle.proxy.callers import CallerServer
+from mallowspindle.proxy.callers import CallerConnection, CallerServer
 
 _REQUEST = b'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n'
+_UNFINISHED = (
+    b'POST / HTTP/1.1\r\nHost: shop.example\r\n'
+    b'Content-Length: 50\r\n\r\nsome of it'
+)
 _CLOSE_TIMEOUT_S = 0.3
 # The operators tolerate requests that cross the close of their connection if it
 # ends within this time.
@@ -148,3 +153,18 @@
         await asyncio.sleep(0.1)
         assert not server.requests_count
         connection[1].close()
+
+
+@pytest.mark.parametrize('refuse', ['close_unless_serving', 'refuse_costly'])
+async def test_refusals_wait_for_the_response_in_progress(refuse: str) -> None:
+    """Guards against a 503 for the next request, told to one that runs."""
+    async with _serving(0.3) as (server, port):
+        connection = await asyncio.open_connection('127.0.0.1', port)
+        connection[1].write(_REQUEST + _UNFINISHED)
+        await asyncio.sleep(0.1)
+        (open_connection,) = server.connections
+        getattr(cast(CallerConnection, open_connection), refuse)()
+        async with asyncio.timeout(_PATIENCE_S):
+            head = await connection[0].readuntil(b'\r\n\r\n')
+        assert b'200 OK' in head
+        connection[1].close()
