Streams: bind a stream of the only version before it goes on

What callers saw: streams of v1 that were taken up after a node's loss went on at a server of v2 that registered before their first events (ORDER). Streams of a split route went on at the other service.

Cause: the finding that all servers have one version holds for a moment, but was kept without that version, and the server was picked later. Of a split route only the drawn service was asked.

Change: OneVersion names its origin, and Continuation binds the stream to it and tells others, so that pick, hops to peers, moves and later take-ups see it. All services of the route count, also those that it had in the last 30 s: with two services of a traffic_split nothing is concluded from one of them.

The former test of Continuation asserted that such a stream may go on at v2, which was the fault; it now asserts that it may not, and that the binding is told. Streams of a split route that nobody knows are refused until their begins are told with one version served, too, which follows.

--- a/mallowspindle/proxy/continuation.py
+++ b/mallowspindle/proxy/continuation.py
@@ -9,7 +9,7 @@
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.streams.messages import StreamBegun, StreamKey
 from mallowspindle.streams.records import StreamOrigin
-from mallowspindle.streams.service import StreamsService
+from mallowspindle.streams.service import OneVersion, StreamsService
 
 
 class UnknownBegin(Exception):
@@ -69,10 +69,10 @@
         """Return the service for the next attempt, ``default`` for the first.
 
         Raise ``UnknownBegin`` if the stream may have begun at one of several
-        versions, or at a service that the route no longer has.
+        versions or services, or at a service that the route no longer has.
         """
         if self._lacks_origin:
-            await self._find_origin(default)
+            await self._find_origin()
         origin = self._origin
         if origin is None:
             return default
@@ -107,13 +107,20 @@
             )
             self._tracking.enter_context(self._streams.track(begun))
 
-    async def _find_origin(self, default: str) -> None:
-        found = await self._streams.find(self._key, default)
+    async def _find_origin(self) -> None:
+        found = await self._streams.find(
+            self._key,
+            *(share.service for share in self._route.shares),
+            route_name=self._route.name,
+        )
         match found:
             case StreamBegun():
                 self._origin = StreamOrigin(
                     found.service, found.software_version
                 )
+                self._lacks_origin = False
+            case OneVersion(origin=origin):
+                # Others may ask once there are several versions.
+                self._bind(origin)
             case None:
                 raise UnknownBegin('it is not known which version began it')
-        self._lacks_origin = False
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -24,9 +24,10 @@
     StreamQuery,
 )
 from mallowspindle.streams.recording import RecordedStreams, StreamRecorder
+from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.serving import ServingVersions
 from mallowspindle.streams.store import StreamStore
-from mallowspindle.streams.versions import STREAM_MEMORY_S
+from mallowspindle.streams.versions import STREAM_MEMORY_S, RouteHistory
 from mallowspindle.utils.identifiers import bucket_of, rendezvous_order
 from mallowspindle.utils.tasks import BackgroundTasks, run_periodically
 
@@ -50,7 +51,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OneVersion:
-    """All servers that may have begun a stream have the same version."""
+    """All servers that may have begun a stream have the same ``origin``.
+
+    That holds at the moment of the answer: a stream that goes on has to be
+    bound to it.
+    """
+
+    origin: StreamOrigin
 
 
 class StreamTable:
@@ -100,6 +107,7 @@
         self._sharing = sharing
         self._table = StreamTable(clock)
         self._versions = ServingVersions(catalog, sharing, store, clock)
+        self._routes = RouteHistory(clock)
         self._recorder = StreamRecorder(store, clock) if store else None
         self._recorded = RecordedStreams(store, clock) if store else None
         self._told_recorders: list[str] = []
@@ -166,13 +174,15 @@
             self._running.pop(begun.key, None)
 
     async def find(
-        self, key: StreamKey, service_name: str
+        self, key: StreamKey, *services: str, route_name: str = ''
     ) -> StreamBegun | OneVersion | None:
         """Return a stream that a server has begun.
 
-        ``OneVersion`` means that it may go on at any server of ``service_name``.
-        None means that neither this node nor those that were told know it, and
-        that the log has no record of it or did not answer.
+        ``services`` are those of its route, to which those are added that the
+        route has had lately. ``OneVersion`` means that servers of only one of
+        them have served, all of the same version. None means that neither this
+        node nor those that were told know it, and that the log has no record of
+        it or did not answer.
         """
         found = self._table.find(key) or await self._ask_holders(key)
         if found is not None:
@@ -180,8 +190,11 @@
         await self._versions.wait_until_complete(_LOG_TIMEOUT_S)
         if not await self._versions.make_certain():
             return None
-        if not self.has_several_versions(service_name):
-            return OneVersion()
+        origins = self._versions.origins(
+            self._routes.lately(route_name).union(services)
+        )
+        if len(origins) == 1 and self._versions.is_complete:
+            return OneVersion(*origins)
         if self._recorded is None:
             return None
         origin = await self._recorded.find(key, _LOG_TIMEOUT_S)
@@ -208,6 +221,7 @@
         services = {begun.service for begun in self._running.values()}
         unmixed = set(filterfalse(self.has_several_versions, services))
         self._versions.update(self._catalog.servers.values())
+        self._routes.update(self._catalog.configuration)
         mixed = set(filter(self.has_several_versions, unmixed))
         # Streams that began while all servers had one version are told now.
         for begun in self._running.values():
--- a/mallowspindle/streams/serving.py
+++ b/mallowspindle/streams/serving.py
@@ -14,6 +14,7 @@
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.sharing.service import SharingService
 from mallowspindle.streams.messages import VersionsQuery, VersionsReply
+from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.store import StreamStore
 from mallowspindle.streams.versions import VersionHistory
 from mallowspindle.utils.tasks import BackgroundTasks, wait_for_event
@@ -60,7 +61,8 @@
         self._tasks = BackgroundTasks()
 
     @property
-    def _is_complete(self) -> bool:
+    def is_complete(self) -> bool:
+        """Whether the versions before the start of this node are known."""
         return self._completed.is_set()
 
     def start(self) -> None:
@@ -94,11 +96,22 @@
 
     def has_several(self, service_name: str) -> bool:
         """Return whether streams of several versions may be in progress."""
-        return not self._is_complete or self._history.has_several(service_name)
+        return not self.is_complete or self._history.has_several(service_name)
+
+    def origins(self, services: Iterable[str]) -> set[StreamOrigin]:
+        """Return where streams of some services may have begun.
+
+        This includes all that is known, which ``make_certain`` completes.
+        """
+        return {
+            StreamOrigin(name, version)
+            for name in services
+            for version in self._history.lately(name)
+        }
 
     async def save_if_due(self) -> None:
         """Log the versions if they have changed, or are several."""
-        if self._store is None or not self._is_complete:
+        if self._store is None or not self.is_complete:
             return
         ages_s = self._history.ages_s()
         names = {
@@ -125,10 +138,10 @@
         self._saved = None
 
     async def _load(self, store: StreamStore) -> None:
-        while not self._is_complete:
+        while not self.is_complete:
             if not await self._load_from_log(store):
                 await self._ask_peers()
-            if not self._is_complete:
+            if not self.is_complete:
                 await asyncio.sleep(_LOAD_PAUSE_S)
 
     async def _load_from_log(self, store: StreamStore) -> bool:
@@ -183,6 +196,6 @@
     async def _answer(self, query: VersionsQuery) -> VersionsReply:
         return VersionsReply(
             self._history.ages_s(),
-            self._is_complete,
+            self.is_complete,
             self._catalog.servers_age_s,
         )
--- a/mallowspindle/tests/proxy/test_continuation.py
+++ b/mallowspindle/tests/proxy/test_continuation.py
@@ -17,6 +17,7 @@
 from mallowspindle.proxy.continuation import Continuation, UnknownBegin
 from mallowspindle.proxy.messages import CallerRequest
 from mallowspindle.streams.messages import StreamBegun, StreamKey
+from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.service import OneVersion, StreamsService
 
 _ROUTE = Route(
@@ -31,6 +32,7 @@
 )
 _V1 = BackendServer('i-1', 'models', 'i-1:80', 'a', 8, software_version='v1')
 _V2 = replace(_V1, server_id='i-2', software_version='v2')
+_ORIGIN = StreamOrigin('models', 'v1')
 _FARM = Organisation('farm', frozenset())
 
 
@@ -45,12 +47,12 @@
         self.tracked: list[StreamBegun] = []
 
     async def find(
-        self, key: StreamKey, service_name: str
+        self, key: StreamKey, *services: str, route_name: str
     ) -> StreamBegun | OneVersion | None:
         """Return the stream if it has this key."""
         if key == self.begun.key:
             return self.begun
-        return None if self.several else OneVersion()
+        return None if self.several else OneVersion(_ORIGIN)
 
     def track(self, begun: StreamBegun) -> Any:
         """Record a stream."""
@@ -110,10 +112,26 @@
         await continuation.find_service('models')
 
 
-async def test_a_stream_of_the_only_version_goes_on() -> None:
-    continuation = _continuation(_Streams(several=False), '7', 'unknown')
+async def test_a_stream_of_the_only_version_goes_on_there_alone() -> None:
+    """Guards against a version that registers before the first event."""
+    streams = _Streams(several=False)
+    continuation = _continuation(streams, '7', 'unknown')
     assert await continuation.find_service('models') == 'models'
-    assert continuation.allows(_V2)
+    assert continuation.origin == _ORIGIN
+    assert continuation.allows(_V1)
+    assert not continuation.allows(_V2)
+    assert streams.tracked == [
+        StreamBegun(StreamKey('farm', 'unknown'), 'models', 'v1')
+    ]
+
+
+async def test_a_stream_goes_on_at_its_service_of_a_split_route() -> None:
+    """Guards against the draw of another service for each request."""
+    shares = (TrafficShare('models', 1), TrafficShare('other models', 1))
+    continuation = _continuation(
+        _Streams(several=False), '7', 'unknown', replace(_ROUTE, shares=shares)
+    )
+    assert await continuation.find_service('other models') == 'models'
 
 
 async def test_a_stream_does_not_go_on_at_another_service() -> None:
--- a/mallowspindle/tests/streams/test_recording.py
+++ b/mallowspindle/tests/streams/test_recording.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mallowspindle.streams.messages import StreamBegun, StreamKey
+from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.service import OneVersion, StreamsService
 from mallowspindle.tests.sharing.fakes import FakeMesh
 from mallowspindle.tests.streams.venture import (
@@ -254,7 +255,7 @@
                 streams.enter_context(nodes[number % 8].track(_begun(number)))
                 await asyncio.sleep(1)
             found = await nodes[0].find(_begun(1000).key, SERVICE)
-            assert found == OneVersion()
+            assert found == OneVersion(StreamOrigin(SERVICE, 'v1'))
         assert not log.calls[LAYOUT.streams_stream]
         assert not log.reads[LAYOUT.streams_stream]
         assert log.calls[LAYOUT.versions_stream] == 1
--- a/mallowspindle/tests/streams/test_service.py
+++ b/mallowspindle/tests/streams/test_service.py
@@ -6,7 +6,14 @@
 
 from mallowspindle.peers.codec import peer_codec
 from mallowspindle.streams.messages import StreamBegun, StreamKey
-from mallowspindle.tests.streams.venture import SERVICE, StreamVenture, play
+from mallowspindle.streams.records import StreamOrigin
+from mallowspindle.streams.service import OneVersion
+from mallowspindle.tests.streams.venture import (
+    ROUTE,
+    SERVICE,
+    StreamVenture,
+    play,
+)
 from mallowspindle.utils.codec import pack
 
 _KEY = StreamKey('farm', 'r1')
@@ -149,6 +156,37 @@
     play(scenario)
 
 
+def test_a_stream_of_a_split_route_joins_neither_service_unknown() -> None:
+    """Guards against one version of each service taken for the only one."""
+
+    async def scenario(venture: StreamVenture) -> None:
+        await venture.start('v1')
+        venture.catalog.register('v1', 'other models')
+        node = next(iter(venture.nodes.values()))
+        assert await node.find(_KEY, SERVICE, 'other models') is None
+
+    play(scenario)
+
+
+def test_a_stream_does_not_join_the_new_service_of_a_moved_route() -> None:
+    """Guards against streams that began before the route was moved."""
+
+    async def scenario(venture: StreamVenture) -> None:
+        await venture.start('v1')
+        venture.catalog.register('v1', 'other models')
+        venture.catalog.lead_to(SERVICE)
+        await asyncio.sleep(1)
+        venture.catalog.lead_to('other models')
+        node = next(iter(venture.nodes.values()))
+        found = await node.find(_KEY, 'other models', route_name=ROUTE)
+        assert found is None
+        await asyncio.sleep(31)
+        found = await node.find(_KEY, 'other models', route_name=ROUTE)
+        assert found == OneVersion(StreamOrigin('other models', 'v1'))
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(('nodes', 'streams_per_s'), [(8, 28), (77, 164)])
 def test_bytes_that_tell_of_streams_are_bounded(
     nodes: int, streams_per_s: int
--- a/mallowspindle/tests/streams/test_uncertain.py
+++ b/mallowspindle/tests/streams/test_uncertain.py
@@ -8,6 +8,7 @@
 
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.streams.messages import StreamBegun, StreamKey
+from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.service import OneVersion, StreamsService
 from mallowspindle.streams.store import StreamStore
 from mallowspindle.tests.streams.venture import (
@@ -113,7 +114,7 @@
 def test_streams_of_the_only_version_go_on_while_the_log_is_down() -> None:
     async def scenario(venture: StreamVenture) -> None:
         node, _ = await _start(venture, all_outdated=True)
-        assert await _find(node) == OneVersion()
+        assert await _find(node) == OneVersion(StreamOrigin(SERVICE, 'v1'))
 
     play(scenario, make_log=CountingLog)
 
@@ -123,6 +124,6 @@
         node, catalog = await _start(venture, all_outdated=True)
         venture.mesh.silent.update(list(venture.nodes)[1:])
         catalog.newer = {}
-        assert await _find(node) == OneVersion()
+        assert await _find(node) == OneVersion(StreamOrigin(SERVICE, 'v1'))
 
     play(scenario, make_log=CountingLog)
--- a/mallowspindle/tests/streams/venture.py
+++ b/mallowspindle/tests/streams/venture.py
@@ -7,6 +7,12 @@
 from typing import Any, cast
 
 from mallowspindle.adapter import LogLayout
+from mallowspindle.catalog.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    TrafficShare,
+)
 from mallowspindle.catalog.servers import BackendServer
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.log.records import KeyedState
@@ -19,6 +25,7 @@
 from mallowspindle.tests.simulation import simulate
 
 SERVICE = 'models'
+ROUTE = 'letters'
 
 
 class CountingLog(FakeLog):
@@ -60,6 +67,7 @@
 
     servers: dict[str, BackendServer] = field(default_factory=dict)
     watchers: list[Callable[[], None]] = field(default_factory=list)
+    configuration: Configuration | None = None
 
     def watch(self, watcher: Callable[[], None]) -> None:
         """Call ``watcher`` after each change."""
@@ -74,14 +82,22 @@
         """The servers are always up to date."""
         return True
 
-    def register(self, version: str) -> None:
+    def register(self, version: str, service: str = SERVICE) -> None:
         """Register a server of a version."""
         name = f'i-{len(self.servers)}'
         self.servers[name] = BackendServer(
-            name, SERVICE, f'{name}:80', 'a', 8, software_version=version
+            name, service, f'{name}:80', 'a', 8, software_version=version
         )
         self._tell()
 
+    def lead_to(self, service: str) -> None:
+        """Put a configuration in force whose route leads to a service."""
+        route = Route(
+            ROUTE, '', '/', RouteKind.STREAM, (TrafficShare(service, 1),), 15, 1
+        )
+        self.configuration = Configuration(1, (route,))
+        self._tell()
+
     def replace_all(self, version: str) -> None:
         """Let servers of one version stand in the place of all others."""
         self.servers.clear()
