Streams: a begun stream is owed to the log until the log has it

What callers saw: streams that began while the nodes that log them were dead were refused after all nodes had been killed (LOST), as were those whose recorders had accepted them, died and come back under their names, and those that began while one version served and were taken up after their node's loss, once a second version had registered.

Cause: a begin was told once, to nodes that may be dead; the acceptance by a recorder's memory counted as done, and the loss of that memory went unnoticed if the recorder was back in time. With one version served nothing was told.

Change: OwedStreams keeps each begin at its node until a recorder says that the log has it. Recorders that do not answer are passed over in an order that all nodes share, so that few log for all. Begins are logged with a single version served, too, in larger batches, and the recorders are asked when a stream is taken up. Peers that do not answer are replaced by the next ones.

--- a/mallowspindle/streams/messages.py
+++ b/mallowspindle/streams/messages.py
@@ -29,6 +29,25 @@
     software_version: str
 
 
+@peer_codec.register('streams-to-log')
+@dataclass(frozen=True, slots=True)
+class LogStreams:
+    """Request to log streams; the reply is ``StreamsLogged``."""
+
+    streams: list[StreamBegun]
+
+
+@peer_codec.register('streams-logged')
+@dataclass(frozen=True, slots=True)
+class StreamsLogged:
+    """Which of the streams of a request the log has, in the same order.
+
+    The others are about to be logged, and are lost if the node dies before.
+    """
+
+    logged: list[bool]
+
+
 @peer_codec.register('versions-query')
 @dataclass(frozen=True, slots=True)
 class VersionsQuery:
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -1,9 +1,7 @@
 """Remember which software version began a stream, at several nodes."""
 
-import asyncio
 import logging
 import time
-from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -14,39 +12,38 @@
 from mallowspindle.catalog.service import CatalogService
 from mallowspindle.kernel.kernel import Kernel
 from mallowspindle.kernel.service import Service, service
-from mallowspindle.log.errors import LogError
-from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.peers.codec import OkReply
 from mallowspindle.sharing.service import SharingService
+from mallowspindle.streams.holders import StreamHolders
 from mallowspindle.streams.messages import (
+    LogStreams,
     StreamBegun,
     StreamKey,
     StreamQuery,
+    StreamsLogged,
+)
+from mallowspindle.streams.owing import OwingPace
+from mallowspindle.streams.recorders import RecordingParts
+from mallowspindle.streams.recording import (
+    BATCH_S,
+    CALM_BATCH_S,
+    RecordedStreams,
 )
-from mallowspindle.streams.recording import RecordedStreams, StreamRecorder
 from mallowspindle.streams.records import StreamOrigin
 from mallowspindle.streams.serving import ServingVersions
 from mallowspindle.streams.store import StreamStore
+from mallowspindle.streams.table import StreamTable
 from mallowspindle.streams.versions import STREAM_MEMORY_S, RouteHistory
-from mallowspindle.utils.identifiers import bucket_of, rendezvous_order
 from mallowspindle.utils.tasks import BackgroundTasks, run_periodically
 
 log = logging.getLogger(__name__)
 
-# Number of peers that are told of a stream. They answer within a millisecond,
-# and while the log is away.
-_HOLDERS = 3
-# Number of nodes that log streams.
-_RECORDERS = 2
-# A member that has joined or left since moves the order by one.
-_ASKED = _HOLDERS + 1
-_QUERY_TIMEOUT_S = 0.5
-_TELL_TIMEOUT_S = 1.0
 _LOG_TIMEOUT_S = 0.5
 _CHECK_INTERVAL_S = 0.5
-# About 60 s of the streams of a node at its share of the largest load, with
-# those that peers have told it.
-_MAX_STREAMS = 20_000
+# How long streams are collected before they are offered to the node that logs
+# them, and when it should have logged them.
+_PACE = OwingPace(collect_s=0.02, confirm_s=0.25, batch_s=BATCH_S)
+_CALM_PACE = OwingPace(collect_s=0.2, confirm_s=0.8, batch_s=CALM_BATCH_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,37 +57,9 @@
     origin: StreamOrigin
 
 
-class StreamTable:
-    """Streams that servers have begun, the oldest dropped first."""
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self._clock = clock
-        # With the time since which each is known.
-        self._streams: OrderedDict[StreamKey, tuple[StreamBegun, float]] = (
-            OrderedDict()
-        )
-
-    def put(self, begun: StreamBegun) -> None:
-        """Record a stream; a later one with the same id replaces it."""
-        self._streams.pop(begun.key, None)
-        self._streams[begun.key] = begun, self._clock()
-        oldest_s = self._clock() - STREAM_MEMORY_S
-        while self._streams:
-            _, known_since_s = next(iter(self._streams.values()))
-            too_many = len(self._streams) > _MAX_STREAMS
-            if known_since_s >= oldest_s and not too_many:
-                break
-            self._streams.popitem(last=False)
-
-    def find(self, key: StreamKey) -> StreamBegun | None:
-        """Return a stream; None if it is not known."""
-        known = self._streams.get(key)
-        return known[0] if known else None
-
-
 @service('streams', requires=('border', 'catalog', 'sharing'))
 class StreamsService(Service):
-    """Tells peers and the log of streams while a service has several versions.
+    """Tells the log of streams, and peers while a service has several versions.
 
     Without a ``store``, streams are known as long as the nodes that know them
     live.
@@ -106,11 +75,17 @@
         self._catalog = catalog
         self._sharing = sharing
         self._table = StreamTable(clock)
+        self._holders = StreamHolders(sharing)
         self._versions = ServingVersions(catalog, sharing, store, clock)
         self._routes = RouteHistory(clock)
-        self._recorder = StreamRecorder(store, clock) if store else None
+        self._clock = clock
+        self._started_at_s = clock()
         self._recorded = RecordedStreams(store, clock) if store else None
-        self._told_recorders: list[str] = []
+        self._recording = (
+            RecordingParts.build(sharing, store, self._pace, clock)
+            if store
+            else None
+        )
         self._running: dict[StreamKey, StreamBegun] = {}
         self._tasks = BackgroundTasks()
 
@@ -130,28 +105,28 @@
         """Answer queries of peers and watch the versions of servers."""
         server = self._sharing.membership.server
         server.handle(StreamBegun, self._receive)
+        server.handle(LogStreams, self._log_for_peer)
         server.handle(StreamQuery, self._answer)
         self._versions.start()
         self._catalog.watch(self._note_servers)
         self._note_servers()
-        if self._recorder:
-            self._tasks.spawn(self._recorder.run(), 'stream recorder')
+        if self._recording:
+            self._tasks.spawn(self._recording.recorder.run(), 'stream recorder')
+            self._tasks.spawn(self._recording.owed.run(), 'owed streams')
             self._tasks.spawn(
-                run_periodically(self._check_recorders, _CHECK_INTERVAL_S),
-                'stream recorders',
+                run_periodically(self._save_versions, _CHECK_INTERVAL_S),
+                'served versions',
             )
 
     async def stop(self) -> None:
         """Log what is pending and stop all tasks."""
         await self._tasks.cancel()
+        await self._holders.stop()
         await self._versions.stop()
         if self._recorded:
             await self._recorded.stop()
-        if self._recorder:
-            try:
-                await self._recorder.flush()
-            except LogError as error:
-                log.info('streams not logged', extra={'error': str(error)})
+        if self._recording:
+            await self._recording.log_rest()
 
     def has_several_versions(self, service_name: str) -> bool:
         """Return whether streams of several versions may be in progress.
@@ -166,8 +141,10 @@
         """Remember a stream, and tell others of it while it runs if needed."""
         self._table.put(begun)
         self._running[begun.key] = begun
+        if self._recording:
+            self._recording.owed.add(begun)
         if self.has_several_versions(begun.service):
-            self._tell(begun)
+            self._holders.tell(begun)
         try:
             yield
         finally:
@@ -184,7 +161,7 @@
         node nor those that were told know it, and that the log has no record of
         it or did not answer.
         """
-        found = self._table.find(key) or await self._ask_holders(key)
+        found = self._table.find(key) or await self._ask(key)
         if found is not None:
             return found
         await self._versions.wait_until_complete(_LOG_TIMEOUT_S)
@@ -193,8 +170,24 @@
         origins = self._versions.origins(
             self._routes.lately(route_name).union(services)
         )
-        if len(origins) == 1 and self._versions.is_complete:
+        is_only = len(origins) == 1 and self._versions.is_complete
+        if is_only and not self._is_young:
             return OneVersion(*origins)
+        recorded = await self._find_recorded(key)
+        if recorded is None and is_only:
+            return OneVersion(*origins)
+        return recorded
+
+    async def _ask(self, key: StreamKey) -> StreamBegun | None:
+        others = self._recording.recorders.peers() if self._recording else ()
+        return await self._holders.ask(key, others)
+
+    @property
+    def _is_young(self) -> bool:
+        """Whether this node does not know what routes have led to lately."""
+        return self._clock() - self._started_at_s < STREAM_MEMORY_S
+
+    async def _find_recorded(self, key: StreamKey) -> StreamBegun | None:
         if self._recorded is None:
             return None
         origin = await self._recorded.find(key, _LOG_TIMEOUT_S)
@@ -202,21 +195,6 @@
             return None
         return StreamBegun(key, origin.service, origin.software_version)
 
-    async def _ask_holders(self, key: StreamKey) -> StreamBegun | None:
-        asked = [
-            asyncio.create_task(self._ask(info, key))
-            for info in self._holders(key)[:_ASKED]
-        ]
-        try:
-            for reply in asyncio.as_completed(asked):
-                found = await reply
-                if found is not None:
-                    return found
-        finally:
-            for task in asked:
-                task.cancel()
-        return None
-
     def _note_servers(self) -> None:
         services = {begun.service for begun in self._running.values()}
         unmixed = set(filterfalse(self.has_several_versions, services))
@@ -226,80 +204,37 @@
         # Streams that began while all servers had one version are told now.
         for begun in self._running.values():
             if begun.service in mixed:
-                self._tell(begun)
-
-    def _tell(self, begun: StreamBegun) -> None:
-        for info in self._holders(begun.key)[:_HOLDERS]:
-            self._tasks.spawn(
-                self._sharing.ask(info, begun, _TELL_TIMEOUT_S), 'stream begun'
-            )
-        if self._recorder:
-            self._tasks.spawn(
-                self._tell_recorder(self._recorder, begun), 'stream recorded'
-            )
-
-    async def _tell_recorder(
-        self, own: StreamRecorder, begun: StreamBegun
-    ) -> None:
-        """Tell the node that logs a stream, or else the other one."""
-        recorders = self._recorders()
-        first = bucket_of('/'.join(begun.key), len(recorders))
-        for name in recorders[first:] + recorders[:first]:
-            if name == self._sharing.membership.own.name:
-                return own.add(begun)
-            for info in self._sharing.peers():
-                if info.name == name and await self._sharing.ask(
-                    info, begun, _TELL_TIMEOUT_S
-                ):
-                    return None
-
-    def _recorders(self) -> list[str]:
-        """Return the nodes that log streams, at least one."""
-        own = self._sharing.membership.own
-        names = [
-            info.name for info in self._sharing.peers() if not info.leaving
-        ]
-        if not own.leaving or not names:
-            names.append(own.name)
-        return rendezvous_order('stream recorders', names)[:_RECORDERS]
-
-    async def _check_recorders(self) -> None:
-        """Tell new recorders of the streams that run, and log the versions."""
-        recorders = self._recorders()
-        if not set(recorders) <= set(self._told_recorders):
-            for begun in self._running.values():
-                if self.has_several_versions(begun.service):
-                    self._tell(begun)
-        self._told_recorders = recorders
-        if recorders[0] == self._sharing.membership.own.name:
-            await self._versions.save_if_due()
+                self._holders.tell(begun)
+
+    def _pace(self) -> OwingPace:
+        if self._versions.any_has_several():
+            return _PACE
+        return _CALM_PACE
+
+    async def _save_versions(self) -> None:
+        """Log which versions serve, if this node does that for all."""
+        if self._recording is None:
+            return
+        names = self._recording.recorders.names()
+        if names[0] == self._sharing.membership.own.name:
+            await self._versions.save_if_due(names)
         else:
             self._versions.note_other_saves()
 
-    async def _ask(
-        self, info: MemberInfo, key: StreamKey
-    ) -> StreamBegun | None:
-        reply = await self._sharing.ask(
-            info, StreamQuery(key), _QUERY_TIMEOUT_S
-        )
-        return reply if isinstance(reply, StreamBegun) else None
-
-    def _holders(self, key: StreamKey) -> list[MemberInfo]:
-        """Return the peers in the order in which they know of a stream."""
-        peers = {
-            info.name: info
-            for info in self._sharing.peers()
-            if not info.leaving
-        }
-        order = rendezvous_order('/'.join(key), peers)
-        return [peers[name] for name in order]
-
     async def _receive(self, begun: StreamBegun) -> OkReply:
         self._table.put(begun)
         own_name = self._sharing.membership.own.name
-        if self._recorder and own_name in self._recorders():
-            self._recorder.add(begun)
+        # Nodes of older builds ask for the log in this way.
+        if self._recording and own_name in self._recording.recorders.names():
+            self._recording.recorder.add([begun])
         return OkReply()
 
+    async def _log_for_peer(self, request: LogStreams) -> StreamsLogged:
+        for begun in request.streams:
+            self._table.put(begun)
+        if self._recording is None:
+            return StreamsLogged([False for _ in request.streams])
+        return StreamsLogged(self._recording.recorder.add(request.streams))
+
     async def _answer(self, query: StreamQuery) -> StreamBegun | OkReply:
         return self._table.find(query.key) or OkReply()
--- a/mallowspindle/streams/serving.py
+++ b/mallowspindle/streams/serving.py
@@ -5,7 +5,7 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from itertools import islice
 
 from mallowspindle.catalog.servers import BackendServer
@@ -98,6 +98,10 @@
         """Return whether streams of several versions may be in progress."""
         return not self.is_complete or self._history.has_several(service_name)
 
+    def any_has_several(self) -> bool:
+        """Return whether this holds for any service."""
+        return not self.is_complete or self._history.any_has_several()
+
     def origins(self, services: Iterable[str]) -> set[StreamOrigin]:
         """Return where streams of some services may have begun.
 
@@ -109,8 +113,12 @@
             for version in self._history.lately(name)
         }
 
-    async def save_if_due(self) -> None:
-        """Log the versions if they have changed, or are several."""
+    async def save_if_due(self, recorders: Collection[str]) -> None:
+        """Log the versions if they have changed, or are several.
+
+        After a release, what other nodes than ``recorders`` have logged of
+        streams is dropped.
+        """
         if self._store is None or not self.is_complete:
             return
         ages_s = self._history.ages_s()
@@ -126,7 +134,7 @@
         try:
             await self._store.save_versions(ages_s)
             if not has_several and self._saved is not None:
-                await self._store.drop_streams()
+                await self._store.drop_streams(recorders)
         except LogError as error:
             log.info('served versions not logged', extra={'error': str(error)})
         else:
--- a/mallowspindle/streams/store.py
+++ b/mallowspindle/streams/store.py
@@ -1,7 +1,7 @@
 """The log's record of begun streams and of the versions that served."""
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from itertools import starmap
 from operator import attrgetter
 from typing import Any
@@ -66,11 +66,23 @@
         except RecordsExpired:
             return await self._read_newest()
 
-    async def drop_streams(self) -> None:
-        """Drop all streams that any node has logged."""
+    async def drop_own(self) -> None:
+        """Drop the streams that this node has logged."""
+        await self._drop(lambda node: node == self._node)
+
+    async def drop_streams(self, kept_nodes: Collection[str]) -> None:
+        """Drop the streams that other nodes than ``kept_nodes`` have logged."""
+        await self._drop(lambda node: node not in kept_nodes)
+
+    async def _drop(self, is_dropped: Callable[[str], bool]) -> None:
         state = await self._log.read_latest(self._layout.streams_stream)
-        if state.records:
-            await self._append([(record.key, b'') for record in state.records])
+        dropped = [
+            (record.key, b'')
+            for record in state.records
+            if is_dropped(record.key.rpartition('/')[0])
+        ]
+        if dropped:
+            await self._append(dropped)
 
     async def _append(self, entries: Iterable[tuple[str, bytes]]) -> None:
         payloads = list(starmap(self._layout.encode_keyed, entries))
--- a/mallowspindle/streams/versions.py
+++ b/mallowspindle/streams/versions.py
@@ -81,6 +81,10 @@
         """Return whether streams of several versions may be in progress."""
         return len(self.lately(service_name)) > 1
 
+    def any_has_several(self) -> bool:
+        """Return whether this holds for any service."""
+        return any(map(self.has_several, self._last_seen_s))
+
 
 class RouteHistory(NameHistory):
     """When each route last led to each service."""
