--- a/mallowspindle/proxy/continuation.py
+++ b/mallowspindle/proxy/continuation.py
@@ -42,6 +42,7 @@
         self._lacks_origin = (
             request.last_event_id is not None and request.origin is None
         )
+        self._tracked_origin: StreamOrigin | None = None
         self._tracking = ExitStack()
 
     @property
@@ -101,7 +102,8 @@
     def _bind(self, origin: StreamOrigin) -> None:
         self._origin = origin
         self._lacks_origin = False
-        if self._route.resumable:
+        if self._route.resumable and self._tracked_origin != origin:
+            self._tracked_origin = origin
             begun = StreamBegun(
                 self._key, origin.service, origin.software_version
             )
--- a/mallowspindle/streams/holders.py
+++ b/mallowspindle/streams/holders.py
@@ -12,6 +12,8 @@
 # Number of peers that are told of a stream. They answer within a millisecond,
 # and while the log is away.
 _HOLDERS = 3
+# So many are tried.
+_MAX_TOLD = 2 * _HOLDERS
 # A member that has joined or left since moves the order by one.
 _ASKED = _HOLDERS + 1
 _QUERY_TIMEOUT_S = 0.5
@@ -31,7 +33,7 @@
 
     def tell(self, begun: StreamBegun) -> None:
         """Tell the first peers that answer."""
-        peers = iter(self._in_order(begun.key))
+        peers = iter(self._in_order(begun.key)[:_MAX_TOLD])
         for _ in range(_HOLDERS):
             self._tasks.spawn(self._tell_one_of(peers, begun), 'stream begun')
 
--- a/mallowspindle/streams/owing.py
+++ b/mallowspindle/streams/owing.py
@@ -57,6 +57,7 @@
         self._clock = clock
         self._owed: dict[StreamKey, _Owed] = {}
         self._wake = asyncio.Event()
+        self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         return len(self._owed)
@@ -77,15 +78,22 @@
 
     async def run(self) -> None:
         """Offer streams until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
             await self._wake.wait()
             await asyncio.sleep(self._pace().collect_s)
             self._wake.clear()
             await self._offer_due()
-            if self._owed:
-                due_s = min(owed.due_s for owed in self._owed.values())
-                loop.call_later(due_s - self._clock(), self._wake.set)
+            self._wake_when_due()
+
+    def _wake_when_due(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._owed:
+            due_s = min(owed.due_s for owed in self._owed.values())
+            self._timer = asyncio.get_running_loop().call_later(
+                due_s - self._clock(), self._wake.set
+            )
 
     async def _offer_due(self) -> None:
         now_s = self._clock()
--- a/mallowspindle/streams/recorders.py
+++ b/mallowspindle/streams/recorders.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Self
 
+from opentelemetry.metrics import Observation
+
 from mallowspindle.log.errors import LogError
 from mallowspindle.membership.messages import MemberInfo
 from mallowspindle.sharing.service import SharingService
@@ -146,6 +148,9 @@
         recorder = StreamRecorder(store, clock, lambda: pace().batch_s)
         recorders = StreamRecorders(sharing, recorder, clock)
         owed = OwedStreams(recorders.log, pace, clock)
+        meter.create_observable_gauge(
+            'streams_owed', [lambda options: [Observation(len(owed))]]
+        )
         return cls(recorder, recorders, owed)
 
     async def log_rest(self) -> None:
