--- a/mallowspindle/streams/recorders.py
+++ b/mallowspindle/streams/recorders.py
@@ -17,9 +17,9 @@
     StreamBegun,
     StreamsLogged,
 )
-from mallowspindle.streams.owing import OwedStreams, OwingPace
 from mallowspindle.streams.recording import StreamRecorder
 from mallowspindle.streams.store import StreamStore
+from mallowspindle.streams.unlogged import LoggingPace, UnloggedStreams
 from mallowspindle.utils.identifiers import bucket_of, rendezvous_order
 from mallowspindle.utils.telemetry import meter
 
@@ -129,37 +129,37 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordingParts:
+class StreamLogging:
     """What takes part in logging streams at one node."""
 
     recorder: StreamRecorder
     recorders: StreamRecorders
-    owed: OwedStreams
+    unlogged: UnloggedStreams
 
     @classmethod
     def build(
         cls,
         sharing: SharingService,
         store: StreamStore,
-        pace: Callable[[], OwingPace],
+        pace: Callable[[], LoggingPace],
         clock: Callable[[], float],
     ) -> Self:
         """Connect the parts."""
         recorder = StreamRecorder(store, clock, lambda: pace().batch_s)
         recorders = StreamRecorders(sharing, recorder, clock)
-        owed = OwedStreams(recorders.log, pace, clock)
+        unlogged = UnloggedStreams(recorders.log, pace, clock)
         meter.create_observable_gauge(
-            'streams_owed', [lambda options: [Observation(len(owed))]]
+            'streams_unlogged', [lambda options: [Observation(len(unlogged))]]
         )
-        return cls(recorder, recorders, owed)
+        return cls(recorder, recorders, unlogged)
 
     async def log_rest(self) -> None:
         """Log what the log may lack, before this node stops."""
-        self.recorder.add(self.owed.streams())
+        self.recorder.add(self.unlogged.streams())
         try:
             await self.recorder.flush()
         except LogError as error:
             log.info(
                 'streams not logged at the stop',
-                extra={'error': str(error), 'streams': len(self.owed)},
+                extra={'error': str(error), 'streams': len(self.unlogged)},
             )
--- a/mallowspindle/streams/service.py
+++ b/mallowspindle/streams/service.py
@@ -22,8 +22,7 @@
     StreamQuery,
     StreamsLogged,
 )
-from mallowspindle.streams.owing import OwingPace
-from mallowspindle.streams.recorders import RecordingParts
+from mallowspindle.streams.recorders import StreamLogging
 from mallowspindle.streams.recording import (
     BATCH_S,
     CALM_BATCH_S,
@@ -33,6 +32,7 @@
 from mallowspindle.streams.serving import ServingVersions
 from mallowspindle.streams.store import StreamStore
 from mallowspindle.streams.table import StreamTable
+from mallowspindle.streams.unlogged import LoggingPace
 from mallowspindle.streams.versions import STREAM_MEMORY_S, RouteHistory
 from mallowspindle.utils.tasks import BackgroundTasks, run_periodically
 
@@ -42,8 +42,8 @@
 _CHECK_INTERVAL_S = 0.5
 # How long streams are collected before they are offered to the node that logs
 # them, and when it should have logged them.
-_PACE = OwingPace(collect_s=0.02, confirm_s=0.25, batch_s=BATCH_S)
-_CALM_PACE = OwingPace(collect_s=0.2, confirm_s=0.8, batch_s=CALM_BATCH_S)
+_PACE = LoggingPace(collect_s=0.02, confirm_s=0.25, batch_s=BATCH_S)
+_CALM_PACE = LoggingPace(collect_s=0.2, confirm_s=0.8, batch_s=CALM_BATCH_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,8 +81,8 @@
         self._clock = clock
         self._started_at_s = clock()
         self._recorded = RecordedStreams(store, clock) if store else None
-        self._recording = (
-            RecordingParts.build(sharing, store, self._pace, clock)
+        self._stream_log = (
+            StreamLogging.build(sharing, store, self._pace, clock)
             if store
             else None
         )
@@ -110,9 +110,13 @@
         self._versions.start()
         self._catalog.watch(self._note_servers)
         self._note_servers()
-        if self._recording:
-            self._tasks.spawn(self._recording.recorder.run(), 'stream recorder')
-            self._tasks.spawn(self._recording.owed.run(), 'owed streams')
+        if self._stream_log:
+            self._tasks.spawn(
+                self._stream_log.recorder.run(), 'stream recorder'
+            )
+            self._tasks.spawn(
+                self._stream_log.unlogged.run(), 'unlogged streams'
+            )
             self._tasks.spawn(
                 run_periodically(self._save_versions, _CHECK_INTERVAL_S),
                 'served versions',
@@ -125,8 +129,8 @@
         await self._versions.stop()
         if self._recorded:
             await self._recorded.stop()
-        if self._recording:
-            await self._recording.log_rest()
+        if self._stream_log:
+            await self._stream_log.log_rest()
 
     def has_several_versions(self, service_name: str) -> bool:
         """Return whether streams of several versions may be in progress.
@@ -141,8 +145,8 @@
         """Remember a stream, and tell others of it while it runs if needed."""
         self._table.put(begun)
         self._running[begun.key] = begun
-        if self._recording:
-            self._recording.owed.add(begun)
+        if self._stream_log:
+            self._stream_log.unlogged.add(begun)
         if self.has_several_versions(begun.service):
             self._holders.tell(begun)
         try:
@@ -179,7 +183,7 @@
         return recorded
 
     async def _ask(self, key: StreamKey) -> StreamBegun | None:
-        others = self._recording.recorders.peers() if self._recording else ()
+        others = self._stream_log.recorders.peers() if self._stream_log else ()
         return await self._holders.ask(key, others)
 
     @property
@@ -206,16 +210,16 @@
             if begun.service in mixed:
                 self._holders.tell(begun)
 
-    def _pace(self) -> OwingPace:
+    def _pace(self) -> LoggingPace:
         if self._versions.any_has_several():
             return _PACE
         return _CALM_PACE
 
     async def _save_versions(self) -> None:
         """Log which versions serve, if this node does that for all."""
-        if self._recording is None:
+        if self._stream_log is None:
             return
-        names = self._recording.recorders.names()
+        names = self._stream_log.recorders.names()
         if names[0] == self._sharing.membership.own.name:
             await self._versions.save_if_due(names)
         else:
@@ -225,16 +229,16 @@
         self._table.put(begun)
         own_name = self._sharing.membership.own.name
         # Nodes of older builds ask for the log in this way.
-        if self._recording and own_name in self._recording.recorders.names():
-            self._recording.recorder.add([begun])
+        if self._stream_log and own_name in self._stream_log.recorders.names():
+            self._stream_log.recorder.add([begun])
         return OkReply()
 
     async def _log_for_peer(self, request: LogStreams) -> StreamsLogged:
         for begun in request.streams:
             self._table.put(begun)
-        if self._recording is None:
+        if self._stream_log is None:
             return StreamsLogged([False for _ in request.streams])
-        return StreamsLogged(self._recording.recorder.add(request.streams))
+        return StreamsLogged(self._stream_log.recorder.add(request.streams))
 
     async def _answer(self, query: StreamQuery) -> StreamBegun | OkReply:
         return self._table.find(query.key) or OkReply()
--- a/mallowspindle/streams/owing.py
+++ b/mallowspindle/streams/unlogged.py
@@ -12,13 +12,13 @@
 # While the log is away, streams are offered again less and less often.
 _MAX_PAUSE_S = 2.0
 # Streams of a node at its share of the largest load in some minutes.
-_MAX_OWED = 20_000
+_MAX_UNLOGGED = 20_000
 
-LogStreams = Callable[[Sequence[StreamBegun]], Awaitable[Sequence[bool]]]
+StreamLogger = Callable[[Sequence[StreamBegun]], Awaitable[Sequence[bool]]]
 
 
 @dataclass(slots=True, eq=False)
-class _Owed:
+class _Unlogged:
     """A stream that is offered at ``due_s``, and ``pause_s`` after that."""
 
     begun: StreamBegun
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwingPace:
+class LoggingPace:
     """How fast streams are logged, in seconds.
 
     A node collects its own for ``collect_s``, the node that logs them those of
@@ -39,7 +39,7 @@
     confirm_s: float
 
 
-class OwedStreams:
+class UnloggedStreams:
     """Offers streams to the nodes that log them until the log has them.
 
     ``log_streams`` offers some streams and returns which of them the log has.
@@ -48,33 +48,33 @@
 
     def __init__(
         self,
-        log_streams: LogStreams,
-        pace: Callable[[], OwingPace],
+        log_streams: StreamLogger,
+        pace: Callable[[], LoggingPace],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._log_streams = log_streams
         self._pace = pace
         self._clock = clock
-        self._owed: dict[StreamKey, _Owed] = {}
+        self._unlogged: dict[StreamKey, _Unlogged] = {}
         self._wake = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
-        return len(self._owed)
+        return len(self._unlogged)
 
     def add(self, begun: StreamBegun) -> None:
         """Have a stream logged; a later one with the same id replaces it."""
-        self._owed.pop(begun.key, None)
-        self._owed[begun.key] = _Owed(
+        self._unlogged.pop(begun.key, None)
+        self._unlogged[begun.key] = _Unlogged(
             begun, self._clock(), self._pace().confirm_s
         )
-        if len(self._owed) > _MAX_OWED:
-            self._owed.pop(next(iter(self._owed)))
+        if len(self._unlogged) > _MAX_UNLOGGED:
+            self._unlogged.pop(next(iter(self._unlogged)))
         self._wake.set()
 
     def streams(self) -> list[StreamBegun]:
         """Return the streams that the log may lack."""
-        return [owed.begun for owed in self._owed.values()]
+        return [unlogged.begun for unlogged in self._unlogged.values()]
 
     async def run(self) -> None:
         """Offer streams until cancelled."""
@@ -89,24 +89,30 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._owed:
-            due_s = min(owed.due_s for owed in self._owed.values())
+        if self._unlogged:
+            due_s = min(unlogged.due_s for unlogged in self._unlogged.values())
             self._timer = asyncio.get_running_loop().call_later(
                 due_s - self._clock(), self._wake.set
             )
 
     async def _offer_due(self) -> None:
         now_s = self._clock()
-        due = [owed for owed in self._owed.values() if owed.due_s <= now_s]
+        due = [
+            unlogged
+            for unlogged in self._unlogged.values()
+            if unlogged.due_s <= now_s
+        ]
         for start in range(0, len(due), _MAX_BATCH):
             batch = due[start : start + _MAX_BATCH]
-            logged = await self._log_streams([owed.begun for owed in batch])
-            for owed, is_logged in zip(batch, logged, strict=True):
-                self._note_offered(owed, is_logged=is_logged)
-
-    def _note_offered(self, owed: _Owed, *, is_logged: bool) -> None:
-        key = owed.begun.key
-        if is_logged and self._owed.get(key) is owed:
-            self._owed.pop(key)
-        owed.due_s = self._clock() + owed.pause_s
-        owed.pause_s = min(2 * owed.pause_s, _MAX_PAUSE_S)
+            logged = await self._log_streams(
+                [unlogged.begun for unlogged in batch]
+            )
+            for unlogged, is_logged in zip(batch, logged, strict=True):
+                self._note_offered(unlogged, is_logged=is_logged)
+
+    def _note_offered(self, unlogged: _Unlogged, *, is_logged: bool) -> None:
+        key = unlogged.begun.key
+        if is_logged and self._unlogged.get(key) is unlogged:
+            self._unlogged.pop(key)
+        unlogged.due_s = self._clock() + unlogged.pause_s
+        unlogged.pause_s = min(2 * unlogged.pause_s, _MAX_PAUSE_S)
--- a/mallowspindle/tests/streams/test_service.py
+++ b/mallowspindle/tests/streams/test_service.py
@@ -45,6 +45,25 @@
     play(scenario, nodes)
 
 
+def test_peers_that_do_not_answer_are_replaced_by_the_next_ones() -> None:
+    """Guards against begins that only dead peers were told."""
+
+    async def scenario(venture: StreamVenture) -> None:
+        await venture.start('v1', 'v2')
+        first = next(iter(venture.nodes))
+        with venture.nodes[first].track(_BEGUN):
+            await asyncio.sleep(_TOLD_S)
+        told = set(venture.knowing(_KEY)) - {first}
+        venture.lose(*told)
+        other = StreamBegun(_KEY, SERVICE, 'v2')
+        with venture.nodes[first].track(other):
+            await asyncio.sleep(2.5)
+        knowing = set(venture.knowing(_KEY)) - {first}
+        assert len(knowing - told) == len(told)
+
+    play(scenario)
+
+
 def test_a_stream_that_no_node_knows_is_unknown_soon() -> None:
     async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
--- a/mallowspindle/tests/streams/venture.py
+++ b/mallowspindle/tests/streams/venture.py
@@ -185,9 +185,9 @@
 
     def recorders(self) -> list[str]:
         """Return the nodes that log streams."""
-        recording = next(iter(self.nodes.values()))._recording  # noqa: SLF001
-        assert recording is not None
-        return recording.recorders.names()
+        stream_log = next(iter(self.nodes.values()))._stream_log  # noqa: SLF001
+        assert stream_log is not None
+        return stream_log.recorders.names()
 
 
 def play(
