--- a/mallowspindle/tests/streams/test_recording.py
+++ b/mallowspindle/tests/streams/test_recording.py
@@ -1,7 +1,9 @@
 """Streams that are found in the log after all nodes have died."""
 
 import asyncio
+from collections.abc import Collection
 from contextlib import ExitStack
+from itertools import cycle
 
 import pytest
 
@@ -25,6 +27,10 @@
 _MAX_BYTES_PER_STREAM = 60
 # While one version serves: twice a second at each of the two nodes that log.
 _MAX_CALM_APPENDS_PER_S = 5
+# Nodes of the operators' deployments, and streams that begin there per second.
+_DEPLOYMENTS = pytest.mark.parametrize(
+    ('nodes', 'streams_per_s'), [(8, 49), (58, 243), (77, 244), (195, 237)]
+)
 
 
 def _begun(number: int, version: str = 'v1') -> StreamBegun:
@@ -217,37 +223,39 @@
     play(scenario, make_log=CountingLog)
 
 
-@pytest.mark.parametrize(
-    ('nodes', 'streams_per_s'), [(8, 49), (58, 243), (77, 244), (195, 237)]
-)
+async def _appends(
+    venture: StreamVenture, nodes: Collection[str], streams_per_s: int
+) -> int:
+    """Begin streams at some nodes in turn; return how many appends it took."""
+    log = venture.log
+    assert isinstance(log, CountingLog)
+    before = log.calls[LAYOUT.streams_stream]
+    turns = cycle(venture.nodes[name] for name in nodes)
+    with ExitStack() as streams:
+        for number in range(int(_STREAMS_LAST_S * streams_per_s)):
+            streams.enter_context(next(turns).track(_begun(number)))
+            await asyncio.sleep(1 / streams_per_s)
+    return log.calls[LAYOUT.streams_stream] - before
+
+
+@_DEPLOYMENTS
 def test_few_appends_record_many_streams(
     nodes: int, streams_per_s: int
 ) -> None:
-    """Streams per second of the operators' deployments."""
-
     async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
-        log = venture.log
-        assert isinstance(log, CountingLog)
         await asyncio.sleep(1)
-        members = list(venture.nodes.values())
-        with ExitStack() as streams:
-            for number in range(int(_STREAMS_LAST_S * streams_per_s)):
-                node = members[number % nodes]
-                streams.enter_context(node.track(_begun(number)))
-                await asyncio.sleep(1 / streams_per_s)
-        appends = log.calls[LAYOUT.streams_stream]
+        appends = await _appends(venture, venture.nodes, streams_per_s)
         assert 0 < appends <= _STREAMS_LAST_S * _MAX_APPENDS_PER_S
         begun = int(_STREAMS_LAST_S * streams_per_s)
-        size = log.sizes[LAYOUT.streams_stream]
+        assert isinstance(venture.log, CountingLog)
+        size = venture.log.sizes[LAYOUT.streams_stream]
         assert size <= begun * _MAX_BYTES_PER_STREAM
 
     play(scenario, nodes, CountingLog)
 
 
-@pytest.mark.parametrize(
-    ('nodes', 'streams_per_s'), [(8, 49), (58, 243), (77, 244), (195, 237)]
-)
+@_DEPLOYMENTS
 def test_streams_of_a_single_version_take_few_appends(
     nodes: int, streams_per_s: int
 ) -> None:
@@ -255,18 +263,11 @@
 
     async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1')
-        log = venture.log
-        assert isinstance(log, CountingLog)
         await asyncio.sleep(1)
-        members = list(venture.nodes.values())
-        with ExitStack() as streams:
-            for number in range(int(_STREAMS_LAST_S * streams_per_s)):
-                node = members[number % nodes]
-                streams.enter_context(node.track(_begun(number)))
-                await asyncio.sleep(1 / streams_per_s)
-        appends = log.calls[LAYOUT.streams_stream]
+        appends = await _appends(venture, venture.nodes, streams_per_s)
         assert 0 < appends <= _STREAMS_LAST_S * _MAX_CALM_APPENDS_PER_S
-        assert log.calls[LAYOUT.versions_stream] == 1
+        assert isinstance(venture.log, CountingLog)
+        assert venture.log.calls[LAYOUT.versions_stream] == 1
 
     play(scenario, nodes, CountingLog)
 
@@ -364,9 +365,7 @@
     play(scenario, 6, CountingLog)
 
 
-@pytest.mark.parametrize(
-    ('nodes', 'streams_per_s'), [(8, 49), (58, 243), (77, 244), (195, 237)]
-)
+@_DEPLOYMENTS
 def test_the_loss_of_both_recorders_takes_few_appends(
     nodes: int, streams_per_s: int
 ) -> None:
@@ -374,22 +373,10 @@
 
     async def scenario(venture: StreamVenture) -> None:
         await venture.start('v1', 'v2')
-        log = venture.log
-        assert isinstance(log, CountingLog)
         recorders = venture.recorders()
         await venture.kill(*recorders)
-        members = [
-            venture.nodes[name]
-            for name in venture.nodes
-            if name not in recorders
-        ]
-        before = log.calls[LAYOUT.streams_stream]
-        with ExitStack() as streams:
-            for number in range(int(_STREAMS_LAST_S * streams_per_s)):
-                node = members[number % len(members)]
-                streams.enter_context(node.track(_begun(number)))
-                await asyncio.sleep(1 / streams_per_s)
-        appends = log.calls[LAYOUT.streams_stream] - before
+        members = venture.nodes.keys() - set(recorders)
+        appends = await _appends(venture, members, streams_per_s)
         assert 0 < appends <= _STREAMS_LAST_S * _MAX_APPENDS_PER_S
 
     play(scenario, nodes, CountingLog)
